--- /dev/null
+++ b/pkg/agent/agent.go
@@ -0,0 +1,317 @@
+// Package agent runs beside one target. It is the only issuer of orders to
+// its target: it queues requests, loads and evicts adapters, runs requests and
+// drains.
+package agent
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/budget"
+	"github.com/hyssoproad/hyssoproad/pkg/catalog"
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/order"
+	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/queue"
+	"github.com/hyssoproad/hyssoproad/pkg/rollout"
+	"github.com/hyssoproad/hyssoproad/pkg/settings"
+	"github.com/hyssoproad/hyssoproad/pkg/target"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "agent",
+		Provide: []any{New},
+		Start:   func(*Agent) {},
+	})
+}
+
+// Agent is the process beside one target.
+type Agent struct {
+	common.Common
+	settings settings.Agent
+	self     link.Identity
+	log      *rollout.Log
+	fence    *order.Fence
+	attempts *order.Attempts
+	engine   *target.Engine
+	service  *target.Service
+	probe    func(context.Context) error
+	homes    *homes
+	share    *budget.Share // guarded by mu
+	sinks    sinks
+	metrics  metrics
+
+	mu      sync.Mutex
+	sched   *queue.Scheduler
+	jobs    map[ident.Request]*job
+	weights map[ident.AdapterVersion]string // of the adapters that were ordered
+	boot    string
+
+	wake     chan struct{}
+	wantWake chan struct{}
+	draining atomic.Bool
+	healthy  atomic.Bool
+	failed   chan error
+	cancel   context.CancelFunc
+	listener net.Listener
+	running  sync.WaitGroup
+}
+
+// New returns an agent.
+func New(c common.Common, s settings.Agent, client *platform.Client, life *kernel.Lifecycle) (*Agent, error) {
+	secret, err := s.Secret()
+	if err != nil {
+		return nil, errors.Annotate(err, "reading secret")
+	}
+	objects := client.Objects()
+	a := &Agent{
+		Common:   c.With("agent"),
+		settings: s,
+		self:     link.Identity{Role: wire.RoleAgent, VM: s.VM, Secret: secret},
+		log:      rollout.New(objects, catalog.New()),
+		fence:    order.NewFence(objects, s.Target.Name),
+		attempts: order.NewAttempts(),
+		jobs:     make(map[ident.Request]*job),
+		weights:  make(map[ident.AdapterVersion]string),
+		wake:     make(chan struct{}, 1),
+		wantWake: make(chan struct{}, 1),
+		failed:   make(chan error, 1),
+	}
+	a.sinks.init()
+	a.metrics = newMetrics(a.Metrics)
+	a.homes = newHomes(a)
+	a.fence.Highest = a.homes.highest
+	a.connectTarget()
+	life.Append(kernel.Hook{Name: "agent", Start: a.start, Stop: a.stop, Ready: a.ready})
+	return a, nil
+}
+
+func (a *Agent) connectTarget() {
+	t := a.settings.Target
+	if t.Kind == wire.KindService {
+		a.service = target.NewService(t.URL)
+		a.probe = a.service.Probe
+		return
+	}
+	a.engine = target.NewEngine(t.URL)
+	a.engine.Boot = a.observeBoot
+	a.probe = a.engine.Probe
+}
+
+func (a *Agent) limits() budget.Limits {
+	s := a.settings.Store
+	if declared, ok := a.log.Catalog().Store(); ok {
+		return budget.Limits{LoadsPerSecond: declared.LoadsPerSecond, InFlight: declared.InFlight, Engines: declared.Engines}
+	}
+	return budget.Limits{LoadsPerSecond: s.LoadsPerSecond, InFlight: s.InFlight, Engines: s.Engines}
+}
+
+func (a *Agent) start(ctx context.Context) error {
+	number, err := a.fence.Acquire(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	a.Info("msg", "fencing number acquired", "incarnation", number)
+	if a.settings.Target.IgnoresFencing {
+		select {
+		case <-time.After(order.TakeoverWait):
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		}
+	}
+	a.share = budget.NewShare(a.limits(), time.Now())
+	a.sched = queue.New(queue.Settings{
+		Slots: a.slots(), Seats: a.settings.Target.Seats,
+		MaxWaiting: a.settings.Queue.MaxWaiting, Balance: a.settings.Queue.Balance,
+	}, time.Now())
+	if a.service != nil {
+		a.sched.Adopt(time.Now(), ident.AdapterVersion{})
+	}
+	if a.listener, err = net.Listen("tcp", a.settings.Link); err != nil {
+		return errors.Trace(err)
+	}
+	a.launch()
+	return nil
+}
+
+// slots counts the slot that stands for a plain service itself.
+func (a *Agent) slots() int { return max(a.settings.Target.Slots, 1) }
+
+func (a *Agent) launch() {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	go func() {
+		if err := link.Serve(a.listener, a.self, a.handlers(), a.Log); err != nil {
+			a.Warn("msg", "link listener ended", "err", err)
+		}
+	}()
+	go a.probeLoop(ctx)
+	go a.scheduleLoop(ctx)
+	go a.homes.loop(ctx)
+	if a.engine != nil {
+		go a.loadLoop(ctx)
+	}
+}
+
+func (a *Agent) handlers() link.Handlers {
+	return link.Handlers{
+		link.KindSubmit:       a.serveSubmit,
+		link.KindAttemptQuery: a.serveAttemptQuery,
+		link.KindConfigDelta:  a.serveConfigDelta,
+	}
+}
+
+func (a *Agent) ready() error {
+	switch {
+	case a.fence.Superseded():
+		return order.ErrSuperseded
+	case !a.healthy.Load():
+		return errors.New("target does not answer")
+	}
+	return nil
+}
+
+const (
+	probePeriod    = time.Second
+	probesToFailed = 3
+)
+
+func (a *Agent) probeLoop(ctx context.Context) {
+	misses := 0
+	for ctx.Err() == nil {
+		if err := a.probe(ctx); err != nil {
+			misses++
+			if misses == probesToFailed {
+				a.Warn("msg", "target does not answer", "err", err)
+				a.healthy.Store(false)
+			}
+		} else {
+			misses = 0
+			a.healthy.Store(true)
+		}
+		sleep(ctx, probePeriod)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// observeBoot notices that the engine restarted, so that nothing is loaded.
+func (a *Agent) observeBoot(mark string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if mark == "" || mark == a.boot {
+		return
+	}
+	if a.boot != "" && a.sched != nil {
+		a.Warn("msg", "engine restarted")
+		a.sched.Lost()
+		a.metrics.engineRestarts.Inc(1)
+	}
+	a.boot = mark
+	signal(a.wantWake)
+}
+
+func (a *Agent) serveAttemptQuery(_ context.Context, s *link.Stream, f link.Frame) error {
+	var q wire.AttemptQuery
+	if _, err := q.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	reply := wire.AttemptReply{State: wire.AttemptUnknown}
+	if q.Incarnation == a.fence.Number() {
+		reply = a.attempts.Query(q.Attempt)
+	}
+	return s.Send(link.KindAttemptReply, &reply)
+}
+
+func (a *Agent) serveConfigDelta(ctx context.Context, s *link.Stream, f link.Frame) error {
+	var d wire.ConfigDelta
+	if _, err := d.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	if !d.Full {
+		a.log.Apply(d.Records)
+	}
+	if a.log.Catalog().Revision() < d.Revision {
+		_ = a.pull(ctx, s.Conn())
+	}
+	a.configured()
+	return s.Send(link.KindConfigAck, &wire.ConfigAck{Revision: a.log.Catalog().Revision()})
+}
+
+// configured acts on a new configuration.
+func (a *Agent) configured() {
+	a.mu.Lock()
+	a.share.SetLimits(a.limits(), time.Now())
+	a.mu.Unlock()
+	if a.closed() {
+		a.handBack()
+	}
+}
+
+// closed reports whether the target takes no new work.
+func (a *Agent) closed() bool {
+	return a.draining.Load() || a.log.Catalog().Target(a.settings.Target.Name).Draining
+}
+
+// stop drains: the queue is handed back, running requests finish.
+func (a *Agent) stop(ctx context.Context) error {
+	a.Info("msg", "draining", "running", a.sched.Running())
+	a.draining.Store(true)
+	a.homes.beat(ctx)
+	a.handBack()
+	done := make(chan struct{})
+	go func() {
+		a.running.Wait()
+		close(done)
+	}()
+	var err error
+	select {
+	case <-done:
+	case <-time.After(a.settings.StopGrace.Std()):
+		err = errors.Errorf("requests still running after %s", a.settings.StopGrace.Std())
+	}
+	a.cancel()
+	a.homes.close()
+	if closeErr := a.listener.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Trace(err)
+}
+
+// handBack refuses every waiting request, so that the entries route it anew.
+func (a *Agent) handBack() {
+	a.mu.Lock()
+	var jobs []*job
+	for _, r := range a.sched.WaitingRequests() {
+		if !a.sched.Cancel(r.ID) {
+			continue
+		}
+		jobs = append(jobs, a.jobs[r.ID])
+	}
+	a.mu.Unlock()
+	for _, j := range jobs {
+		a.refuse(j, reasonDraining, 0)
+	}
+}
--- /dev/null
+++ b/pkg/agent/homes.go
@@ -0,0 +1,238 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/budget"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/member"
+	"github.com/hyssoproad/hyssoproad/pkg/settings"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+const (
+	nearHomes   = 2
+	beatTimeout = 900 * time.Millisecond
+	// ackValidity is how long a home entry's word on incarnations counts.
+	ackValidity = 2 * time.Second
+	grantWait   = 1500 * time.Millisecond
+	// holderDrift is added to a holder's lease before its grants are taken
+	// to have ended.
+	holderDrift = time.Second
+)
+
+// homes are the entries that the agent reports to.
+type homes struct {
+	a    *Agent
+	pool *link.Pool
+
+	mu          sync.Mutex
+	entries     []wire.EntryInfo
+	sequence    uint64
+	ackAt       time.Time
+	ackHighest  ident.Incarnation
+	holderUntil time.Time
+	responsive  []string // addresses that answered the last heartbeat
+}
+
+func newHomes(a *Agent) *homes {
+	return &homes{a: a, pool: link.NewPool(a.self, a.handlers())}
+}
+
+func (h *homes) close() { h.pool.Close() }
+
+func (h *homes) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.beat(ctx)
+		sleep(ctx, settings.HeartbeatPeriod)
+	}
+}
+
+// addresses returns the home entries, or the configured ones until some entry
+// has told of the others.
+func (h *homes) addresses() []string {
+	h.mu.Lock()
+	entries := h.entries
+	h.mu.Unlock()
+	s := h.a.settings
+	var out []string
+	for _, e := range member.Homes(s.Target.Name, s.Domain, entries, nearHomes) {
+		out = append(out, e.Address)
+	}
+	if len(out) == 0 {
+		return s.Entries
+	}
+	return out
+}
+
+// beat sends one heartbeat to every home entry and waits for the answers.
+func (h *homes) beat(ctx context.Context) {
+	report := h.a.report()
+	h.mu.Lock()
+	h.sequence++
+	report.Sequence = h.sequence
+	h.mu.Unlock()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var responsive []string
+	for _, address := range h.addresses() {
+		wg.Go(func() {
+			if err := h.beatOne(ctx, address, report); err != nil {
+				h.a.Debug("msg", "heartbeat failed", "entry", address, "err", err)
+				return
+			}
+			mu.Lock()
+			responsive = append(responsive, address)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	h.settle(responsive)
+}
+
+// settle keeps the responsive homes, and starts over from the settings when
+// none answers.
+func (h *homes) settle(responsive []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.responsive = responsive
+	if len(responsive) == 0 {
+		h.entries = nil
+	}
+}
+
+func (h *homes) beatOne(ctx context.Context, address string, report wire.Report) error {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	conn, err := h.pool.Get(ctx, address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	sent := time.Now()
+	var ack wire.HeartbeatAck
+	err = conn.Call(ctx, link.KindHeartbeat, &wire.Heartbeat{Report: report}, link.KindHeartbeatAck, &ack)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	h.take(ack, sent)
+	if ack.Revision > h.a.log.Catalog().Revision() {
+		h.a.catchUp(ctx, conn, ack.Revision)
+	}
+	return nil
+}
+
+func (h *homes) take(ack wire.HeartbeatAck, sent time.Time) {
+	h.a.fence.Supersede(ack.Highest)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if sent.After(h.ackAt) {
+		h.ackAt = sent
+	}
+	h.ackHighest = max(h.ackHighest, ack.Highest)
+	if len(ack.Entries) > 0 {
+		h.entries = ack.Entries
+	}
+	if ack.Budget.Address != "" {
+		until := sent.Add(time.Duration(ack.Budget.LeftMS) * time.Millisecond)
+		if until.After(h.holderUntil) {
+			h.holderUntil = until
+		}
+	}
+}
+
+// highest returns the highest incarnation that a home entry confirmed
+// recently.
+func (h *homes) highest() (ident.Incarnation, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ackHighest, time.Since(h.ackAt) < ackValidity
+}
+
+// holderActive reports whether a budget holder may still be granting loads.
+func (h *homes) holderActive() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Now().Before(h.holderUntil.Add(holderDrift))
+}
+
+type grant struct {
+	granted bool
+	id      budget.GrantID
+	address string // of the entry that passed it on
+	until   time.Time
+}
+
+// requestLoad asks the budget's holder, through a home entry, for one load.
+func (h *homes) requestLoad(ctx context.Context, value float64) (grant, error) {
+	h.mu.Lock()
+	addresses := h.responsive
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, grantWait)
+	defer cancel()
+	err := errors.New("no home entry answers")
+	for _, address := range addresses {
+		var g grant
+		if g, err = h.askOne(ctx, address, value); err == nil {
+			return g, nil
+		}
+	}
+	return grant{}, err
+}
+
+func (h *homes) askOne(ctx context.Context, address string, value float64) (grant, error) {
+	conn, err := h.pool.Get(ctx, address)
+	if err != nil {
+		return grant{}, errors.Trace(err)
+	}
+	want := wire.LoadWant{Target: h.a.settings.Target.Name, Value: value}
+	var reply wire.LoadGrant
+	if err := conn.Call(ctx, link.KindLoadWant, &want, link.KindLoadGrant, &reply); err != nil {
+		return grant{}, errors.Trace(err)
+	}
+	return grant{
+		granted: reply.Granted, id: budget.GrantID(reply.ID), address: address,
+		until: time.Now().Add(time.Duration(reply.ValidMS) * time.Millisecond),
+	}, nil
+}
+
+// loadDone returns a grant's place. A lost report is made up for by the
+// holder's own timeout.
+func (h *homes) loadDone(g grant, took time.Duration, failed bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
+	defer cancel()
+	conn, err := h.pool.Get(ctx, g.address)
+	if err != nil {
+		return
+	}
+	s, err := conn.Open(link.KindLoadDone, &wire.LoadDone{ID: uint64(g.id), Failed: failed, TookMS: took.Milliseconds()})
+	if err == nil {
+		_, _ = s.Receive(ctx)
+		s.Close()
+	}
+}
+
+// report describes the agent and its target as they are now.
+func (a *Agent) report() wire.Report {
+	t := a.settings.Target
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := wire.Report{
+		Target: t.Name, Incarnation: a.fence.Number(), Revision: a.log.Catalog().Revision(),
+		VM: a.settings.VM, Domain: a.settings.Domain, Address: a.settings.Link,
+		Kind: t.Kind, Model: t.Model, Role: t.Role, Slots: t.Slots, Seats: t.Seats,
+		Running: a.sched.Running(), Waiting: a.sched.Waiting(),
+		WaitMS: a.sched.SeatWait().Milliseconds(), LoadWaitMS: a.sched.LoadWait().Milliseconds(),
+		EvictCost: a.sched.EvictCost(now), Draining: a.closed(),
+		Ready: a.healthy.Load() && !a.fence.Superseded(),
+	}
+	if a.engine != nil {
+		r.Loaded = a.sched.Resident()
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/agent/submit.go
@@ -0,0 +1,245 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/queue"
+	"github.com/hyssoproad/hyssoproad/pkg/rollout"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+// Reasons of refusals. All of them mean that the attempt never started and
+// never will.
+const (
+	reasonDraining    = "draining"
+	reasonSuperseded  = "superseded"
+	reasonIncarnation = "incarnation"
+	reasonStaleConfig = "stale-config"
+	reasonFenced      = "fenced"
+	reasonFull        = "queue-full"
+	reasonDeadline    = "deadline"
+	reasonWeights     = "weights-mismatch"
+	reasonCancelled   = "cancelled"
+	reasonNotLoaded   = "not-loaded"
+)
+
+// job is one attempt at this agent.
+type job struct {
+	submit  wire.Submit
+	stream  *link.Stream
+	request *queue.Request
+	started time.Time
+	done    chan struct{} // closed when the attempt has ended
+}
+
+func (j *job) id() ident.Request { return j.request.ID }
+
+func (j *job) send(e wire.Event) { _ = j.stream.Send(link.KindEvent, &e) }
+
+func (a *Agent) serveSubmit(ctx context.Context, s *link.Stream, f link.Frame) error {
+	var in wire.Submit
+	if _, err := in.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	a.catchUp(ctx, s.Conn(), in.Revision)
+	j := newJob(in, s)
+	if reason := a.unfit(in); reason != "" {
+		a.refuse(j, reason, 0)
+		return nil
+	}
+	if in.NonIdempotent && !a.attempts.Enqueue(in.Attempt) {
+		a.refuse(j, reasonFenced, 0)
+		return nil
+	}
+	if !a.enqueue(j) {
+		return nil
+	}
+	select {
+	case <-j.done:
+	case <-ctx.Done():
+		a.abandon(j)
+		<-j.done
+	}
+	return nil
+}
+
+func newJob(in wire.Submit, s *link.Stream) *job {
+	now := time.Now()
+	return &job{
+		submit: in, stream: s, done: make(chan struct{}),
+		request: &queue.Request{
+			ID: ident.Request(in.Attempt), Key: in.Adapter, Priority: in.Priority,
+			Arrival:  now.Add(-time.Duration(in.WaitedMS) * time.Millisecond),
+			Deadline: now.Add(time.Duration(in.DeadlineMS) * time.Millisecond),
+		},
+	}
+}
+
+// catchUp brings the configuration to the revision that the sender acted on.
+func (a *Agent) catchUp(ctx context.Context, c *link.Conn, revision ident.Revision) {
+	if a.log.Catalog().Revision() >= revision {
+		return
+	}
+	if err := a.pull(ctx, c); err != nil {
+		a.Warn("msg", "configuration not pulled", "err", err)
+	}
+	a.configured()
+}
+
+// pull asks the peer for the records after the revision in force.
+func (a *Agent) pull(ctx context.Context, c *link.Conn) error {
+	return rollout.Pull(ctx, c, a.log, true)
+}
+
+// unfit returns why the attempt cannot run here, if it cannot.
+func (a *Agent) unfit(in wire.Submit) string {
+	revision := a.log.Catalog().Revision()
+	switch {
+	case a.closed():
+		return reasonDraining
+	case a.fence.Superseded():
+		return reasonSuperseded
+	case in.Incarnation != 0 && in.Incarnation != a.fence.Number():
+		return reasonIncarnation
+	case in.Revision != revision:
+		return reasonStaleConfig
+	case a.engine == nil != in.Adapter.IsZero():
+		return reasonNotLoaded
+	}
+	return ""
+}
+
+func (a *Agent) enqueue(j *job) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	key := j.request.Key
+	if held, ok := a.weights[key]; ok && held != j.submit.Weights {
+		go a.refuse(j, reasonWeights, 0)
+		return false
+	}
+	retryAfter, err := a.sched.Add(time.Now(), j.request)
+	if err != nil {
+		reason := reasonFull
+		if errors.Is(err, queue.ErrDeadline) {
+			reason = reasonDeadline
+		}
+		go a.refuse(j, reason, retryAfter)
+		return false
+	}
+	a.rememberWeights(key, j.submit.Weights)
+	a.jobs[j.id()] = j
+	signal(a.wake)
+	return true
+}
+
+const maxWeights = 8192
+
+// rememberWeights keeps the weights that key stands for. It is called with the
+// lock held.
+func (a *Agent) rememberWeights(key ident.AdapterVersion, weights string) {
+	if key.IsZero() {
+		return
+	}
+	a.weights[key] = weights
+	if len(a.weights) <= maxWeights {
+		return
+	}
+	for old := range a.weights {
+		if !a.sched.Uses(old) {
+			delete(a.weights, old)
+		}
+	}
+}
+
+// refuse tells the entry that the attempt was not run, and makes sure that it
+// never will be.
+func (a *Agent) refuse(j *job, reason string, retryAfter time.Duration) {
+	if j.submit.NonIdempotent {
+		a.attempts.Fence(j.submit.Attempt)
+	}
+	a.metrics.refused.Inc(1)
+	a.Debug("msg", "refused", "request", j.submit.Request, "attempt", j.submit.Attempt, "reason", reason)
+	j.send(wire.Event{
+		Kind: wire.EventRefused, Reason: reason,
+		RetryAfterMS: retryAfter.Milliseconds(), Revision: a.log.Catalog().Revision(),
+	})
+	a.forget(j)
+}
+
+func (a *Agent) forget(j *job) {
+	a.mu.Lock()
+	delete(a.jobs, j.id())
+	a.mu.Unlock()
+	close(j.done)
+}
+
+// abandon ends an attempt that its entry no longer waits for. A non-idempotent
+// one that has started is left to finish.
+func (a *Agent) abandon(j *job) {
+	a.mu.Lock()
+	withdrawn := a.sched.Cancel(j.id())
+	a.mu.Unlock()
+	if withdrawn {
+		a.refuse(j, reasonCancelled, 0)
+		return
+	}
+	if a.engine != nil && !j.submit.NonIdempotent {
+		_ = a.engine.Cancel(string(j.submit.Attempt))
+	}
+}
+
+// scheduleLoop starts and expires requests whenever something changes.
+func (a *Agent) scheduleLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		next := a.schedule()
+		timer := time.NewTimer(next)
+		select {
+		case <-a.wake:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+const (
+	minPause = time.Millisecond
+	maxPause = time.Second
+)
+
+// schedule returns the time until it should run again at the latest.
+func (a *Agent) schedule() time.Duration {
+	now := time.Now()
+	a.mu.Lock()
+	var expired, started []*job
+	for _, r := range a.sched.Expire(now) {
+		expired = append(expired, a.jobs[r.ID])
+	}
+	for r := a.sched.Start(now); r != nil; r = a.sched.Start(now) {
+		started = append(started, a.jobs[r.ID])
+	}
+	_, _, wants := a.sched.Want(now)
+	next := a.sched.NextEvent(now)
+	a.metrics.running.Update(float64(a.sched.Running()))
+	a.metrics.waiting.Update(float64(a.sched.Waiting()))
+	a.mu.Unlock()
+	for _, j := range expired {
+		a.refuse(j, reasonDeadline, 0)
+	}
+	for _, j := range started {
+		a.running.Add(1)
+		go a.run(j)
+	}
+	if wants {
+		signal(a.wantWake)
+	}
+	if next.IsZero() {
+		return maxPause
+	}
+	return min(max(next.Sub(now), minPause), maxPause)
+}
--- /dev/null
+++ b/pkg/app/app.go
@@ -0,0 +1,89 @@
+// Package app runs a daemon: it reads flags, environment and settings, and
+// runs the plug-ins that the program imports until a signal stops it.
+package app
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/monitor"
+	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/settings"
+)
+
+// Exit codes of the programs.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+)
+
+// Daemon is one of the long-running programs.
+type Daemon struct {
+	Name string
+	// Settings holds the defaults, and takes the settings file.
+	Settings any
+	// Process returns the shared part of Settings.
+	Process func() settings.Process
+	// Provide lists the constructors of the program's own settings.
+	Provide []any
+}
+
+// Main runs the daemon and returns its exit code.
+func (d Daemon) Main(args []string, stderr io.Writer) int {
+	flags := flag.NewFlagSet(d.Name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	file := flags.String("settings", "", "settings file: JSON with comments (required)")
+	check := flags.Bool("check", false, "check the settings file and exit")
+	version := flags.Bool("version", false, "print the version and exit")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("HYSSOPROAD")); err != nil {
+		return ExitUsage
+	}
+	if *version {
+		fmt.Fprintln(stderr, monitor.Version())
+		return ExitOK
+	}
+	if *file == "" {
+		fmt.Fprintf(stderr, "%s: -settings is required\n", d.Name)
+		return ExitUsage
+	}
+	if err := settings.Load(*file, d.Settings); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	if *check {
+		return ExitOK
+	}
+	return d.run(stderr)
+}
+
+func (d Daemon) run(stderr io.Writer) int {
+	p := d.Process()
+	logger := common.NewLog(stderr, p.LogLevel)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	provide := append([]any{
+		func() settings.Process { return p },
+		func() *platform.Client { return platform.NewClient(p.Platform) },
+		func(m monitor.Metrics) common.Common { return common.Common{Log: logger, Metrics: m.Scope} },
+	}, d.Provide...)
+	_ = level.Info(logger).Log("msg", "starting", "program", d.Name, "vm", p.VM, "version", monitor.Version())
+	if err := kernel.Run(ctx, provide...); err != nil {
+		_ = level.Error(logger).Log("msg", "stopped", "err", errors.ErrorStack(err))
+		return ExitFailed
+	}
+	_ = level.Info(logger).Log("msg", "stopped")
+	return ExitOK
+}
--- /dev/null
+++ b/pkg/bench/deployment.go
@@ -0,0 +1,281 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/hyssoproad/hyssoproad/pkg/catalog"
+	"github.com/hyssoproad/hyssoproad/pkg/declaration"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/settings"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+// Names and tokens of a generated deployment.
+const (
+	CallerToken   = "caller-token-of-the-local-deployment"
+	BatchToken    = "batch-token-of-the-local-deployment"
+	OperatorToken = "operator-token-of-the-local-deployment"
+	linkSecret    = "link-secret-of-the-local-deployment"
+
+	model       = ident.Model("base-7b")
+	drafting    = ident.Service("drafting")
+	dispatching = ident.Service("dispatch")
+	booking     = ident.Service("booking")
+)
+
+// Deployment describes a system on loopback.
+type Deployment struct {
+	Dir       string
+	BasePort  int
+	Entries   int
+	Drafting  int // engines that draft
+	Dispatch  int // engines that run non-idempotent work
+	Services  int // instances of the plain service
+	Adapters  int
+	Rate      float64 // of the weight store, in loads per second
+	TokenTime time.Duration
+	LogLevel  string
+}
+
+// Port offsets of a deployment.
+const (
+	platformPort = 0
+	enginePort   = 10
+	entryPort    = 1000
+	agentPort    = 1100
+	portStride   = 4
+)
+
+var domains = []ident.Domain{"domain-a", "domain-b", "domain-c"}
+
+func domain(i int) ident.Domain { return domains[i%len(domains)] }
+
+func (d Deployment) address(offset int) string {
+	return fmt.Sprintf("127.0.0.1:%d", d.BasePort+offset)
+}
+
+func (d Deployment) url(offset int) string { return "http://" + d.address(offset) }
+
+// EntryLink returns the link address of entry i.
+func (d Deployment) EntryLink(i int) string { return d.address(entryPort + portStride*i) }
+
+// EntryStatus returns the status address of entry i.
+func (d Deployment) EntryStatus(i int) string { return d.address(entryPort + portStride*i + 1) }
+
+// CallersURL returns the base URL of the callers' listener of entry i.
+func (d Deployment) CallersURL(i int) string { return d.url(entryPort + portStride*i + 2) }
+
+// OperatorsURL returns the base URL of the operators' listener of entry i.
+func (d Deployment) OperatorsURL(i int) string { return d.url(entryPort + portStride*i + 3) }
+
+// PlatformURL returns the base URL of the platform's stand-in.
+func (d Deployment) PlatformURL() string { return d.url(platformPort) }
+
+// TargetURL returns the base URL of target i.
+func (d Deployment) TargetURL(i int) string { return d.url(enginePort + i) }
+
+// Targets returns the settings of all targets: drafting engines, dispatch
+// engines, then plain services. Odd targets have unequal slots and seats.
+func (d Deployment) Targets() []settings.Target {
+	var out []settings.Target
+	add := func(kind wire.TargetKind, role string, n int) {
+		for i := range n {
+			t := settings.Target{
+				Name: ident.Target(fmt.Sprintf("%s-%d", role, i+1)), Kind: kind, Role: role,
+				URL: d.TargetURL(len(out)), Seats: 8 + 4*(i%3),
+			}
+			if kind == wire.KindEngine {
+				t.Model = model
+				t.Slots = 4 + 2*(i%3)
+				t.IgnoresFencing = i%2 == 1
+			}
+			out = append(out, t)
+		}
+	}
+	add(wire.KindEngine, string(drafting), d.Drafting)
+	add(wire.KindEngine, string(dispatching), d.Dispatch)
+	add(wire.KindService, string(booking), d.Services)
+	return out
+}
+
+// StandInSettings are the settings of the stand-ins' program.
+type StandInSettings struct {
+	Platform string            `json:"platform"` // listen address
+	VMs      []platform.VMInfo `json:"vms"`
+	VMLag    settings.Duration `json:"vm-lag"`
+	Store    StandInStore      `json:"store"`
+	Targets  []settings.Target `json:"targets"`
+	Token    settings.Duration `json:"token-time"`
+	Seed     uint64            `json:"seed"`
+}
+
+// StandInStore describes the weight store's stand-in.
+type StandInStore struct {
+	LoadsPerSecond float64           `json:"loads-per-second"`
+	LoadTime       settings.Duration `json:"load-time"`
+	FullSpeed      int               `json:"full-speed"`
+}
+
+func (d Deployment) standIns() StandInSettings {
+	s := StandInSettings{
+		Platform: d.address(platformPort), VMLag: settings.Duration(2 * time.Second), Seed: 1,
+		Token:   settings.Duration(d.TokenTime),
+		Store:   StandInStore{LoadsPerSecond: d.Rate, LoadTime: settings.Duration(250 * time.Millisecond), FullSpeed: 8},
+		Targets: d.Targets(),
+	}
+	for i := range d.Entries {
+		s.VMs = append(s.VMs, platform.VMInfo{VM: entryVM(i), Domain: domain(i), State: platform.VMLive, Entry: d.EntryLink(i)})
+	}
+	for i, t := range s.Targets {
+		s.VMs = append(s.VMs, platform.VMInfo{VM: targetVM(i), Domain: domain(i), State: platform.VMLive, Targets: []string{string(t.Name)}})
+	}
+	return s
+}
+
+func entryVM(i int) ident.VM  { return ident.VM(fmt.Sprintf("entry-vm-%d", i+1)) }
+func targetVM(i int) ident.VM { return ident.VM(fmt.Sprintf("target-vm-%d", i+1)) }
+
+func (d Deployment) process(vm ident.VM, i int, link, status string) settings.Process {
+	return settings.Process{
+		VM: vm, Domain: domain(i), Link: link, Status: status, Platform: d.PlatformURL(),
+		SecretFile: filepath.Join(d.Dir, "secret"), LogLevel: d.LogLevel, StopGrace: settings.Duration(time.Minute),
+	}
+}
+
+func (d Deployment) links() []string {
+	var out []string
+	for i := range d.Entries {
+		out = append(out, d.EntryLink(i))
+	}
+	return out
+}
+
+func (d Deployment) store() settings.WeightStore {
+	return settings.WeightStore{LoadsPerSecond: d.Rate, InFlight: 8, Engines: max(d.Drafting+d.Dispatch, 1)}
+}
+
+func (d Deployment) entry(i int) settings.Entry {
+	s := settings.DefaultEntry()
+	s.Process = d.process(entryVM(i), i, d.EntryLink(i), d.EntryStatus(i))
+	s.Entries = d.links()
+	s.Callers.Listen = d.address(entryPort + portStride*i + 2)
+	s.Operators.Listen = d.address(entryPort + portStride*i + 3)
+	s.Operators.Tokens = []settings.OperatorToken{{Name: "local", Hash: catalog.HashToken(OperatorToken)}}
+	s.Store = d.store()
+	return s
+}
+
+func (d Deployment) agent(i int, t settings.Target) settings.Agent {
+	s := settings.DefaultAgent()
+	link := d.address(agentPort + portStride*i)
+	s.Process = d.process(targetVM(i), i, link, d.address(agentPort+portStride*i+1))
+	s.Entries = d.links()
+	s.Target = t
+	s.Store = d.store()
+	return s
+}
+
+// Declarations returns the configuration that the deployment starts with.
+func (d Deployment) Declarations() []wire.Change {
+	changes := []wire.Change{
+		{Store: &wire.WeightStore{LoadsPerSecond: d.Rate, InFlight: 8, Engines: max(d.Drafting+d.Dispatch, 1)}},
+		{Model: &wire.Model{Name: model}},
+		{Service: &wire.Service{Name: drafting, Kind: wire.KindEngine, Model: model, Role: string(drafting), Balance: 0.8, Description: "guides and quote drafts"}},
+		{Service: &wire.Service{Name: dispatching, Kind: wire.KindEngine, Model: model, Role: string(dispatching), Balance: 1, NonIdempotent: true, Description: "bookings made by a model"}},
+		{Service: &wire.Service{Name: booking, Kind: wire.KindService, Role: string(booking), NonIdempotent: true, Description: "the booking desk"}},
+		{Caller: callerOf("showroom", CallerToken, 5)},
+		{Caller: callerOf("night-batch", BatchToken, 0)},
+	}
+	for i := range d.Adapters {
+		changes = append(changes, wire.Change{Adapter: &wire.Adapter{
+			Name: AdapterName(i), Service: drafting, Default: 1, Versions: versionsOf(AdapterName(i)),
+		}})
+	}
+	changes = append(changes, wire.Change{Adapter: &wire.Adapter{
+		Name: DeskAdapter, Service: dispatching, Default: 1, Versions: versionsOf(DeskAdapter),
+	}})
+	return changes
+}
+
+// DeskAdapter is the adapter of the non-idempotent engines' service.
+const DeskAdapter = ident.Adapter("desk")
+
+// AdapterName returns the name of adapter i.
+func AdapterName(i int) ident.Adapter { return ident.Adapter(fmt.Sprintf("guide-%05d", i)) }
+
+func versionsOf(name ident.Adapter) []wire.AdapterVersion {
+	return []wire.AdapterVersion{
+		{Number: 1, Weights: string(name) + "/1"},
+		{Number: 2, Weights: string(name) + "/2"},
+	}
+}
+
+func callerOf(name ident.Caller, token string, priority ident.Priority) *wire.Caller {
+	return &wire.Caller{Name: name, TokenHash: catalog.HashToken(token), Rules: []wire.CallerRule{
+		{Service: drafting, Priority: priority},
+		{Service: dispatching, Priority: priority},
+		{Service: booking, Priority: priority},
+	}}
+}
+
+// Write writes the deployment's settings and declarations to its directory.
+func (d Deployment) Write() error {
+	if err := os.MkdirAll(d.Dir, 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	for name, token := range map[string]string{"secret": linkSecret, "operator-token": OperatorToken, "caller-token": CallerToken} {
+		if err := os.WriteFile(filepath.Join(d.Dir, name), []byte(token+"\n"), 0o600); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if err := d.writeSettings("stand-ins", d.standIns()); err != nil {
+		return errors.Trace(err)
+	}
+	for i := range d.Entries {
+		if err := d.writeSettings(fmt.Sprintf("entry-%02d", i+1), d.entry(i)); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	for i, t := range d.Targets() {
+		if err := d.writeSettings("agent-"+string(t.Name), d.agent(i, t)); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return errors.Trace(declaration.Write(filepath.Join(d.Dir, "declarations"), d.Declarations()))
+}
+
+func (d Deployment) writeSettings(name string, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(os.WriteFile(filepath.Join(d.Dir, name+".hujson"), append(data, '\n'), 0o644))
+}
+
+func (t *tool) deployment() *ffcli.Command {
+	fs := t.flags("deployment")
+	var d Deployment
+	fs.StringVar(&d.Dir, "dir", "build/local", "directory to write to")
+	fs.IntVar(&d.BasePort, "base-port", 17000, "first port on loopback")
+	fs.IntVar(&d.Entries, "entries", 2, "entries")
+	fs.IntVar(&d.Drafting, "drafting", 3, "drafting engines")
+	fs.IntVar(&d.Dispatch, "dispatch", 1, "dispatch engines")
+	fs.IntVar(&d.Services, "services", 1, "instances of the plain service")
+	fs.IntVar(&d.Adapters, "adapters", 300, "adapters")
+	fs.Float64Var(&d.Rate, "rate", 3, "loads per second of the weight store")
+	fs.DurationVar(&d.TokenTime, "token-time", 10*time.Millisecond, "time of one generated token")
+	fs.StringVar(&d.LogLevel, "log-level", "info", "lowest level logged")
+	return &ffcli.Command{
+		Name: "deployment", ShortHelp: "write the settings of a system on loopback", FlagSet: fs,
+		Exec: func(context.Context, []string) error { return d.Write() },
+	}
+}
--- /dev/null
+++ b/pkg/bench/sample.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+const samplePrompt = "Mount a 12 kg mirror on a plaster wall"
+
+// sample sends a few requests of each kind and prints the answers.
+func (t *tool) sample() *ffcli.Command {
+	fs := t.flags("sample")
+	dir := fs.String("dir", "build/local", "the deployment's directory")
+	return &ffcli.Command{
+		Name: "sample", ShortHelp: "send a few requests and print the answers", FlagSet: fs,
+		Exec: func(context.Context, []string) error {
+			d, err := readDeployment(*dir)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			return t.sendSample(newClient(d.callers, CallerToken))
+		},
+	}
+}
+
+func (t *tool) sendSample(c *client) error {
+	w := tabwriter.NewWriter(t.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "REQUEST\tANSWER\tADAPTER AND VERSION\tTARGET\tWAIT FOR LOAD\tTOOK")
+	failures := 0
+	show := func(name string, o outcome) {
+		if o.verdict != verdictRight {
+			failures++
+		}
+		fmt.Fprintf(w, "%s\t%s %s\t%s\t%s\t%s\t%s\n", name, o.verdict, o.reason, o.adapter, o.target, o.stall, o.took.Round(time.Millisecond))
+	}
+	for i := range 6 {
+		in := completion{number: i, model: fmt.Sprintf("%s@%d", AdapterName(i/2), 1+i/4), prompt: samplePrompt, maxTokens: 8, stream: i%2 == 1}
+		name := "draft"
+		if in.stream {
+			name = "draft, streamed"
+		}
+		show(name, c.complete(in))
+	}
+	key := uuid.Must(uuid.NewV7()).String()
+	desk := completion{model: string(DeskAdapter) + "@1", prompt: "Book a wiring check", maxTokens: 8, key: key}
+	show("dispatch", c.complete(desk))
+	desk.number = 1
+	show("dispatch, repeated", c.complete(desk))
+	key = uuid.Must(uuid.NewV7()).String()
+	show("booking", c.call(0, string(booking), "/call/book", key))
+	show("booking, repeated", c.call(1, string(booking), "/call/book", key))
+	if err := w.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	if failures > 0 {
+		return errors.Errorf("%d sample requests were not answered right", failures)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/caller/completion.go
@@ -0,0 +1,215 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/catalog"
+	"github.com/hyssoproad/hyssoproad/pkg/dispatch"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+// CompletionRequest is the body of POST /v1/completions.
+type CompletionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// ChatRequest is the body of POST /v1/chat/completions.
+type ChatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+const defaultMaxTokens = 16
+
+func (f *Face) completion(x *exchange) *dispatch.Refusal {
+	var in CompletionRequest
+	if err := json.Unmarshal(x.ctx.PostBody(), &in); err != nil {
+		return notRun(400, "bad-json", err.Error())
+	}
+	return f.generate(x, in, textShape{})
+}
+
+func (f *Face) chat(x *exchange) *dispatch.Refusal {
+	var in ChatRequest
+	if err := json.Unmarshal(x.ctx.PostBody(), &in); err != nil {
+		return notRun(400, "bad-json", err.Error())
+	}
+	var prompt strings.Builder
+	for _, m := range in.Messages {
+		prompt.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	out := CompletionRequest{Model: in.Model, Prompt: prompt.String(), MaxTokens: in.MaxTokens, Stream: in.Stream}
+	return f.generate(x, out, chatShape{})
+}
+
+func (f *Face) generate(x *exchange, in CompletionRequest, s shape) *dispatch.Refusal {
+	job, refusal := f.resolveCompletion(x, in)
+	if refusal != nil {
+		return refusal
+	}
+	if in.Stream {
+		return f.streamed(x, job, s)
+	}
+	result := f.run(context.Background(), job, dispatch.Output{})
+	return f.whole(x, job, result, s)
+}
+
+// resolveCompletion checks a request against the configuration.
+func (f *Face) resolveCompletion(x *exchange, in CompletionRequest) (*dispatch.Job, *dispatch.Refusal) {
+	named, err := ident.ParseAdapterVersion(in.Model)
+	if err != nil {
+		return nil, notRun(400, "bad-model", err.Error())
+	}
+	if in.Prompt == "" {
+		return nil, notRun(400, "no-prompt", "the request carries no prompt")
+	}
+	job := &dispatch.Job{
+		Request: x.id, Caller: x.caller.Name, Arrival: x.began, Prompt: in.Prompt, MaxTokens: in.MaxTokens,
+	}
+	if job.MaxTokens == 0 {
+		job.MaxTokens = defaultMaxTokens
+	}
+	job.Resolve = func(j *dispatch.Job) *dispatch.Refusal { return f.bind(j, x.caller.Name, named) }
+	if refusal := job.Resolve(job); refusal != nil {
+		return nil, refusal
+	}
+	x.series = Series{job.Service.Name, job.Priority}
+	if refusal := f.checkTokens(job); refusal != nil {
+		return nil, refusal
+	}
+	var refusal *dispatch.Refusal
+	if job.Deadline, refusal = f.deadline(x, job.Service); refusal != nil {
+		return nil, refusal
+	}
+	if job.IdempotencyKey, refusal = key(x, job.Service); refusal != nil {
+		return nil, refusal
+	}
+	job.Fingerprint = fingerprint(x)
+	return job, nil
+}
+
+func (f *Face) checkTokens(job *dispatch.Job) *dispatch.Refusal {
+	limit := f.settings.MaxTokens
+	if job.Service.MaxTokens > 0 {
+		limit = min(limit, job.Service.MaxTokens)
+	}
+	if job.MaxTokens < 0 || job.MaxTokens > limit {
+		return notRun(400, "too-many-tokens", "max_tokens is outside 1 to "+strconv.Itoa(limit))
+	}
+	return nil
+}
+
+// bind resolves the named adapter and version against the configuration in
+// force. A request that names no version stays on the one that it was first
+// bound to.
+func (f *Face) bind(j *dispatch.Job, caller ident.Caller, named ident.AdapterVersion) *dispatch.Refusal {
+	j.Revision = f.catalog.Revision()
+	adapter, ok := f.catalog.Adapter(named.Adapter)
+	if !ok {
+		return notRun(404, "unknown-adapter", "no adapter is named "+string(named.Adapter))
+	}
+	current, ok := f.catalog.Caller(caller)
+	if !ok {
+		return notRun(403, "not-permitted", "the caller is no longer declared")
+	}
+	rule, ok := catalog.Permitted(current, adapter.Service, adapter.Name)
+	if !ok {
+		// The same answer as for an adapter that does not exist would hide
+		// a misconfiguration; the name itself was the caller's own.
+		return notRun(403, "not-permitted", "the caller may not use "+string(named.Adapter))
+	}
+	if named.Version == 0 && !j.Key.IsZero() {
+		named = j.Key
+	}
+	if named.Version == 0 {
+		named.Version = adapter.Default
+	}
+	if named.Version == 0 {
+		return notRun(400, "no-version", "the request names no version and the adapter has no default")
+	}
+	version, ok := catalog.FindVersion(adapter, named.Version)
+	if !ok {
+		return notRun(404, "unknown-version", "the adapter has no version "+strconv.Itoa(int(named.Version)))
+	}
+	if version.Retired {
+		return notRun(410, "retired-version", named.String()+" is retired")
+	}
+	service, ok := f.catalog.Service(adapter.Service)
+	if !ok {
+		return notRun(404, "unknown-service", "the adapter's service is not declared")
+	}
+	j.Key, j.Weights, j.Service, j.Priority = named, version.Weights, service, rule.Priority
+	return nil
+}
+
+// whole answers with a complete completion.
+func (f *Face) whole(x *exchange, job *dispatch.Job, r dispatch.Result, s shape) *dispatch.Refusal {
+	if r.Refusal != nil {
+		return r.Refusal
+	}
+	defer f.inFlight.leave(x.caller.Name)
+	f.account(x, job, r)
+	setHeaders(x, job, r)
+	text := strings.Join(r.Tokens, "")
+	if r.Repeated {
+		if r.Truncated {
+			writeProblem(x.ctx, problemOf(truncated(), string(x.id)))
+			return nil
+		}
+		text = string(r.Body)
+	}
+	body, err := json.Marshal(s.whole(string(x.id), job.Key.String(), text, r))
+	if err != nil {
+		f.Warn("msg", "answer not encoded", "request", x.id, "err", errors.Trace(err))
+	}
+	x.ctx.SetContentType("application/json")
+	x.ctx.SetBody(body)
+	return nil
+}
+
+// truncated tells a repeat that its request ran, and that the answer was too
+// large to keep.
+func truncated() *dispatch.Refusal {
+	return &dispatch.Refusal{
+		Outcome: wire.Ran, Status: 409, Reason: "answer-not-kept",
+		Detail: "the request ran; its answer was too large to be kept for a repeat",
+	}
+}
+
+func setHeaders(x *exchange, job *dispatch.Job, r dispatch.Result) {
+	h := &x.ctx.Response.Header
+	h.Set(HeaderTarget, string(r.Target))
+	h.Set(HeaderStall, strconv.FormatInt(r.Stall.Milliseconds(), 10))
+	if !job.Key.IsZero() {
+		h.Set(HeaderAdapter, job.Key.String())
+	}
+	if r.Repeated {
+		h.Set(HeaderRepeated, "true")
+	}
+}
+
+// account records an answered request in metrics and in the burn report.
+func (f *Face) account(x *exchange, job *dispatch.Job, r dispatch.Result) {
+	took := time.Since(x.began)
+	f.records.answered(job, r)
+	f.Debug("msg", "answered", "request", x.id, "caller", x.caller.Name, "adapter", job.Key, "target", r.Target,
+		"stall", r.Stall, "took", took, "tries", r.Tries)
+}
--- /dev/null
+++ b/pkg/caller/face.go
@@ -0,0 +1,285 @@
+// Package caller serves callers over HTTP: completions, chat completions and
+// the calls of plain services.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fasthttp/router"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/catalog"
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/dispatch"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/ledger"
+	"github.com/hyssoproad/hyssoproad/pkg/peer"
+	"github.com/hyssoproad/hyssoproad/pkg/secure"
+	"github.com/hyssoproad/hyssoproad/pkg/settings"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+// Header names of the callers' interface.
+const (
+	HeaderKey      = "Idempotency-Key"
+	HeaderDeadline = "Hyssoproad-Deadline-Ms"
+	HeaderRequest  = "Hyssoproad-Request"
+	HeaderAdapter  = "Hyssoproad-Adapter"
+	HeaderTarget   = "Hyssoproad-Target"
+	HeaderStall    = "Hyssoproad-Stall-Ms"
+	HeaderRepeated = "Hyssoproad-Repeated"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "caller",
+		Provide: []any{New, newDispatcher},
+		Start:   func(*Face) {},
+	})
+}
+
+// Face is the callers' listener.
+type Face struct {
+	common.Common
+	settings settings.Callers
+	catalog  *catalog.Catalog
+	run      func(context.Context, *dispatch.Job, dispatch.Output) dispatch.Result
+	// admissible returns nil while requests may be admitted.
+	admissible func() error
+	inFlight   inFlight
+	records    *Records
+	server     *fasthttp.Server
+}
+
+func newDispatcher(c common.Common, p *peer.Peer, s settings.Entry) *dispatch.Dispatcher {
+	d := dispatch.New(c, p.Table, s.Retry)
+	d.Connect = p.Pool.Get
+	d.Claim = p.Claim
+	d.Settle = p.Settle
+	d.CatchUp = p.CatchUp
+	return d
+}
+
+// New returns the callers' face of an entry.
+func New(c common.Common, p *peer.Peer, d *dispatch.Dispatcher, s settings.Entry, life *kernel.Lifecycle) *Face {
+	f := NewFace(c, s.Callers, p.Config.Catalog(), d.Run, p.Admissible)
+	life.Append(kernel.Hook{
+		Name:  "callers",
+		Start: func(context.Context) error { return f.start() },
+		Stop:  func(ctx context.Context) error { return f.stop(ctx, p, s.StopGrace.Std()) },
+	})
+	return f
+}
+
+// NewFace returns a face over a catalog and a dispatcher.
+func NewFace(c common.Common, s settings.Callers, cat *catalog.Catalog,
+	run func(context.Context, *dispatch.Job, dispatch.Output) dispatch.Result, admissible func() error,
+) *Face {
+	f := &Face{
+		Common: c.With("caller"), settings: s, catalog: cat, run: run, admissible: admissible,
+		records: newRecords(),
+	}
+	f.inFlight.counts = make(map[ident.Caller]int)
+	f.server = &fasthttp.Server{
+		Handler: f.Handler(), Name: "hyssoproad", ErrorHandler: f.unreadable,
+		MaxRequestBodySize: s.MaxBodyBytes, ReadBufferSize: s.MaxHeaderBytes,
+		ReadTimeout: s.ReadTimeout.Std(), IdleTimeout: s.IdleTimeout.Std(), Concurrency: s.MaxConnections,
+		NoDefaultServerHeader: true, CloseOnShutdown: true,
+	}
+	return f
+}
+
+// Handler routes the callers' requests.
+func (f *Face) Handler() fasthttp.RequestHandler {
+	r := router.New()
+	r.POST("/v1/completions", f.serve(f.completion))
+	r.POST("/v1/chat/completions", f.serve(f.chat))
+	r.ANY("/services/{service}/{path:*}", f.serve(f.call))
+	r.NotFound = f.serve(func(*exchange) *dispatch.Refusal {
+		return notRun(404, "no-such-path", "the path is not served")
+	})
+	r.MethodNotAllowed = f.serve(func(*exchange) *dispatch.Refusal {
+		return notRun(405, "method-not-allowed", "the path does not take this method")
+	})
+	return r.Handler
+}
+
+func (f *Face) start() error {
+	listener, err := secure.Listen(f.settings.Listen, f.settings.TLS)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	go func() {
+		if err := f.server.Serve(listener); err != nil {
+			f.Warn("msg", "callers' listener ended", "err", err)
+		}
+	}()
+	return nil
+}
+
+// stop lets the platform's balancer notice, then finishes what runs.
+func (f *Face) stop(ctx context.Context, p *peer.Peer, grace time.Duration) error {
+	p.Drain(ctx)
+	time.Sleep(f.settings.DrainDelay.Std())
+	ctx, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	return errors.Trace(f.server.ShutdownWithContext(ctx))
+}
+
+// unreadable answers a request that could not be read.
+func (f *Face) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	refusal := notRun(400, "bad-request", "the request could not be read")
+	var tooSmall *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		refusal = notRun(413, "body-too-large", "the body exceeds "+strconv.Itoa(f.settings.MaxBodyBytes)+" bytes")
+	case errors.As(err, &tooSmall):
+		refusal = notRun(431, "header-too-large", "the header exceeds "+strconv.Itoa(f.settings.MaxHeaderBytes)+" bytes")
+	}
+	f.logRefusal(&exchange{}, refusal)
+	writeProblem(ctx, problemOf(refusal, ""))
+}
+
+// exchange is one request of one caller.
+type exchange struct {
+	ctx    *fasthttp.RequestCtx
+	id     ident.Request
+	caller wire.Caller
+	series Series // set once the service is known
+	began  time.Time
+}
+
+type step func(*exchange) *dispatch.Refusal
+
+// serve authenticates, bounds and logs one request around its step.
+func (f *Face) serve(next step) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		x := &exchange{ctx: ctx, id: ident.Request(uuid.NewString()), began: time.Now()}
+		ctx.Response.Header.Set(HeaderRequest, string(x.id))
+		if refusal := f.admit(x, next); refusal != nil {
+			f.logRefusal(x, refusal)
+			writeProblem(ctx, problemOf(refusal, string(x.id)))
+		}
+	}
+}
+
+func (f *Face) admit(x *exchange, next step) *dispatch.Refusal {
+	if refusal := f.authenticate(x); refusal != nil {
+		return refusal
+	}
+	if err := f.admissible(); err != nil {
+		r := notRun(503, dispatch.ReasonConfigStale, err.Error())
+		r.RetryAfter = time.Second
+		return r
+	}
+	if !f.inFlight.enter(x.caller) {
+		r := notRun(429, "caller-limit", "the caller has as many requests in flight as it may")
+		r.RetryAfter = time.Second
+		return r
+	}
+	refusal := next(x)
+	if refusal != nil {
+		f.inFlight.leave(x.caller.Name)
+	}
+	return refusal
+}
+
+func (f *Face) authenticate(x *exchange) *dispatch.Refusal {
+	token, ok := bytes.CutPrefix(x.ctx.Request.Header.Peek("Authorization"), []byte("Bearer "))
+	if !ok {
+		return notRun(401, "no-token", "the request carries no bearer token")
+	}
+	if x.caller, ok = f.catalog.CallerByToken(string(token)); !ok {
+		return notRun(401, "wrong-token", "the bearer token belongs to no caller")
+	}
+	return nil
+}
+
+func (f *Face) logRefusal(x *exchange, r *dispatch.Refusal) {
+	f.Metrics.Tagged(map[string]string{"reason": r.Reason, "outcome": string(r.Outcome)}).Counter("refusals").Inc(1)
+	f.records.refused(x.series, r)
+	f.Info("msg", "refused", "request", x.id, "caller", x.caller.Name, "outcome", r.Outcome, "reason", r.Reason, "status", r.Status)
+}
+
+// deadline returns when the request's answer must have begun.
+func (f *Face) deadline(x *exchange, service wire.Service) (time.Time, *dispatch.Refusal) {
+	limit := f.settings.Deadline.Std()
+	if service.DeadlineMS > 0 {
+		limit = time.Duration(service.DeadlineMS) * time.Millisecond
+	}
+	header := x.ctx.Request.Header.Peek(HeaderDeadline)
+	if len(header) > 0 {
+		ms, err := strconv.ParseInt(string(header), 10, 64)
+		if err != nil {
+			return time.Time{}, notRun(400, "bad-deadline", HeaderDeadline+" is not a number of milliseconds")
+		}
+		if ms <= 0 {
+			return time.Time{}, notRun(504, dispatch.ReasonDeadline, "the deadline has passed")
+		}
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	return x.began.Add(limit), nil
+}
+
+// key returns the idempotency key that a non-idempotent service requires.
+func key(x *exchange, service wire.Service) (string, *dispatch.Refusal) {
+	if !service.NonIdempotent {
+		return "", nil
+	}
+	k := string(x.ctx.Request.Header.Peek(HeaderKey))
+	if k == "" {
+		return "", notRun(400, "no-key", "the service requires an "+HeaderKey)
+	}
+	if _, err := ledger.Birth(k); err != nil {
+		return "", notRun(400, dispatch.ReasonBadKey, err.Error())
+	}
+	return k, nil
+}
+
+func fingerprint(x *exchange, extra ...string) uint64 {
+	h := xxhash.New()
+	for _, e := range extra {
+		_, _ = h.WriteString(e)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(x.ctx.PostBody())
+	return h.Sum64()
+}
+
+// inFlight counts each caller's requests at this entry.
+type inFlight struct {
+	mu     sync.Mutex
+	counts map[ident.Caller]int
+}
+
+const defaultInFlight = 1024
+
+func (n *inFlight) enter(c wire.Caller) bool {
+	limit := c.InFlight
+	if limit == 0 {
+		limit = defaultInFlight
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.counts[c.Name] >= limit {
+		return false
+	}
+	n.counts[c.Name]++
+	return true
+}
+
+func (n *inFlight) leave(c ident.Caller) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.counts[c]--; n.counts[c] <= 0 {
+		delete(n.counts, c)
+	}
+}
--- /dev/null
+++ b/pkg/caller/service.go
@@ -0,0 +1,77 @@
+package caller
+
+import (
+	"context"
+	"strings"
+
+	"github.com/hyssoproad/hyssoproad/pkg/catalog"
+	"github.com/hyssoproad/hyssoproad/pkg/dispatch"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+// call routes one call of a plain service.
+func (f *Face) call(x *exchange) *dispatch.Refusal {
+	job, refusal := f.resolveCall(x)
+	if refusal != nil {
+		return refusal
+	}
+	result := f.run(context.Background(), job, dispatch.Output{})
+	if result.Refusal != nil {
+		return result.Refusal
+	}
+	defer f.inFlight.leave(x.caller.Name)
+	f.account(x, job, result)
+	setHeaders(x, job, result)
+	if result.Truncated {
+		writeProblem(x.ctx, problemOf(truncated(), string(x.id)))
+		return nil
+	}
+	x.ctx.SetStatusCode(result.Status)
+	x.ctx.SetContentType(result.ContentType)
+	x.ctx.SetBody(result.Body)
+	return nil
+}
+
+func (f *Face) resolveCall(x *exchange) (*dispatch.Job, *dispatch.Refusal) {
+	name := ident.Service(x.ctx.UserValue("service").(string))
+	path, _ := x.ctx.UserValue("path").(string)
+	job := &dispatch.Job{
+		Request: x.id, Caller: x.caller.Name, Arrival: x.began,
+		Method: string(x.ctx.Method()), Path: "/" + strings.TrimPrefix(path, "/"),
+		ContentType: string(x.ctx.Request.Header.ContentType()),
+		Body:        append([]byte(nil), x.ctx.PostBody()...),
+	}
+	if query := x.ctx.URI().QueryString(); len(query) > 0 {
+		job.Path += "?" + string(query)
+	}
+	job.Resolve = func(j *dispatch.Job) *dispatch.Refusal { return f.bindCall(j, x.caller.Name, name) }
+	if refusal := job.Resolve(job); refusal != nil {
+		return nil, refusal
+	}
+	x.series = Series{job.Service.Name, job.Priority}
+	var refusal *dispatch.Refusal
+	if job.Deadline, refusal = f.deadline(x, job.Service); refusal != nil {
+		return nil, refusal
+	}
+	if job.IdempotencyKey, refusal = key(x, job.Service); refusal != nil {
+		return nil, refusal
+	}
+	job.Fingerprint = fingerprint(x, job.Method, job.Path)
+	return job, nil
+}
+
+func (f *Face) bindCall(j *dispatch.Job, caller ident.Caller, name ident.Service) *dispatch.Refusal {
+	j.Revision = f.catalog.Revision()
+	service, ok := f.catalog.Service(name)
+	if !ok || service.Kind != wire.KindService {
+		return notRun(404, "unknown-service", "no plain service is named "+string(name))
+	}
+	current, _ := f.catalog.Caller(caller)
+	rule, ok := catalog.Permitted(current, name, "")
+	if !ok {
+		return notRun(403, "not-permitted", "the caller may not use "+string(name))
+	}
+	j.Service, j.Priority = service, rule.Priority
+	return nil
+}
--- /dev/null
+++ b/pkg/catalog/validate.go
@@ -0,0 +1,219 @@
+package catalog
+
+import (
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+const (
+	maxPriority     = 9
+	maxVersions     = 64
+	maxTokens       = 32768
+	maxDeadlineMS   = 600_000
+	tokenHashLength = 64
+)
+
+// Validate returns a NotValid error, naming the object and the fault, unless
+// all changes can be applied to the catalog in order. References may point at
+// objects that an earlier change of the same command declares.
+func (c *Catalog) Validate(changes []wire.Change) error {
+	if len(changes) == 0 {
+		return errors.NotValidf("command without changes")
+	}
+	v := validation{c: c, declared: make(map[wire.ObjectRef]bool)}
+	for _, x := range changes {
+		ref, err := RefOf(x)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if err := v.check(x); err != nil {
+			return errors.Annotatef(err, "%s %s", ref.Kind, ref.Name)
+		}
+		v.declared[ref] = x.Delete == nil
+	}
+	return nil
+}
+
+type validation struct {
+	c        *Catalog
+	declared map[wire.ObjectRef]bool
+}
+
+func (v validation) check(x wire.Change) error {
+	ref, err := RefOf(x)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if ref.Kind != wire.ObjectWeightStore {
+		if err := ident.CheckName(ref.Name); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	switch {
+	case x.Service != nil:
+		return v.service(*x.Service)
+	case x.Adapter != nil:
+		return v.adapter(*x.Adapter)
+	case x.Caller != nil:
+		return v.caller(*x.Caller)
+	case x.Store != nil:
+		return v.store(*x.Store)
+	case x.Delete != nil:
+		return v.remove(*x.Delete)
+	}
+	return nil
+}
+
+func (v validation) exists(kind wire.ObjectKind, name string) bool {
+	if declared, ok := v.declared[wire.ObjectRef{Kind: kind, Name: name}]; ok {
+		return declared
+	}
+	return v.c.Has(wire.ObjectRef{Kind: kind, Name: name})
+}
+
+// Has reports whether an object is declared.
+func (c *Catalog) Has(ref wire.ObjectRef) bool {
+	if ref.Kind == wire.ObjectAdapter {
+		_, ok := c.Adapter(ident.Adapter(ref.Name))
+		return ok
+	}
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	ok := false
+	switch ref.Kind {
+	case wire.ObjectService:
+		_, ok = c.services[ident.Service(ref.Name)]
+	case wire.ObjectModel:
+		_, ok = c.models[ident.Model(ref.Name)]
+	case wire.ObjectCaller:
+		_, ok = c.callers[ident.Caller(ref.Name)]
+	case wire.ObjectTarget:
+		_, ok = c.targets[ident.Target(ref.Name)]
+	case wire.ObjectWeightStore:
+		ok = c.store != nil
+	}
+	return ok
+}
+
+func (v validation) service(s wire.Service) error {
+	if s.Kind != wire.KindEngine && s.Kind != wire.KindService {
+		return errors.NotValidf("kind %q: neither engine nor service:", s.Kind)
+	}
+	if s.Kind == wire.KindEngine && !v.exists(wire.ObjectModel, string(s.Model)) {
+		return errors.NotValidf("undeclared model %q", s.Model)
+	}
+	if s.Role == "" {
+		return errors.NotValidf("missing role")
+	}
+	if s.Balance < 0 || s.Balance > 1 {
+		return errors.NotValidf("balance %g: outside 0 to 1:", s.Balance)
+	}
+	if s.MaxTokens < 0 || s.MaxTokens > maxTokens {
+		return errors.NotValidf("max-tokens %d: outside 0 to %d:", s.MaxTokens, maxTokens)
+	}
+	if s.DeadlineMS < 0 || s.DeadlineMS > maxDeadlineMS {
+		return errors.NotValidf("deadline-ms %d: outside 0 to %d:", s.DeadlineMS, maxDeadlineMS)
+	}
+	return nil
+}
+
+func (v validation) adapter(a wire.Adapter) error {
+	if !v.exists(wire.ObjectService, string(a.Service)) {
+		return errors.NotValidf("undeclared service %q", a.Service)
+	}
+	if len(a.Versions) > maxVersions {
+		return errors.NotValidf("%d versions: more than %d:", len(a.Versions), maxVersions)
+	}
+	seen := make(map[ident.Version]bool, len(a.Versions))
+	for _, version := range a.Versions {
+		if version.Number == 0 || seen[version.Number] {
+			return errors.NotValidf("version %d: zero or twice:", version.Number)
+		}
+		if version.Weights == "" {
+			return errors.NotValidf("version %d without weights", version.Number)
+		}
+		seen[version.Number] = true
+	}
+	if a.Default != 0 && !seen[a.Default] {
+		return errors.NotValidf("default version %d: undeclared:", a.Default)
+	}
+	return v.immutable(a)
+}
+
+// immutable refuses to drop a version number or to give it other weights:
+// answers would no longer come from the version that requests name.
+func (v validation) immutable(a wire.Adapter) error {
+	old, ok := v.c.Adapter(a.Name)
+	if !ok {
+		return nil
+	}
+	for _, before := range old.Versions {
+		after, ok := FindVersion(a, before.Number)
+		if !ok {
+			return errors.NotValidf("version %d: dropped, not retired:", before.Number)
+		}
+		if before.Weights != after.Weights {
+			return errors.NotValidf("version %d: changed weights:", before.Number)
+		}
+	}
+	return nil
+}
+
+func (v validation) caller(caller wire.Caller) error {
+	if len(caller.TokenHash) != tokenHashLength {
+		return errors.NotValidf("token-hash of %d characters: not a SHA-256 in hexadecimal:", len(caller.TokenHash))
+	}
+	if caller.InFlight < 0 {
+		return errors.NotValidf("in-flight %d", caller.InFlight)
+	}
+	if owner, ok := v.c.tokenOwner(caller.TokenHash); ok && owner != caller.Name {
+		return errors.NotValidf("token-hash of caller %q", owner)
+	}
+	for _, rule := range caller.Rules {
+		if !v.exists(wire.ObjectService, string(rule.Service)) {
+			return errors.NotValidf("rule for undeclared service %q", rule.Service)
+		}
+		if rule.Priority < 0 || rule.Priority > maxPriority {
+			return errors.NotValidf("priority %d: outside 0 to %d:", rule.Priority, maxPriority)
+		}
+	}
+	return nil
+}
+
+func (c *Catalog) tokenOwner(hash string) (ident.Caller, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	owner, ok := c.tokens[hash]
+	return owner, ok
+}
+
+func (v validation) store(s wire.WeightStore) error {
+	if s.LoadsPerSecond <= 0 || s.InFlight <= 0 || s.Engines <= 0 {
+		return errors.NotValidf("weight-store: loads-per-second, in-flight and engines must be above zero:")
+	}
+	return nil
+}
+
+func (v validation) remove(ref wire.ObjectRef) error {
+	if !v.exists(ref.Kind, ref.Name) {
+		return errors.NotFoundf("%s %q", ref.Kind, ref.Name)
+	}
+	switch ref.Kind {
+	case wire.ObjectService:
+		return v.unused(ident.Service(ref.Name))
+	case wire.ObjectAdapter:
+		return errors.NotValidf("deletion: retire the adapter's versions instead:")
+	}
+	return nil
+}
+
+func (v validation) unused(service ident.Service) error {
+	for _, a := range v.c.Adapters() {
+		if a.Service == service {
+			return errors.NotValidf("service still used by adapter %q", a.Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/ledger/bucket.go
@@ -0,0 +1,231 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+const (
+	// commitTries bounds the tries of one group commit; each conflict or
+	// lost answer costs one.
+	commitTries   = 8
+	commitTimeout = 2 * time.Second
+	maxBatch      = 2048
+	maxBucketSize = 900 << 10
+)
+
+// operation is a claim or a settlement that waits for a group commit.
+type operation struct {
+	claim  *wire.Claim
+	settle *wire.Settle
+	absent wire.ClaimState // answer to a claim whose key is not on record, if not granted
+
+	claimReply  wire.ClaimReply
+	settleReply wire.SettleReply
+	done        chan struct{}
+}
+
+// bucket holds the keys of one partition that were born in one interval.
+type bucket struct {
+	ledger *Ledger
+	key    string
+
+	mu         sync.Mutex
+	queue      []*operation
+	committing bool
+	used       time.Time
+
+	// Owned by the one commit under way.
+	loaded  bool
+	version platform.ObjectVersion
+	content wire.LedgerBucket
+}
+
+// submit queues an operation and waits for its reply. It reports false when
+// ctx ended first or the bucket is full; the operation may still take effect.
+func (b *bucket) submit(ctx context.Context, op *operation) bool {
+	op.done = make(chan struct{})
+	b.mu.Lock()
+	if len(b.queue) >= maxBatch {
+		b.mu.Unlock()
+		return false
+	}
+	b.queue = append(b.queue, op)
+	b.used = time.Now()
+	start := !b.committing
+	b.committing = true
+	b.mu.Unlock()
+	if start {
+		go b.run()
+	}
+	select {
+	case <-op.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (b *bucket) run() {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+		_ = b.ledger.limiter.Wait(ctx)
+		batch := b.take()
+		if batch == nil {
+			cancel()
+			return
+		}
+		b.commit(ctx, batch)
+		cancel()
+		for _, op := range batch {
+			close(op.done)
+		}
+	}
+}
+
+func (b *bucket) take() []*operation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	batch := b.queue
+	b.queue = nil
+	if len(batch) == 0 {
+		b.committing = false
+	}
+	return batch
+}
+
+// commit evaluates the batch against the stored bucket until one conditional
+// update succeeds. Claims that no update confirmed are refused.
+func (b *bucket) commit(ctx context.Context, batch []*operation) {
+	for range commitTries {
+		if err := b.load(ctx); err != nil {
+			break
+		}
+		next, changed := evaluate(b.content, batch)
+		if !changed {
+			return
+		}
+		if b.store(ctx, next) == nil {
+			return
+		}
+		b.loaded = false
+	}
+	b.loaded = false
+	refuse(batch, "ledger-unavailable")
+}
+
+func refuse(batch []*operation, reason string) {
+	for _, op := range batch {
+		op.claimReply = wire.ClaimReply{State: wire.ClaimRefused, Reason: reason}
+		op.settleReply = wire.SettleReply{}
+	}
+}
+
+func (b *bucket) load(ctx context.Context) error {
+	if b.loaded {
+		return nil
+	}
+	object, err := b.ledger.objects.Get(ctx, b.key)
+	if err != nil && !errors.Is(err, errors.NotFound) {
+		return errors.Trace(err)
+	}
+	b.content = wire.LedgerBucket{}
+	b.version = 0
+	if err == nil {
+		if _, err := b.content.UnmarshalMsg(object.Value); err != nil {
+			return errors.Trace(err)
+		}
+		b.version = object.Version
+	}
+	b.loaded = true
+	return nil
+}
+
+func (b *bucket) store(ctx context.Context, next wire.LedgerBucket) error {
+	next.Write = uuid.NewString()
+	value, err := next.MarshalMsg(nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if len(value) > maxBucketSize {
+		return errors.QuotaLimitExceededf("ledger bucket of %d bytes", len(value))
+	}
+	version, err := b.ledger.objects.Put(ctx, b.key, value, b.version)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	b.ledger.writes.Add(1)
+	b.content = next
+	b.version = version
+	return nil
+}
+
+// evaluate answers every operation as if the returned bucket were stored.
+func evaluate(now wire.LedgerBucket, batch []*operation) (wire.LedgerBucket, bool) {
+	next := wire.LedgerBucket{Closed: now.Closed, Entries: make(map[string]wire.LedgerEntry, len(now.Entries)+len(batch))}
+	for key, e := range now.Entries {
+		next.Entries[key] = e
+	}
+	changed := false
+	for _, op := range batch {
+		if op.claim != nil {
+			changed = op.evaluateClaim(next) || changed
+		} else {
+			changed = op.evaluateSettle(next) || changed
+		}
+	}
+	return next, changed
+}
+
+func (op *operation) evaluateClaim(b wire.LedgerBucket) (changed bool) {
+	c := op.claim
+	key := storedKey(c.Caller, c.Key)
+	e, known := b.Entries[key]
+	switch {
+	case known && e.Attempt == c.Attempt && !e.Done:
+		op.claimReply = wire.ClaimReply{State: wire.ClaimGranted}
+		return true // granted only by an update that confirms it
+	case known && e.Done:
+		op.claimReply = wire.ClaimReply{State: wire.ClaimDone, Fingerprint: e.Fingerprint, Holder: e}
+		return false
+	case known && (c.Replaces == "" || e.Attempt != c.Replaces):
+		op.claimReply = wire.ClaimReply{State: wire.ClaimHeld, Fingerprint: e.Fingerprint, Holder: e}
+		return false
+	case !known && b.Closed:
+		op.claimReply = wire.ClaimReply{State: wire.ClaimExpired}
+		return false
+	case !known && op.absent != wire.ClaimFree:
+		op.claimReply = wire.ClaimReply{State: op.absent, Reason: "key-time"}
+		return false
+	}
+	b.Entries[key] = wire.LedgerEntry{
+		Caller: c.Caller, Fingerprint: c.Fingerprint, Attempt: c.Attempt,
+		Target: c.Target, Incarnation: c.Incarnation, Address: c.Address,
+	}
+	op.claimReply = wire.ClaimReply{State: wire.ClaimGranted}
+	return true
+}
+
+func (op *operation) evaluateSettle(b wire.LedgerBucket) (changed bool) {
+	s := op.settle
+	e, known := b.Entries[s.Key]
+	op.settleReply = wire.SettleReply{Stored: known && e.Attempt == s.Attempt}
+	if !op.settleReply.Stored || e.Done {
+		return false
+	}
+	if s.Release {
+		delete(b.Entries, s.Key)
+		return true
+	}
+	e.Done = true
+	e.Answer = s.Answer
+	b.Entries[s.Key] = e
+	return true
+}
--- /dev/null
+++ b/pkg/link/conn.go
@@ -0,0 +1,269 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+const (
+	readBufferBytes   = 64 << 10
+	writeBufferLimit  = 8 << 20
+	streamBufferLimit = 8 << 20
+	maxStreams        = 16 << 10
+	writeTimeout      = 10 * time.Second
+)
+
+// ErrClosed is returned by calls on a closed connection.
+const ErrClosed = errors.ConstError("link closed")
+
+// ErrPeer wraps a fault that the peer reported.
+const ErrPeer = errors.ConstError("peer fault")
+
+// Handler serves one stream that the peer opened. The stream ends when it
+// returns; ctx ends when the peer cancels or the connection is lost.
+type Handler func(ctx context.Context, s *Stream, f Frame) error
+
+// Handlers maps the kind of a stream's first frame to its handler.
+type Handlers map[Kind]Handler
+
+// Conn is one multiplexed connection to a peer. Streams opened by the dialing
+// side have odd numbers, the others even ones.
+type Conn struct {
+	Peer wire.Hello
+
+	nc       net.Conn
+	r        *bufio.Reader
+	handlers Handlers
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+
+	mu      sync.Mutex
+	streams map[uint32]*Stream
+	next    uint32
+	parity  uint32 // of the streams that this side opens
+
+	out     sync.Mutex
+	pending []byte
+	wake    chan struct{}
+}
+
+func newConn(nc net.Conn, self Identity, handlers Handlers, dialer bool) (*Conn, error) {
+	r := bufio.NewReaderSize(nc, readBufferBytes)
+	peer, err := handshake(nc, r, self, dialer)
+	if err != nil {
+		_ = nc.Close()
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	c := &Conn{
+		Peer: peer, nc: nc, r: r, handlers: handlers,
+		ctx: ctx, cancel: cancel,
+		streams: make(map[uint32]*Stream),
+		next:    2,
+		wake:    make(chan struct{}, 1),
+	}
+	if dialer {
+		c.next = 1
+	}
+	c.parity = c.next % 2
+	go c.readLoop()
+	go c.writeLoop()
+	return c, nil
+}
+
+// Client performs the dialing side's handshake on nc. It closes nc on error.
+func Client(nc net.Conn, self Identity, handlers Handlers) (*Conn, error) {
+	return newConn(nc, self, handlers, true)
+}
+
+// Server performs the accepting side's handshake on nc. It closes nc on error.
+func Server(nc net.Conn, self Identity, handlers Handlers) (*Conn, error) {
+	return newConn(nc, self, handlers, false)
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
+
+// Close ends the connection and every stream on it.
+func (c *Conn) Close() { c.fail(ErrClosed) }
+
+func (c *Conn) fail(err error) {
+	c.cancel(err)
+	_ = c.nc.Close()
+	c.mu.Lock()
+	streams := c.streams
+	c.streams = nil
+	c.mu.Unlock()
+	for _, s := range streams {
+		s.end(err)
+	}
+}
+
+func (c *Conn) readLoop() {
+	for {
+		f, err := ReadFrame(c.r)
+		if err != nil {
+			c.fail(errors.Wrap(err, ErrClosed))
+			return
+		}
+		if err := c.dispatch(f); err != nil {
+			c.fail(err)
+			return
+		}
+	}
+}
+
+func (c *Conn) dispatch(f Frame) error {
+	c.mu.Lock()
+	s, known := c.streams[f.Stream]
+	c.mu.Unlock()
+	switch {
+	case known:
+		s.deliver(f)
+		return nil
+	case f.Kind == KindCancel, f.Kind == KindEnd, f.Kind == KindFault, f.Stream%2 == c.parity:
+		return nil // late frame of a stream that this side has ended
+	}
+	handler, ok := c.handlers[f.Kind]
+	if !ok {
+		// Late events of a cancelled stream cannot be told from an
+		// unserved request; both are answered with a fault.
+		return c.send(KindFault, f.Stream, &wire.Fault{Reason: "unserved frame kind"})
+	}
+	return c.serve(handler, f)
+}
+
+func (c *Conn) serve(handler Handler, f Frame) error {
+	s := c.newStream(f.Stream)
+	c.mu.Lock()
+	full := len(c.streams) >= maxStreams
+	if !full && c.streams != nil {
+		c.streams[f.Stream] = s
+	}
+	c.mu.Unlock()
+	if full {
+		return c.send(KindFault, f.Stream, &wire.Fault{Reason: "too many streams"})
+	}
+	go func() {
+		err := handler(s.ctx, s, f)
+		if err != nil {
+			_ = c.send(KindFault, f.Stream, &wire.Fault{Reason: err.Error()})
+		} else {
+			_ = c.send(KindEnd, f.Stream, nil)
+		}
+		c.drop(s)
+	}()
+	return nil
+}
+
+func (c *Conn) newStream(id uint32) *Stream {
+	s := &Stream{c: c, id: id, ready: make(chan struct{}, 1)}
+	s.ctx, s.cancel = context.WithCancelCause(c.ctx)
+	return s
+}
+
+func (c *Conn) drop(s *Stream) {
+	c.mu.Lock()
+	delete(c.streams, s.id)
+	c.mu.Unlock()
+	s.cancel(context.Canceled)
+}
+
+// Open starts a stream with its first message.
+func (c *Conn) Open(kind Kind, m Message) (*Stream, error) {
+	c.mu.Lock()
+	if c.streams == nil {
+		c.mu.Unlock()
+		return nil, ErrClosed
+	}
+	if len(c.streams) >= maxStreams {
+		c.mu.Unlock()
+		return nil, errors.QuotaLimitExceededf("streams on one link")
+	}
+	s := c.newStream(c.next)
+	c.next += 2
+	c.streams[s.id] = s
+	c.mu.Unlock()
+	if err := c.send(kind, s.id, m); err != nil {
+		c.drop(s)
+		return nil, errors.Trace(err)
+	}
+	return s, nil
+}
+
+// Call opens a stream, waits for its single reply and decodes it into reply.
+func (c *Conn) Call(ctx context.Context, kind Kind, m Message, want Kind, reply Body) error {
+	s, err := c.Open(kind, m)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer s.Close()
+	f, err := s.Receive(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if f.Kind != want {
+		return errors.NotValidf("reply kind %d", f.Kind)
+	}
+	_, err = reply.UnmarshalMsg(f.Body)
+	return errors.Trace(err)
+}
+
+func (c *Conn) send(kind Kind, stream uint32, m Message) error {
+	c.out.Lock()
+	defer c.out.Unlock()
+	if c.ctx.Err() != nil {
+		return ErrClosed
+	}
+	if len(c.pending) > writeBufferLimit {
+		return errors.QuotaLimitExceededf("unsent bytes on link to %q", c.Peer.VM)
+	}
+	b, err := AppendFrame(c.pending, kind, stream, m)
+	c.pending = b
+	if err != nil {
+		return errors.Trace(err)
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (c *Conn) writeLoop() {
+	var spare []byte
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-c.wake:
+		}
+		c.out.Lock()
+		batch := c.pending
+		c.pending = spare[:0]
+		c.out.Unlock()
+		if err := c.write(batch); err != nil {
+			c.fail(errors.Wrap(err, ErrClosed))
+			return
+		}
+		spare = batch
+		if cap(spare) > 1<<20 {
+			spare = nil
+		}
+	}
+}
+
+func (c *Conn) write(b []byte) error {
+	if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := c.nc.Write(b)
+	return err
+}
--- /dev/null
+++ b/pkg/monitor/monitor.go
@@ -0,0 +1,106 @@
+// Package monitor serves a process's health checks and metrics.
+package monitor
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	_ "net/http/pprof" // profiles on the status listener
+
+	"net/http"
+
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "monitor",
+		Provide: []any{NewMetrics, New},
+		Start:   func(*Monitor) {},
+	})
+}
+
+const reportInterval = time.Second
+
+// Metrics is the process's root scope and its exposition.
+type Metrics struct {
+	Scope    tally.Scope
+	reporter prometheus.Reporter
+}
+
+// NewMetrics returns the root scope.
+func NewMetrics(life *kernel.Lifecycle) Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "hyssoproad", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	life.Append(kernel.Hook{Name: "metrics", Stop: func(context.Context) error { return closer.Close() }})
+	return Metrics{Scope: scope, reporter: reporter}
+}
+
+// Monitor is the status listener.
+type Monitor struct {
+	common.Common
+	server *fasthttp.Server
+}
+
+// New returns a monitor that listens on the status address.
+func New(c common.Common, p settings.Process, m Metrics, life *kernel.Lifecycle) *Monitor {
+	r := router.New()
+	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET("/readyz", func(ctx *fasthttp.RequestCtx) {
+		if err := life.Ready(); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+			return
+		}
+		ctx.SetBodyString("ready\n")
+	})
+	r.GET("/version", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(Version() + "\n") })
+	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(m.reporter.HTTPHandler()))
+	r.GET("/debug/pprof/{profile:*}", fasthttpadaptor.NewFastHTTPHandler(http.DefaultServeMux))
+	mon := &Monitor{Common: c.With("monitor"), server: &fasthttp.Server{Handler: r.Handler, Name: "hyssoproad"}}
+	life.Append(kernel.Hook{
+		Name:  "monitor",
+		Start: func(context.Context) error { return mon.start(p.Status) },
+		Stop:  mon.server.ShutdownWithContext,
+	})
+	return mon
+}
+
+func (m *Monitor) start(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	go func() {
+		if err := m.server.Serve(listener); err != nil {
+			m.Warn("msg", "status listener ended", "err", err)
+		}
+	}()
+	return nil
+}
+
+// Version returns the program's version from its build information.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return info.Main.Version + " " + s.Value
+		}
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/pkg/operator/face.go
@@ -0,0 +1,263 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/caller"
+	"github.com/hyssoproad/hyssoproad/pkg/catalog"
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/peer"
+	"github.com/hyssoproad/hyssoproad/pkg/rollout"
+	"github.com/hyssoproad/hyssoproad/pkg/secure"
+	"github.com/hyssoproad/hyssoproad/pkg/settings"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "operator",
+		Provide: []any{New},
+		Start:   func(*Face) {},
+	})
+}
+
+const (
+	commandTimeout = 8 * time.Second
+	maxBodyBytes   = 4 << 20
+)
+
+// Face is the operators' listener.
+type Face struct {
+	common.Common
+	settings settings.Operators
+	peer     *peer.Peer
+	records  *caller.Records
+	server   *fasthttp.Server
+}
+
+// New returns the operators' face of an entry.
+func New(c common.Common, p *peer.Peer, callers *caller.Face, s settings.Entry, life *kernel.Lifecycle) *Face {
+	f := &Face{Common: c.With("operator"), settings: s.Operators, peer: p, records: callers.Records()}
+	r := router.New()
+	r.POST("/operator/command", f.serve(true, f.command))
+	r.POST("/operator/query", f.serve(false, f.serveQuery))
+	r.POST("/operator/apply", f.serve(true, f.apply))
+	r.GET("/operator/export", f.serve(false, f.export))
+	r.GET("/operator/records", f.serve(false, f.serveRecords))
+	f.server = &fasthttp.Server{Handler: r.Handler, Name: "hyssoproad", NoDefaultServerHeader: true, MaxRequestBodySize: maxBodyBytes}
+	life.Append(kernel.Hook{
+		Name:  "operators",
+		Start: func(context.Context) error { return f.start() },
+		Stop:  f.server.ShutdownWithContext,
+	})
+	return f
+}
+
+func (f *Face) start() error {
+	listener, err := secure.Listen(f.settings.Listen, f.settings.TLS)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	go func() { f.ended(f.server.Serve(listener)) }()
+	return nil
+}
+
+func (f *Face) ended(err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		f.Warn("msg", "operators' listener ended", "err", err)
+	}
+}
+
+// Reply is the answer to an operator.
+type Reply struct {
+	// Error says why the statement was not carried out.
+	Error string `json:"error,omitempty"`
+	// Reason is conflict, not-valid, not-found, unsettled, unavailable or
+	// denied.
+	Reason   string         `json:"reason,omitempty"`
+	Revision ident.Revision `json:"revision,omitempty"`
+	Command  ident.Command  `json:"command,omitempty"`
+	Table    *Table         `json:"table,omitempty"`
+	Changes  []wire.Change  `json:"changes,omitempty"`
+	// Records are the entry's requests of the newest hour, for reports.
+	Records *caller.RecordsExport `json:"records,omitempty"`
+}
+
+// CommandRequest is the body of POST /operator/command and /operator/query.
+type CommandRequest struct {
+	Command ident.Command `json:"command"`
+	// Base is the revision that the operator decided on; 0 stands for the
+	// one in force here.
+	Base ident.Revision `json:"base,omitempty"`
+	Text string         `json:"text"`
+}
+
+// ApplyRequest is the body of POST /operator/apply.
+type ApplyRequest struct {
+	Command ident.Command  `json:"command"`
+	Base    ident.Revision `json:"base,omitempty"`
+	Changes []wire.Change  `json:"changes"`
+}
+
+type action func(ctx *fasthttp.RequestCtx, operator string) (Reply, error)
+
+func (f *Face) serve(writes bool, next action) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		operator, err := f.authenticate(ctx, writes)
+		var reply Reply
+		if err == nil {
+			reply, err = next(ctx, operator)
+		}
+		if err != nil {
+			reply.Error = err.Error()
+			reply.Reason = reasonOf(err)
+			f.Info("msg", "operator refused", "operator", operator, "path", string(ctx.Path()), "reason", reply.Reason, "err", err)
+			ctx.SetStatusCode(statusOf(reply.Reason))
+		}
+		ctx.SetContentType("application/json")
+		if err := json.NewEncoder(ctx).Encode(reply); err != nil {
+			f.Warn("msg", "reply not encoded", "err", err)
+		}
+	}
+}
+
+func (f *Face) authenticate(ctx *fasthttp.RequestCtx, writes bool) (string, error) {
+	token, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	hash := catalog.HashToken(token)
+	for _, t := range f.settings.Tokens {
+		if ok && subtle.ConstantTimeCompare([]byte(hash), []byte(t.Hash)) == 1 {
+			if writes && t.ReadOnly {
+				return t.Name, errors.Forbiddenf("command of read-only operator %q", t.Name)
+			}
+			return t.Name, nil
+		}
+	}
+	return "", errors.Unauthorizedf("operator")
+}
+
+func reasonOf(err error) string {
+	var conflict *rollout.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.Is(err, errors.NotValid):
+		return "not-valid"
+	case errors.Is(err, errors.NotFound):
+		return "not-found"
+	case errors.Is(err, errors.AlreadyExists):
+		return "already-exists"
+	case errors.Is(err, errors.Forbidden), errors.Is(err, errors.Unauthorized):
+		return "denied"
+	case errors.Is(err, rollout.ErrUnsettled):
+		return "unsettled"
+	}
+	return "unavailable"
+}
+
+func statusOf(reason string) int {
+	switch reason {
+	case "conflict", "already-exists":
+		return fasthttp.StatusConflict
+	case "not-valid":
+		return fasthttp.StatusBadRequest
+	case "not-found":
+		return fasthttp.StatusNotFound
+	case "denied":
+		return fasthttp.StatusForbidden
+	}
+	return fasthttp.StatusServiceUnavailable
+}
+
+func decode(ctx *fasthttp.RequestCtx, v any) error {
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		return errors.NotValidf("body: %v:", err)
+	}
+	return nil
+}
+
+func (f *Face) serveQuery(ctx *fasthttp.RequestCtx, _ string) (Reply, error) {
+	var in CommandRequest
+	if err := decode(ctx, &in); err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	s, err := Parse(in.Text)
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	if s.Show == nil && s.Explain == nil {
+		return Reply{}, errors.NotValidf("a command is not a query:")
+	}
+	table, err := f.query(s)
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	return Reply{Revision: f.peer.Config.Catalog().Revision(), Table: table}, nil
+}
+
+func (f *Face) command(ctx *fasthttp.RequestCtx, operator string) (Reply, error) {
+	var in CommandRequest
+	if err := decode(ctx, &in); err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	s, err := Parse(in.Text)
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	base := in.Base
+	if base == 0 {
+		base = f.peer.Config.Catalog().Revision()
+	}
+	changes, err := compile(s, f.peer.Config.Catalog())
+	if err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	return f.propose(rollout.Proposal{Command: in.Command, Operator: operator, Base: base, Changes: changes})
+}
+
+func (f *Face) apply(ctx *fasthttp.RequestCtx, operator string) (Reply, error) {
+	var in ApplyRequest
+	if err := decode(ctx, &in); err != nil {
+		return Reply{}, errors.Trace(err)
+	}
+	return f.propose(rollout.Proposal{Command: in.Command, Operator: operator, Base: in.Base, Changes: in.Changes})
+}
+
+// propose has a command accepted. While most entries are out of reach it is
+// refused, since those might go on without it in an outage of the object API.
+func (f *Face) propose(p rollout.Proposal) (Reply, error) {
+	if p.Command == "" || len(p.Command) > ident.MaxNameLength {
+		return Reply{}, errors.NotValidf("command id of %d characters", len(p.Command))
+	}
+	if !f.peer.Majority() {
+		return Reply{}, errors.New("most entries are out of reach; the command was not accepted")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	record, err := f.peer.Config.Append(ctx, p)
+	if err != nil {
+		return Reply{Command: p.Command}, errors.Trace(err)
+	}
+	f.Info("msg", "command accepted", "operator", p.Operator, "command", p.Command, "revision", record.Revision)
+	return Reply{Revision: record.Revision, Command: p.Command}, nil
+}
+
+func (f *Face) export(*fasthttp.RequestCtx, string) (Reply, error) {
+	revision, changes := f.peer.Config.Catalog().Export()
+	return Reply{Revision: revision, Changes: changes}, nil
+}
+
+func (f *Face) serveRecords(*fasthttp.RequestCtx, string) (Reply, error) {
+	export := f.records.Export()
+	return Reply{Records: &export}, nil
+}
--- /dev/null
+++ b/pkg/peer/claims.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/member"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+const (
+	claimTimeout = 2500 * time.Millisecond
+	sweepPeriod  = 5 * time.Minute
+)
+
+// owner returns the entry that batches a ledger partition's updates. Two
+// entries that disagree lose time, not safety.
+func (p *Peer) owner(partition int) wire.EntryInfo {
+	return member.Rank(fmt.Sprintf("ledger/%d", partition), p.Entries())[0]
+}
+
+// Claim asks the ledger for the right to run a key.
+func (p *Peer) Claim(ctx context.Context, c wire.Claim) wire.ClaimReply {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	var reply wire.ClaimReply
+	if p.forward(ctx, c.Caller, c.Key, link.KindClaim, &c, link.KindClaimReply, &reply) {
+		return reply
+	}
+	return p.Ledger.Claim(ctx, c)
+}
+
+// Settle records how a claimed attempt ended, or releases its claim. It
+// reports whether the attempt still held the key.
+func (p *Peer) Settle(ctx context.Context, caller ident.Caller, s wire.Settle) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	var reply wire.SettleReply
+	in := wire.SettleRequest{Caller: caller, Settle: s}
+	if p.forward(ctx, caller, s.Key, link.KindSettle, &in, link.KindSettleReply, &reply) {
+		return reply.Stored
+	}
+	return p.Ledger.Settle(ctx, caller, s)
+}
+
+// forward passes an operation on to its partition's owner. It reports false
+// when this entry is the owner or the owner gave no answer; repeating the
+// operation here is harmless then.
+func (p *Peer) forward(ctx context.Context, caller ident.Caller, key string, kind link.Kind, m link.Message, want link.Kind, reply link.Body) bool {
+	owner := p.owner(p.Ledger.Partition(caller, key))
+	if owner.VM == p.settings.VM {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout/2)
+	defer cancel()
+	conn, err := p.Pool.Get(ctx, owner.Address)
+	if err != nil {
+		return false
+	}
+	return conn.Call(ctx, kind, m, want, reply) == nil
+}
+
+func (p *Peer) serveClaim(ctx context.Context, s *link.Stream, f link.Frame) error {
+	var in wire.Claim
+	if _, err := in.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	reply := p.Ledger.Claim(ctx, in)
+	return s.Send(link.KindClaimReply, &reply)
+}
+
+func (p *Peer) serveSettle(ctx context.Context, s *link.Stream, f link.Frame) error {
+	var in wire.SettleRequest
+	if _, err := in.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	return s.Send(link.KindSettleReply, &wire.SettleReply{Stored: p.Ledger.Settle(ctx, in.Caller, in.Settle)})
+}
+
+func (p *Peer) sweepLoop(ctx context.Context) {
+	every(ctx, sweepPeriod, func(ctx context.Context) {
+		for partition := range p.settings.Ledger.Partitions {
+			if p.owner(partition).VM != p.settings.VM {
+				continue
+			}
+			if err := p.Ledger.Sweep(ctx, partition); err != nil {
+				p.Debug("msg", "ledger not swept", "partition", partition, "err", err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/peer/membership.go
@@ -0,0 +1,193 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/member"
+	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+const (
+	vmPeriod       = 2 * time.Second
+	digestPeriod   = time.Second
+	digestTimeout  = 900 * time.Millisecond
+	livenessPeriod = 500 * time.Millisecond
+)
+
+func every(ctx context.Context, period time.Duration, step func(context.Context)) {
+	for ctx.Err() == nil {
+		step(ctx)
+		select {
+		case <-time.After(period):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (p *Peer) vmLoop(ctx context.Context) { every(ctx, vmPeriod, p.readVMs) }
+
+// readVMs takes proposals from the platform's list; heartbeats decide.
+func (p *Peer) readVMs(ctx context.Context) {
+	vms, err := p.platform.VMs(ctx)
+	if err != nil {
+		p.Debug("msg", "VM list not read", "err", err)
+		return
+	}
+	listed := make(map[ident.VM]bool, len(vms))
+	leaving := make(map[ident.Target]bool)
+	for _, vm := range vms {
+		listed[vm.VM] = true
+		if vm.Entry != "" && vm.State == platform.VMLive {
+			p.Registry.ProposeEntry(wire.EntryInfo{VM: vm.VM, Domain: vm.Domain, Address: vm.Entry})
+		}
+		for _, t := range vm.Targets {
+			leaving[ident.Target(t)] = vm.State == platform.VMLeaving
+		}
+	}
+	p.Registry.SetLeaving(leaving)
+	for _, e := range p.Registry.Entries() {
+		if !listed[e.Info.VM] {
+			p.Registry.ForgetEntry(e.Info.VM, time.Now())
+		}
+	}
+}
+
+func (p *Peer) serveHeartbeat(_ context.Context, s *link.Stream, f link.Frame) error {
+	var in wire.Heartbeat
+	if _, err := in.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	p.observe(in.Report, true)
+	p.mu.Lock()
+	p.agents[in.Report.Target] = s.Conn()
+	p.mu.Unlock()
+	return s.Send(link.KindHeartbeatAck, &wire.HeartbeatAck{
+		Highest:  p.Registry.Highest(in.Report.Target),
+		Revision: p.Config.Catalog().Revision(),
+		Entries:  p.Entries(),
+		Budget:   p.budget.info(),
+	})
+}
+
+func (p *Peer) observe(r wire.Report, direct bool) {
+	now := time.Now()
+	if p.Registry.Observe(r, now, direct) {
+		p.Table.Update(r, p.usable(r), now)
+	}
+}
+
+// usable reports whether a target may get new work.
+func (p *Peer) usable(r wire.Report) bool {
+	return r.Ready && !r.Draining && !p.Registry.Leaving(r.Target) && !p.Config.Catalog().Target(r.Target).Draining
+}
+
+func (p *Peer) livenessLoop(ctx context.Context) { every(ctx, livenessPeriod, p.checkLiveness) }
+
+func (p *Peer) checkLiveness(context.Context) {
+	now := time.Now()
+	for _, m := range p.Registry.Members(now) {
+		state := m.StateAt(now)
+		p.Table.SetUsable(m.Report.Target, state == member.Live && p.usable(m.Report))
+		if state == member.Dead {
+			p.Table.Remove(m.Report.Target)
+			p.Pool.Drop(m.Report.Address)
+			p.forgetAgent(m.Report.Target)
+		}
+	}
+}
+
+func (p *Peer) forgetAgent(t ident.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.agents, t)
+}
+
+func (p *Peer) digestLoop(ctx context.Context) { every(ctx, digestPeriod, p.sendDigests) }
+
+// sendDigests tells every other entry what this one knows first-hand.
+func (p *Peer) sendDigests(ctx context.Context) {
+	digest := wire.Digest{From: p.Info(), Reports: p.firstHand(), Budget: p.budget.info()}
+	for _, address := range p.otherEntries() {
+		go p.sendDigest(ctx, address, digest)
+	}
+}
+
+func (p *Peer) otherEntries() []string {
+	seen := map[string]bool{p.settings.Link: true}
+	var out []string
+	add := func(address string) {
+		if !seen[address] {
+			seen[address] = true
+			out = append(out, address)
+		}
+	}
+	for _, e := range p.Registry.Entries() {
+		add(e.Info.Address)
+	}
+	for _, address := range p.settings.Entries {
+		add(address)
+	}
+	return out
+}
+
+// firstHand returns the reports of agents for which this entry comes first
+// among their homes, so that each travels to each entry once.
+func (p *Peer) firstHand() []wire.Report {
+	now := time.Now()
+	entries := p.Entries()
+	var out []wire.Report
+	for _, m := range p.Registry.Members(now) {
+		if !m.Direct || m.StateAt(now) == member.Dead {
+			continue
+		}
+		homes := member.Homes(m.Report.Target, m.Report.Domain, entries, 1)
+		if len(homes) > 0 && homes[0].VM == p.settings.VM {
+			out = append(out, m.Report)
+		}
+	}
+	return out
+}
+
+func (p *Peer) sendDigest(ctx context.Context, address string, digest wire.Digest) {
+	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
+	defer cancel()
+	conn, err := p.Pool.Get(ctx, address)
+	if err != nil {
+		return
+	}
+	var ack wire.DigestAck
+	if err := conn.Call(ctx, link.KindDigest, &digest, link.KindDigestAck, &ack); err != nil {
+		p.Debug("msg", "digest not sent", "entry", address, "err", err)
+		return
+	}
+	p.observeEntry(ctx, conn, ack.From)
+}
+
+func (p *Peer) serveDigest(ctx context.Context, s *link.Stream, f link.Frame) error {
+	var in wire.Digest
+	if _, err := in.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	for _, r := range in.Reports {
+		p.observe(r, false)
+	}
+	p.budget.learn(in.Budget)
+	p.observeEntry(ctx, s.Conn(), in.From)
+	return s.Send(link.KindDigestAck, &wire.DigestAck{From: p.Info()})
+}
+
+// observeEntry records what an entry says of itself, and catches up with it.
+func (p *Peer) observeEntry(ctx context.Context, conn *link.Conn, info wire.EntryInfo) {
+	now := time.Now()
+	p.Registry.ObserveEntry(info, now)
+	if info.Revision > p.Config.Catalog().Revision() {
+		p.pull(ctx, conn)
+	}
+	p.Config.Confirm(info.Revision, now.Add(-time.Duration(info.FreshMS)*time.Millisecond))
+}
--- /dev/null
+++ b/pkg/peer/peer.go
@@ -0,0 +1,206 @@
+// Package peer is an entry's side of the system's own links: membership,
+// configuration, the load budget and the ledger's partitions.
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/catalog"
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/lease"
+	"github.com/hyssoproad/hyssoproad/pkg/ledger"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/member"
+	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/rollout"
+	"github.com/hyssoproad/hyssoproad/pkg/route"
+	"github.com/hyssoproad/hyssoproad/pkg/settings"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "peer",
+		Provide: []any{New},
+		Start:   func(*Peer) {},
+	})
+}
+
+// Peer is one entry among the others.
+type Peer struct {
+	common.Common
+	settings settings.Entry
+	self     link.Identity
+	platform *platform.Client
+	Registry *member.Registry
+	Table    *route.Table
+	Config   *rollout.Log
+	Ledger   *ledger.Ledger
+	Pool     *link.Pool
+	budget   *budgetDesk
+
+	mu       sync.Mutex
+	agents   map[ident.Target]*link.Conn // of agents whose home this entry is
+	draining bool
+
+	listener net.Listener
+	cancel   context.CancelFunc
+	pushes   chan struct{}
+}
+
+// New returns an entry's peer.
+func New(c common.Common, s settings.Entry, client *platform.Client, life *kernel.Lifecycle) (*Peer, error) {
+	secret, err := s.Secret()
+	if err != nil {
+		return nil, errors.Annotate(err, "reading secret")
+	}
+	objects := client.Objects()
+	p := &Peer{
+		Common:   c.With("peer"),
+		settings: s,
+		self:     link.Identity{Role: wire.RoleEntry, VM: s.VM, Secret: secret},
+		platform: client,
+		Registry: member.New(),
+		Table:    route.New(),
+		Config:   rollout.New(objects, catalog.New()),
+		Ledger: ledger.New(objects, ledger.Settings{
+			Partitions: s.Ledger.Partitions, Interval: s.Ledger.Interval.Std(),
+			Window: s.Ledger.Window.Std(), WritesPerSecond: s.Ledger.WritesPerSecond,
+		}),
+		agents: make(map[ident.Target]*link.Conn),
+		pushes: make(chan struct{}, 1),
+	}
+	p.Pool = link.NewPool(p.self, p.handlers())
+	p.budget = newBudgetDesk(p, lease.New(objects, "budget", s.VM, s.Link))
+	p.Config.Applied = func(ident.Revision) { signal(p.pushes) }
+	life.Append(kernel.Hook{Name: "peer", Start: p.start, Stop: p.stop, Ready: p.ready})
+	return p, nil
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Peer) handlers() link.Handlers {
+	return link.Handlers{
+		link.KindHeartbeat:  p.serveHeartbeat,
+		link.KindDigest:     p.serveDigest,
+		link.KindConfigPull: p.serveConfigPull,
+		link.KindConfigDelta: func(ctx context.Context, s *link.Stream, f link.Frame) error {
+			return p.serveConfigDelta(ctx, s, f)
+		},
+		link.KindLoadWant: p.budget.serveWant,
+		link.KindLoadDone: p.budget.serveDone,
+		link.KindClaim:    p.serveClaim,
+		link.KindSettle:   p.serveSettle,
+	}
+}
+
+func (p *Peer) start(ctx context.Context) error {
+	listener, err := net.Listen("tcp", p.settings.Link)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	p.listener = listener
+	go func() {
+		if err := link.Serve(listener, p.self, p.handlers(), p.Log); err != nil {
+			p.Warn("msg", "link listener ended", "err", err)
+		}
+	}()
+	if err := p.Config.Refresh(ctx); err != nil {
+		p.Warn("msg", "configuration not read at start", "err", err)
+	}
+	run, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	for _, loop := range []func(context.Context){
+		p.vmLoop, p.digestLoop, p.livenessLoop, p.configLoop, p.pushLoop, p.sweepLoop, p.budget.loop,
+	} {
+		go loop(run)
+	}
+	return nil
+}
+
+func (p *Peer) stop(context.Context) error {
+	p.cancel()
+	p.Pool.Close()
+	return errors.Trace(p.listener.Close())
+}
+
+// Drain tells the other processes that this entry is about to stop.
+func (p *Peer) Drain(ctx context.Context) {
+	p.mu.Lock()
+	p.draining = true
+	p.mu.Unlock()
+	p.sendDigests(ctx)
+}
+
+// ready returns nil once the configuration is known to be the latest.
+func (p *Peer) ready() error {
+	if err := p.Admissible(); err != nil {
+		return errors.Trace(err)
+	}
+	if behind := p.Config.Highest(); behind > p.Config.Catalog().Revision() {
+		return errors.Errorf("configuration at revision %d, %d heard of", p.Config.Catalog().Revision(), behind)
+	}
+	return nil
+}
+
+// Admissible returns nil while requests may be admitted: the configuration in
+// force is known to be the latest or, in an outage of the object API, most
+// entries are heard and none of them can have accepted a change.
+func (p *Peer) Admissible() error {
+	age := time.Since(p.Config.Fresh())
+	if age <= p.settings.ConfigMaxAge.Std() || p.Majority() && !p.Config.Fresh().IsZero() {
+		return nil
+	}
+	return errors.Errorf("configuration not confirmed for %s", age.Round(time.Second))
+}
+
+// Majority reports whether most of the known entries, this one included, are
+// heard.
+func (p *Peer) Majority() bool {
+	now := time.Now()
+	known, heard := 1, 1
+	for _, e := range p.Registry.Entries() {
+		if e.Info.VM == p.settings.VM {
+			continue
+		}
+		known++
+		if now.Sub(e.Heard) < member.DeadAfter {
+			heard++
+		}
+	}
+	return 2*heard > known
+}
+
+// Info is what this entry says of itself.
+func (p *Peer) Info() wire.EntryInfo {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return wire.EntryInfo{
+		VM: p.settings.VM, Domain: p.settings.Domain, Address: p.settings.Link,
+		Revision: p.Config.Catalog().Revision(), Draining: p.draining,
+		FreshMS: time.Since(p.Config.Fresh()).Milliseconds(),
+	}
+}
+
+// Entries returns the live entries, this one included.
+func (p *Peer) Entries() []wire.EntryInfo {
+	out := []wire.EntryInfo{p.Info()}
+	for _, e := range p.Registry.LiveEntries(time.Now()) {
+		if e.VM != p.settings.VM {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/platform/objects.go
@@ -0,0 +1,51 @@
+// Package platform is the client side of what the platform provides: the
+// object API and the list of VMs.
+package platform
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+)
+
+// MaxValueBytes is the largest value that the object API takes.
+const MaxValueBytes = 1 << 20
+
+// ErrConflict is returned when an object's version is not the expected one.
+// The update did not take effect.
+const ErrConflict = errors.ConstError("object version conflict")
+
+// ErrUnavailable is returned when the object API gave no answer. An update may
+// or may not have taken effect, now or later.
+const ErrUnavailable = errors.ConstError("object API unavailable")
+
+// ObjectVersion is an object's version; 0 stands for an object that does not
+// exist.
+type ObjectVersion uint64
+
+// Object is one value with its version.
+type Object struct {
+	Key     string
+	Value   []byte
+	Version ObjectVersion
+}
+
+// Objects is the object API. Tests replace its functions.
+type Objects struct {
+	// Get returns an object, or a NotFound error.
+	Get func(ctx context.Context, key string) (Object, error)
+	// Put replaces the object if its version is still the given one.
+	Put func(ctx context.Context, key string, value []byte, version ObjectVersion) (ObjectVersion, error)
+	// Delete removes the object if its version is still the given one.
+	Delete func(ctx context.Context, key string, version ObjectVersion) error
+	// List returns the keys that begin with prefix, in order.
+	List func(ctx context.Context, prefix string) ([]string, error)
+	// Watch waits until the object's version is above the given one, and
+	// returns the object. It returns a Timeout error when nothing changed.
+	Watch func(ctx context.Context, key string, version ObjectVersion) (Object, error)
+}
+
+// Unsettled reports whether err leaves open if an update took effect.
+func Unsettled(err error) bool {
+	return err != nil && !errors.Is(err, ErrConflict)
+}
--- /dev/null
+++ b/pkg/settings/duration.go
@@ -0,0 +1,33 @@
+package settings
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Duration is a time.Duration written as text, such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalJSON reads the text form.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return errors.Trace(err)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.NotValidf("duration %q", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalJSON writes the text form.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// Std returns the standard library's form.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
--- /dev/null
+++ b/pkg/settings/process.go
@@ -0,0 +1,71 @@
+package settings
+
+import (
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+)
+
+// Process holds the settings that all processes share.
+type Process struct {
+	// VM is the name of the virtual machine that the process runs on.
+	VM ident.VM `json:"vm"`
+	// Domain is the VM's failure domain.
+	Domain ident.Domain `json:"domain"`
+	// Link is the IP address and port for links from other processes.
+	Link string `json:"link"`
+	// Status is the address of health checks and metrics.
+	Status string `json:"status"`
+	// Platform is the base URL of the platform's object API and VM list.
+	Platform string `json:"platform"`
+	// SecretFile holds the secret that authenticates links.
+	SecretFile string `json:"secret-file"`
+	// LogLevel is the lowest level logged: debug, info, warn or error.
+	LogLevel string `json:"log-level"`
+	// StopGrace bounds the wait for running requests at a stop.
+	StopGrace Duration `json:"stop-grace"`
+}
+
+func (p Process) check(c *checker) {
+	c.require(ident.CheckName(string(p.VM)) == nil, "/vm", "missing or not a name")
+	c.require(ident.CheckName(string(p.Domain)) == nil, "/domain", "missing or not a name")
+	c.require(isAddress(p.Link), "/link", "%q is not an IP address and port", p.Link)
+	c.require(isAddress(p.Status), "/status", "%q is not an IP address and port", p.Status)
+	c.require(isURL(p.Platform), "/platform", "%q is not an HTTP URL", p.Platform)
+	c.require(p.SecretFile != "", "/secret-file", "missing")
+	c.require(p.StopGrace > 0, "/stop-grace", "must be above zero")
+}
+
+const minSecretBytes = 16
+
+// Secret reads the secret file. It returns a NotValid error for a secret that
+// is too short.
+func (p Process) Secret() ([]byte, error) {
+	data, err := os.ReadFile(p.SecretFile)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	secret := strings.TrimSpace(string(data))
+	if len(secret) < minSecretBytes {
+		return nil, errors.NotValidf("secret of %d bytes: shorter than %d:", len(secret), minSecretBytes)
+	}
+	return []byte(secret), nil
+}
+
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func isURL(s string) bool {
+	return strings.HasPrefix(s, "http://") || strings.HasPrefix(s, "https://")
+}
+
+func defaultProcess() Process {
+	return Process{LogLevel: "info", StopGrace: Duration(10 * time.Minute)}
+}
--- /dev/null
+++ b/pkg/standin/service.go
@@ -0,0 +1,85 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/target"
+)
+
+// ServiceFaults are the faults of a plain service.
+type ServiceFaults struct {
+	DelayMS int `json:"delay-ms"`
+	// DropAnswers makes calls run without an answer.
+	DropAnswers bool `json:"drop-answers"`
+}
+
+// PlainService is a service whose calls must not be repeated. It counts its
+// runs by idempotency key, and does nothing to prevent a second one.
+type PlainService struct {
+	name string
+
+	mu     sync.Mutex
+	runs   map[string]int
+	faults ServiceFaults
+}
+
+// NewPlainService returns a service that has run nothing.
+func NewPlainService(name string) *PlainService {
+	return &PlainService{name: name, runs: make(map[string]int)}
+}
+
+// Runs returns the number of runs by idempotency key.
+func (s *PlainService) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for k, n := range s.runs {
+		out[k] = n
+	}
+	return out
+}
+
+// SetFaults switches faults.
+func (s *PlainService) SetFaults(f ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *PlainService) run(key string) (int, ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[key]++
+	return s.runs[key], s.faults
+}
+
+func (s *PlainService) serve(ctx *fasthttp.RequestCtx) {
+	key := string(ctx.Request.Header.Peek(target.HeaderKey))
+	n, faults := s.run(key)
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	if faults.DropAnswers {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+		return
+	}
+	writeJSON(ctx, map[string]string{"service": s.name, "booking": fmt.Sprintf("%s-%d", key, n)})
+}
+
+// Register serves the service.
+func (s *PlainService) Register(r *router.Router) {
+	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok") })
+	r.GET("/runs", func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, s.Runs()) })
+	r.POST("/faults", func(ctx *fasthttp.RequestCtx) {
+		var f ServiceFaults
+		if readJSON(ctx, &f) {
+			s.SetFaults(f)
+		}
+	})
+	r.ANY("/call/{path:*}", s.serve)
+}
--- /dev/null
+++ b/pkg/target/protocol.go
@@ -0,0 +1,66 @@
+// Package target is the client side of what the platform's targets speak: the
+// completions interface of model engines and the calls of plain services.
+package target
+
+// Header names of the engines' interface.
+const (
+	HeaderFencing = "Fencing-Token"
+	HeaderBoot    = "Engine-Boot"
+	HeaderKey     = "Idempotency-Key"
+)
+
+// CompletionRequest is the body of POST /v1/completions.
+type CompletionRequest struct {
+	ID        string `json:"request_id"`
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	Priority  int    `json:"priority"`
+	// ResumeFrom is the first token wanted of a request that ran before.
+	ResumeFrom int `json:"resume_from,omitempty"`
+}
+
+// CompletionChunk is one server-sent event of a completion.
+type CompletionChunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is the generated text of a chunk.
+type Choice struct {
+	Index       int    `json:"index"`
+	Text        string `json:"text"`
+	TokenOffset int    `json:"token_offset"`
+	Finish      string `json:"finish_reason,omitempty"`
+}
+
+// Usage counts the tokens of a whole completion.
+type Usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// AdapterOrder is the body of the orders to load and unload an adapter.
+type AdapterOrder struct {
+	Name    string `json:"lora_name"`
+	Weights string `json:"lora_path,omitempty"`
+}
+
+// CancelOrder is the body of POST /v1/cancel.
+type CancelOrder struct {
+	ID string `json:"request_id"`
+}
+
+// ModelList is the answer to GET /v1/models.
+type ModelList struct {
+	Data []LoadedModel `json:"data"`
+}
+
+// LoadedModel is one adapter that an engine holds.
+type LoadedModel struct {
+	ID   string `json:"id"`
+	Root string `json:"root"`
+}
--- /dev/null
+++ b/pkg/target/service.go
@@ -0,0 +1,72 @@
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const maxServiceAnswerBytes = 1 << 20
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	Key         string // idempotency key, if the caller gave one
+}
+
+// ServiceAnswer is a plain service's answer.
+type ServiceAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Service is a client of one plain service instance.
+type Service struct {
+	base string
+	http *fasthttp.Client
+}
+
+// NewService returns a client of the service at base.
+func NewService(base string) *Service {
+	return &Service{base: base, http: &fasthttp.Client{
+		MaxConnsPerHost:     maxEngineConns,
+		MaxResponseBodySize: maxServiceAnswerBytes,
+		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// Call makes the call once. After an error it may have run.
+func (s *Service) Call(in ServiceCall, deadline time.Time) (ServiceAnswer, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI(s.base + in.Path)
+	req.Header.SetMethod(in.Method)
+	if in.ContentType != "" {
+		req.Header.SetContentType(in.ContentType)
+	}
+	if in.Key != "" {
+		req.Header.Set(HeaderKey, in.Key)
+	}
+	req.SetBody(in.Body)
+	if err := s.http.DoDeadline(req, res, deadline); err != nil {
+		return ServiceAnswer{}, errors.Annotatef(err, "%s %s", in.Method, in.Path)
+	}
+	return ServiceAnswer{
+		Status:      res.StatusCode(),
+		ContentType: string(res.Header.ContentType()),
+		Body:        append([]byte(nil), res.Body()...),
+	}, nil
+}
+
+// Probe returns nil if the service answers.
+func (s *Service) Probe(context.Context) error {
+	_, err := s.Call(ServiceCall{Method: "GET", Path: "/healthz"}, time.Now().Add(queryTimeout))
+	return errors.Trace(err)
+}
