Refusals are sent before their stream ends; a lost attempt is never called not run

Cause: the agent refused from a goroutine that the stream's end overtook, so the entry saw 'link closed' and took the attempt for lost; and the entry called a request not run after a retry of a lost attempt found no target. Ruled out: engines and crossed chunks (the agents counted no failed attempt).

--- a/pkg/agent/submit.go
+++ b/pkg/agent/submit.go
@@ -56,7 +56,8 @@
 		a.refuse(j, reasonFenced, 0)
 		return nil
 	}
-	if !a.enqueue(j) {
+	if reason, retryAfter := a.enqueue(j); reason != "" {
+		a.refuse(j, reason, retryAfter)
 		return nil
 	}
 	select {
@@ -114,27 +115,25 @@
 	return ""
 }
 
-func (a *Agent) enqueue(j *job) bool {
+// enqueue admits the attempt to the queue, or returns why it does not.
+func (a *Agent) enqueue(j *job) (reason string, retryAfter time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	key := j.request.Key
 	if held, ok := a.weights[key]; ok && held != j.submit.Weights {
-		go a.refuse(j, reasonWeights, 0)
-		return false
+		return reasonWeights, 0
 	}
 	retryAfter, err := a.sched.Add(time.Now(), j.request)
-	if err != nil {
-		reason := reasonFull
-		if errors.Is(err, queue.ErrDeadline) {
-			reason = reasonDeadline
-		}
-		go a.refuse(j, reason, retryAfter)
-		return false
+	switch {
+	case errors.Is(err, queue.ErrDeadline):
+		return reasonDeadline, retryAfter
+	case err != nil:
+		return reasonFull, retryAfter
 	}
 	a.rememberWeights(key, j.submit.Weights)
 	a.jobs[j.id()] = j
 	signal(a.wake)
-	return true
+	return "", 0
 }
 
 const maxWeights = 8192
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -71,6 +71,7 @@
 	next       int // first token that the caller lacks
 	attempt    ident.Attempt
 	claimed    ident.Attempt // attempt that holds the key in the ledger
+	doubtful   bool          // an earlier attempt may have run
 	retryAfter time.Duration
 	reason     string
 	silence    *time.Timer
@@ -189,6 +190,7 @@
 		return false
 	}
 	if end == uncertain {
+		r.doubtful = true
 		r.d.metrics.resumes.Inc(1)
 	}
 	return r.d.budgets.spend(r.job.Caller)
@@ -197,7 +199,7 @@
 // giveUp is the refusal of a request for which no attempt is left.
 func (r *run) giveUp(end verdict) *Refusal {
 	switch {
-	case r.next > 0, end == uncertain:
+	case r.next > 0, r.doubtful, end == uncertain:
 		// Idempotent work may have run in part; nothing is lost by running
 		// it again, but it cannot be said that it was not run.
 		return &Refusal{Outcome: wire.Unknown, Reason: ReasonStreamLost, Status: 502, Detail: "the answer could not be completed"}
