--- a/pkg/bench/todo.go
+++ b/pkg/bench/todo.go
@@ -10,6 +10,5 @@
 func later(name string) *ffcli.Command {
 	return &ffcli.Command{Name: name, Exec: func(context.Context, []string) error { return errors.NotImplementedf(name) }}
 }
-func (t *tool) experiment() *ffcli.Command { return later("experiment") }
-func (t *tool) overhead() *ffcli.Command   { return later("overhead") }
-func (t *tool) capacity() *ffcli.Command   { return later("capacity") }
+func (t *tool) overhead() *ffcli.Command { return later("overhead") }
+func (t *tool) capacity() *ffcli.Command { return later("capacity") }
--- /dev/null
+++ b/pkg/experiment/standard.go
@@ -0,0 +1,38 @@
+package experiment
+
+// Offered loads of the standard table, in requests per second, from light to
+// past saturation.
+var (
+	bergstromLoads = []float64{4, 6, 8, 10, 14}
+	latonesLoads   = []float64{6, 9, 12, 16, 22}
+)
+
+// The loads at which the faults strike.
+const (
+	bergstromFaultLoad = 6
+	latonesFaultLoad   = 9
+)
+
+var faultNames = map[Fault]string{
+	FaultShift: "shift", FaultColdEngine: "cold-engine", FaultSlowStore: "slow-store",
+	FaultOutage: "outage", FaultDrain: "drain", FaultLostDomain: "lost-domain",
+}
+
+// Standard returns the workloads of the standard table.
+func Standard() []Workload {
+	var out []Workload
+	for _, offered := range bergstromLoads {
+		out = append(out, Bergstrom(offered))
+	}
+	for _, offered := range latonesLoads {
+		out = append(out, Latones(offered))
+	}
+	for f := FaultShift; f <= FaultLostDomain; f++ {
+		for _, w := range []Workload{Bergstrom(bergstromFaultLoad), Latones(latonesFaultLoad)} {
+			w.Name += "-" + faultNames[f]
+			w.Fault = f
+			out = append(out, w)
+		}
+	}
+	return out
+}
