--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -4,6 +4,7 @@
 package budget
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -16,7 +17,6 @@
 const (
 	// loadTimeout frees the place of a load whose end was never reported.
 	loadTimeout = 30 * time.Second
-	// lapSlack covers the clocks' drift between a holder and its successor.
 	minRateShare  = 0.25
 	slowLoadRatio = 3.0
 	decrease      = 0.7
@@ -51,13 +51,33 @@
 	wants   map[ident.Target]Want
 	flying  map[GrantID]time.Time
 	next    GrantID
+	used    float64 // share of the rate that was used of late
+	usedAt  time.Time
+}
+
+// usageSpan is the time over which the rate's use is smoothed.
+const usageSpan = 10 * time.Second
+
+// Pressure returns the share of the permitted rate that was used of late.
+func (h *Holder) Pressure(now time.Time) float64 {
+	h.decay(now)
+	if h.Rate() == 0 {
+		return 1
+	}
+	return h.used / usageSpan.Seconds() / h.Rate()
+}
+
+// decay ages the count of recent grants.
+func (h *Holder) decay(now time.Time) {
+	h.used *= math.Exp(-float64(now.Sub(h.usedAt)) / float64(usageSpan))
+	h.usedAt = now
 }
 
 // NewHolder returns a holder that starts with an empty bucket, so that the
 // grants of its predecessor and its own never add up to more than the rate.
 func NewHolder(limits Limits, now time.Time) *Holder {
 	return &Holder{
-		limits: limits, at: now, rate: 1, reached: limits.Engines,
+		limits: limits, at: now, usedAt: now, rate: 1, reached: limits.Engines,
 		wants:  make(map[ident.Target]Want),
 		flying: make(map[GrantID]time.Time),
 	}
@@ -115,6 +135,8 @@
 		h.tokens = max(0, h.tokens-1)
 		h.next++
 		h.flying[h.next] = now
+		h.decay(now)
+		h.used++
 		out = append(out, Grant{ID: h.next, Target: w.Target})
 	}
 	return out
--- a/pkg/experiment/ours.go
+++ b/pkg/experiment/ours.go
@@ -30,6 +30,7 @@
 	tables  []*route.Table
 	engines []*ourEngine
 	holder  *budget.Holder
+	packer  *route.Packer
 	limits  budget.Limits
 	outage  bool
 	tick    time.Time // of the next look at the budget
@@ -51,11 +52,12 @@
 }
 
 func newOurs(r *run) *ours {
-	o := &ours{run: r, limits: budget.Limits{LoadsPerSecond: r.workload.Rate, InFlight: fullSpeed, Engines: len(r.workload.Engines)}}
+	o := &ours{run: r, packer: route.NewPacker(), limits: budget.Limits{LoadsPerSecond: r.workload.Rate, InFlight: fullSpeed, Engines: len(r.workload.Engines)}}
 	for range entries {
 		o.tables = append(o.tables, route.New())
 	}
 	o.holder = budget.NewHolder(o.limits, epoch)
+	r.clock.after(0, func() { r.clock.every(time.Second, r.end(), o.pack) })
 	for i, spec := range r.workload.Engines {
 		e := &ourEngine{
 			o: o, index: i, target: ident.Target(fmt.Sprintf("engine-%03d", i)),
@@ -70,6 +72,18 @@
 	return o
 }
 
+// pack spreads the holder's packing share to the entries.
+func (o *ours) pack() {
+	share := 1.0
+	if !o.outage {
+		load := o.tables[0].ActiveLoad(experimentPool, o.run.workload.Balance)
+		share = o.packer.Step(o.holder.Pressure(o.run.clock.now), load)
+	}
+	for _, t := range o.tables {
+		t.SetShare(share)
+	}
+}
+
 func (e *ourEngine) report() wire.Report {
 	now := e.o.run.clock.now
 	e.sequence++
--- a/pkg/experiment/standard.go
+++ b/pkg/experiment/standard.go
@@ -3,8 +3,8 @@
 // Offered loads of the standard table, in requests per second, from light to
 // past saturation.
 var (
-	bergstromLoads = []float64{4, 6, 8, 10, 14}
-	latonesLoads   = []float64{6, 9, 12, 16, 22}
+	bergstromLoads = []float64{3, 4, 5, 6, 9, 14}
+	latonesLoads   = []float64{4, 6, 9, 12, 16, 22}
 )
 
 // The loads at which the faults strike.
--- a/pkg/experiment/workload.go
+++ b/pkg/experiment/workload.go
@@ -92,7 +92,7 @@
 			{Name: "field", Share: 0.7, Priority: 5, Deadline: 12 * time.Second, Tokens: 80},
 			{Name: "showroom", Share: 0.3, Priority: 2, Deadline: 30 * time.Second, Tokens: 160},
 		},
-		Warmup: 120 * time.Second, Measured: 300 * time.Second, Seed: 11,
+		Warmup: 600 * time.Second, Measured: 600 * time.Second, Seed: 11,
 	}
 }
 
@@ -104,7 +104,7 @@
 			{Name: "buyers", Share: 0.3, Priority: 4, Deadline: 30 * time.Second, Tokens: 120},
 			{Name: "drafts", Share: 0.7, Priority: 0, Deadline: 120 * time.Second, Tokens: 240},
 		},
-		Warmup: 120 * time.Second, Measured: 300 * time.Second, Seed: 12,
+		Warmup: 600 * time.Second, Measured: 600 * time.Second, Seed: 12,
 	}
 }
 
--- a/pkg/peer/budget.go
+++ b/pkg/peer/budget.go
@@ -12,6 +12,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/lease"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/member"
+	"github.com/hyssoproad/hyssoproad/pkg/route"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -33,6 +34,8 @@
 
 	mu      sync.Mutex
 	holder  *budget.Holder
+	packer  *route.Packer
+	packAt  time.Time
 	term    uint64
 	waiters map[ident.Target]chan budget.GrantID
 	known   wire.BudgetInfo
@@ -56,6 +59,7 @@
 	go every(ctx, lease.Period, d.campaign)
 	for ctx.Err() == nil {
 		next := d.tick(time.Now())
+		d.p.Table.SetShare(d.share(time.Now()))
 		select {
 		case <-time.After(next):
 		case <-d.wake:
@@ -88,12 +92,15 @@
 	}
 	if d.holder == nil || d.term != tenure.Term {
 		d.holder = budget.NewHolder(d.limits(), now)
+		d.packer = route.NewPacker()
 		d.term = tenure.Term
+		d.known.ShareMilli = fullShare
 	}
-	d.known = wire.BudgetInfo{Address: d.p.settings.Link, Term: tenure.Term}
+	d.known = wire.BudgetInfo{Address: d.p.settings.Link, Term: tenure.Term, ShareMilli: d.known.ShareMilli}
 	d.until = tenure.Until
 	d.holder.SetLimits(d.limits(), now)
 	d.holder.SetReached(d.liveEngines(now), now)
+	d.pack(now)
 	for _, g := range d.holder.Grants(now) {
 		if waiter, ok := d.waiters[g.Target]; ok {
 			waiter <- g.ID
@@ -106,6 +113,36 @@
 	return maxTick
 }
 
+const (
+	fullShare  = 1000
+	packPeriod = time.Second
+)
+
+// pack steps the packing share once a second. It is called with the lock held.
+func (d *budgetDesk) pack(now time.Time) {
+	if now.Sub(d.packAt) < packPeriod {
+		return
+	}
+	d.packAt = now
+	load := 0.0
+	for _, s := range d.p.Config.Catalog().Services() {
+		pool := route.Pool{Kind: s.Kind, Model: s.Model, Role: s.Role}
+		load = max(load, d.p.Table.ActiveLoad(pool, s.Balance))
+	}
+	d.known.ShareMilli = int(fullShare * d.packer.Step(d.holder.Pressure(now), load))
+}
+
+// share returns the packing share in force: all targets while no holder is
+// known.
+func (d *budgetDesk) share(now time.Time) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !now.Before(d.until) || d.known.ShareMilli == 0 {
+		return 1
+	}
+	return float64(d.known.ShareMilli) / fullShare
+}
+
 // liveEngines counts the engines whose agents can hear of this holder. Others
 // may be using their static shares.
 func (d *budgetDesk) liveEngines(now time.Time) int {
--- a/pkg/queue/report.go
+++ b/pkg/queue/report.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	defaultLoadInterval = 1.0 // s
-	defaultLoadTime     = 0.25
-	defaultServiceTime  = 2.0
+	defaultGrantWait   = 0.3 // s
+	defaultLoadTime    = 0.25
+	defaultServiceTime = 2.0
 )
 
 func (m smoothed) or(fallback float64) float64 {
@@ -42,8 +42,10 @@
 	return seconds(float64(ahead)*s.interval() + s.loadTime.or(defaultLoadTime))
 }
 
+// interval estimates the time from one load of this engine to the next while
+// several are wanted.
 func (s *Scheduler) interval() float64 {
-	return s.loadInterval.or(defaultLoadInterval)
+	return s.grantWait.or(defaultGrantWait)
 }
 
 // SeatWait estimates the wait for a seat of a request whose adapter is loaded.
--- a/pkg/queue/scheduler.go
+++ b/pkg/queue/scheduler.go
@@ -79,10 +79,10 @@
 	running  int
 	waiting  int
 
-	loadInterval  smoothed // between two loads of this engine, in s
-	loadTime      smoothed
-	serviceTime   smoothed // from start to end of a request
-	lastLoadStart time.Time
+	grantWait   smoothed // from the first want to the permission to load, in s
+	loadTime    smoothed
+	serviceTime smoothed // from start to end of a request
+	wantedSince time.Time
 }
 
 // New returns an empty scheduler.
@@ -260,8 +260,12 @@
 		}
 	}
 	if best == nil || !s.room(now, best) {
+		s.wantedSince = time.Time{}
 		return ident.AdapterVersion{}, 0, false
 	}
+	if s.wantedSince.IsZero() {
+		s.wantedSince = now
+	}
 	return best.key, worth, true
 }
 
@@ -291,25 +295,44 @@
 	return false
 }
 
-// victim returns the evictable line with the fewest recent requests.
+// victim returns the line to evict for the next load: the evictable one with
+// the fewest recent requests. It returns nil when none can be evicted, or when
+// waiting for a pinned one costs less.
 func (s *Scheduler) victim(now time.Time) *line {
-	var best *line
-	rate := 0.0
+	var best, pinned *line
+	bestCount, pinnedCount := 0.0, 0.0
 	for _, l := range s.resident {
-		if l.state != loaded || l.pins > 0 || len(l.waiting) > 0 && !l.closing {
+		if l.state != loaded || len(l.waiting) > 0 && !l.closing {
 			continue
 		}
-		r := l.arrivals.value(now, s.settings.HalfLife)
-		if l.closing {
-			r = -1
-		}
-		if best == nil || r < rate || r == rate && less(l.key, best.key) {
-			best, rate = l, r
+		count := l.arrivals.value(now, s.settings.HalfLife)
+		switch {
+		case l.pins > 0:
+			if pinned == nil || count < pinnedCount {
+				pinned, pinnedCount = l, count
+			}
+		case l.closing:
+			return l
+		case best == nil || count < bestCount || count == bestCount && less(l.key, best.key):
+			best, bestCount = l, count
 		}
 	}
+	if best != nil && pinned != nil && pinnedCount*keepFactor < bestCount && s.worthWaiting() {
+		return nil
+	}
 	return best
 }
 
+// keepFactor is how many times more recent requests an idle adapter must have
+// than a pinned one to be kept in its place.
+const keepFactor = 4
+
+// worthWaiting reports whether a load, which an eviction will make necessary
+// again, is slower to come than the end of a running request.
+func (s *Scheduler) worthWaiting() bool {
+	return s.LoadWait().Seconds() > s.serviceTime.or(defaultServiceTime)
+}
+
 func (s *Scheduler) close(now time.Time) {
 	var best *line
 	rate := 0.0
@@ -351,10 +374,10 @@
 	}
 	l.state = loading
 	s.resident[key] = l
-	if !s.lastLoadStart.IsZero() {
-		s.loadInterval.add(now.Sub(s.lastLoadStart).Seconds())
+	if !s.wantedSince.IsZero() {
+		s.grantWait.add(now.Sub(s.wantedSince).Seconds())
+		s.wantedSince = time.Time{}
 	}
-	s.lastLoadStart = now
 	return evict, true
 }
 
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -25,12 +25,12 @@
 	ReasonLoaded   Reason = iota + 1 // it holds the adapter
 	ReasonExpected                   // it was sent a request for the adapter just now
 	ReasonHome                       // it is the adapter's first rendezvous choice
-	ReasonSecond                     // the first choice would evict a busier adapter or wait longer
+	ReasonOther                      // a later choice costs less than the first
 	ReasonReplica                    // the targets that hold the adapter are full
 	ReasonLeast                      // it has the least load
 )
 
-var reasonNames = [...]string{"none", "loaded", "expected", "home", "second-home", "replica", "least-loaded"}
+var reasonNames = [...]string{"none", "loaded", "expected", "home", "other-home", "replica", "least-loaded"}
 
 // String returns the reason's name.
 func (r Reason) String() string { return reasonNames[r] }
@@ -71,32 +71,47 @@
 	if q.Key.IsZero() {
 		return least(nodes, q)
 	}
+	if active := t.active(nodes, q.Balance); len(active) < len(nodes) {
+		if c, ok := t.place(active, q, now); ok {
+			return c, true
+		}
+	}
+	return t.place(nodes, q, now)
+}
+
+// place chooses among the given nodes of the pool.
+func (t *Table) place(nodes []*Node, q Query, now time.Time) (Choice, bool) {
 	hash := keyHash(q.Key)
 	shard := t.places.shard(hash)
 	loaded, expected := shard.find(q.Key, now)
+	loaded = within(loaded, nodes)
+	if expected != nil && !contains(nodes, expected) {
+		expected = nil
+	}
 	if n := firstBelow(loaded, hash, q); n != nil {
 		return Choice{n, ReasonLoaded}, true
 	}
 	if len(loaded) == 0 && expected != nil && q.allows(expected) {
 		return Choice{expected, ReasonExpected}, true
 	}
-	home, second := homes(nodes, loaded, hash, q)
+	ranked := homes(nodes, loaded, hash, q)
 	if full := leastLoaded(loaded, q); full != nil {
-		if home == nil || home.Load() > replicaLoad {
+		if ranked.n == 0 || ranked.nodes[0].Load() > replicaLoad {
 			return Choice{full, ReasonLoaded}, true
 		}
-		shard.expect(q.Key, home, now)
-		return Choice{home, ReasonReplica}, true
+		shard.expect(q.Key, ranked.nodes[0], now)
+		return Choice{ranked.nodes[0], ReasonReplica}, true
 	}
-	if home == nil {
+	if ranked.n == 0 {
 		return Choice{}, false
 	}
-	c := Choice{home, ReasonHome}
-	if second != nil && cost(second) < cost(home) {
-		c = Choice{second, ReasonSecond}
+	i := ranked.cheapest()
+	reason := ReasonHome
+	if i > 0 {
+		reason = ReasonOther
 	}
-	shard.expect(q.Key, c.Node, now)
-	return c, true
+	shard.expect(q.Key, ranked.nodes[i], now)
+	return Choice{ranked.nodes[i], reason}, true
 }
 
 // cost estimates in s what a load on the node costs this and later requests.
@@ -154,23 +169,70 @@
 	return Choice{best, ReasonLeast}, best != nil
 }
 
-// homes returns the first two usable nodes in rendezvous order that do not
-// hold the adapter.
-func homes(nodes, holding []*Node, hash uint64, q Query) (first, second *Node) {
-	var top, next float64
+// homeCount is the number of rendezvous choices that are weighed for an adapter
+// that is loaded nowhere.
+const homeCount = 2
+
+// ranking is the first choices in rendezvous order, best first.
+type ranking struct {
+	nodes  [homeCount]*Node
+	scores [homeCount]float64
+	n      int
+}
+
+func (r *ranking) add(n *Node, s float64) {
+	if r.n == homeCount && s <= r.scores[homeCount-1] {
+		return
+	}
+	if r.n < homeCount {
+		r.n++
+	}
+	i := r.n - 1
+	for ; i > 0 && r.scores[i-1] < s; i-- {
+		r.nodes[i], r.scores[i] = r.nodes[i-1], r.scores[i-1]
+	}
+	r.nodes[i], r.scores[i] = n, s
+}
+
+// cheapest returns the position of the node whose load costs least.
+func (r *ranking) cheapest() int {
+	best, least := 0, 0.0
+	for i, n := range r.nodes[:r.n] {
+		if c := cost(n); i == 0 || c < least {
+			best, least = i, c
+		}
+	}
+	return best
+}
+
+// homes ranks the usable nodes that do not hold the adapter.
+func homes(nodes, holding []*Node, hash uint64, q Query) ranking {
+	var r ranking
 	for _, n := range nodes {
 		s := score(hash, n)
-		if s <= next && second != nil || !q.allows(n) || contains(holding, n) {
+		if r.n == homeCount && s <= r.scores[homeCount-1] || !q.allows(n) || contains(holding, n) {
 			continue
 		}
-		if first == nil || s > top {
-			first, second = n, first
-			top, next = s, top
+		r.add(n, s)
+	}
+	return r
+}
+
+// within returns those of the holding nodes that are among nodes.
+func within(holding, nodes []*Node) []*Node {
+	for i, n := range holding {
+		if contains(nodes, n) {
 			continue
 		}
-		second, next = n, s
+		kept := append([]*Node(nil), holding[:i]...)
+		for _, later := range holding[i+1:] {
+			if contains(nodes, later) {
+				kept = append(kept, later)
+			}
+		}
+		return kept
 	}
-	return first, second
+	return holding
 }
 
 func contains(nodes []*Node, n *Node) bool {
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -28,6 +28,7 @@
 
 	hash   uint64
 	weight float64
+	seats  int
 	report atomic.Pointer[wire.Report]
 	usable atomic.Bool
 	// sent counts the requests that this process sent to the target since
@@ -51,12 +52,14 @@
 	nodes  map[ident.Target]*Node
 	pools  map[Pool][]*Node
 	places placeShards
+	packing
 }
 
 // New returns an empty table.
 func New() *Table {
 	t := &Table{nodes: make(map[ident.Target]*Node), pools: make(map[Pool][]*Node)}
 	t.places.init()
+	t.packing.share = 1
 	return t
 }
 
@@ -66,7 +69,7 @@
 	defer t.mu.Unlock()
 	pool := Pool{Kind: report.Kind, Model: report.Model, Role: report.Role}
 	n := t.nodes[report.Target]
-	if n == nil || n.Pool != pool || n.weight != weightOf(report) {
+	if n == nil || n.Pool != pool || n.weight != weightOf(report) || n.seats != report.Seats {
 		n = t.replace(n, report, pool)
 	}
 	old := n.report.Swap(&report)
@@ -83,9 +86,11 @@
 	if old != nil {
 		t.detach(old)
 	}
-	n := &Node{Target: report.Target, Pool: pool, hash: xxhash.Sum64String(string(report.Target)), weight: weightOf(report)}
+	n := &Node{Target: report.Target, Pool: pool, hash: xxhash.Sum64String(string(report.Target)), weight: weightOf(report), seats: report.Seats}
 	t.nodes[n.Target] = n
-	t.pools[pool] = append(append([]*Node(nil), t.pools[pool]...), n)
+	members := append(append([]*Node(nil), t.pools[pool]...), n)
+	sortPool(members)
+	t.pools[pool] = members
 	return n
 }
 
--- a/pkg/wire/schema.go
+++ b/pkg/wire/schema.go
@@ -178,6 +178,9 @@
 	Address string // empty if no holder is known
 	Term    uint64
 	LeftMS  int64 // time for which the holder's lease is still good, in ms
+	// ShareMilli is the share of a pool's targets on which work that favours
+	// batch efficiency is packed, in thousandths.
+	ShareMilli int
 }
 
 // DigestAck answers a Digest.
--- a/pkg/wire/schema_gen.go
+++ b/pkg/wire/schema_gen.go
@@ -445,11 +445,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z BudgetInfo) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *BudgetInfo) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "Address"
-	o = append(o, 0x83, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = append(o, 0x84, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.Address)
 	// string "Term"
 	o = append(o, 0xa4, 0x54, 0x65, 0x72, 0x6d)
@@ -457,6 +457,9 @@
 	// string "LeftMS"
 	o = append(o, 0xa6, 0x4c, 0x65, 0x66, 0x74, 0x4d, 0x53)
 	o = msgp.AppendInt64(o, z.LeftMS)
+	// string "ShareMilli"
+	o = append(o, 0xaa, 0x53, 0x68, 0x61, 0x72, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69)
+	o = msgp.AppendInt(o, z.ShareMilli)
 	return
 }
 
@@ -496,6 +499,12 @@
 				err = msgp.WrapError(err, "LeftMS")
 				return
 			}
+		case "ShareMilli":
+			z.ShareMilli, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ShareMilli")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -509,8 +518,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z BudgetInfo) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.Uint64Size + 7 + msgp.Int64Size
+func (z *BudgetInfo) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.Uint64Size + 7 + msgp.Int64Size + 11 + msgp.IntSize
 	return
 }
 
@@ -2054,16 +2063,11 @@
 	}
 	// string "Budget"
 	o = append(o, 0xa6, 0x42, 0x75, 0x64, 0x67, 0x65, 0x74)
-	// map header, size 3
-	// string "Address"
-	o = append(o, 0x83, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.Budget.Address)
-	// string "Term"
-	o = append(o, 0xa4, 0x54, 0x65, 0x72, 0x6d)
-	o = msgp.AppendUint64(o, z.Budget.Term)
-	// string "LeftMS"
-	o = append(o, 0xa6, 0x4c, 0x65, 0x66, 0x74, 0x4d, 0x53)
-	o = msgp.AppendInt64(o, z.Budget.LeftMS)
+	o, err = z.Budget.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Budget")
+		return
+	}
 	return
 }
 
@@ -2111,46 +2115,11 @@
 				}
 			}
 		case "Budget":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			bts, err = z.Budget.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Budget")
 				return
 			}
-			for zb0003 > 0 {
-				zb0003--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Budget")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "Address":
-					z.Budget.Address, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Budget", "Address")
-						return
-					}
-				case "Term":
-					z.Budget.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Budget", "Term")
-						return
-					}
-				case "LeftMS":
-					z.Budget.LeftMS, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Budget", "LeftMS")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Budget")
-						return
-					}
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2169,7 +2138,7 @@
 	for za0001 := range z.Reports {
 		s += z.Reports[za0001].Msgsize()
 	}
-	s += 7 + 1 + 8 + msgp.StringPrefixSize + len(z.Budget.Address) + 5 + msgp.Uint64Size + 7 + msgp.Int64Size
+	s += 7 + z.Budget.Msgsize()
 	return
 }
 
@@ -2650,16 +2619,11 @@
 	}
 	// string "Budget"
 	o = append(o, 0xa6, 0x42, 0x75, 0x64, 0x67, 0x65, 0x74)
-	// map header, size 3
-	// string "Address"
-	o = append(o, 0x83, 0xa7, 0x41, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.Budget.Address)
-	// string "Term"
-	o = append(o, 0xa4, 0x54, 0x65, 0x72, 0x6d)
-	o = msgp.AppendUint64(o, z.Budget.Term)
-	// string "LeftMS"
-	o = append(o, 0xa6, 0x4c, 0x65, 0x66, 0x74, 0x4d, 0x53)
-	o = msgp.AppendInt64(o, z.Budget.LeftMS)
+	o, err = z.Budget.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Budget")
+		return
+	}
 	return
 }
 
@@ -2713,46 +2677,11 @@
 				}
 			}
 		case "Budget":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			bts, err = z.Budget.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Budget")
 				return
 			}
-			for zb0003 > 0 {
-				zb0003--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Budget")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "Address":
-					z.Budget.Address, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Budget", "Address")
-						return
-					}
-				case "Term":
-					z.Budget.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Budget", "Term")
-						return
-					}
-				case "LeftMS":
-					z.Budget.LeftMS, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Budget", "LeftMS")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Budget")
-						return
-					}
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2771,7 +2700,7 @@
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
-	s += 7 + 1 + 8 + msgp.StringPrefixSize + len(z.Budget.Address) + 5 + msgp.Uint64Size + 7 + msgp.Int64Size
+	s += 7 + z.Budget.Msgsize()
 	return
 }
 
