--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -30,7 +30,7 @@
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name:    "agent",
-		Provide: []any{New},
+		Provide: []any{NewParts, New},
 		Start:   func(*Agent) {},
 	})
 }
@@ -39,13 +39,13 @@
 type Agent struct {
 	common.Common
 	settings settings.Agent
+	parts    Parts
 	self     link.Identity
 	log      *rollout.Log
 	fence    *order.Fence
 	attempts *order.Attempts
 	engine   *target.Engine
 	service  *target.Service
-	probe    func(context.Context) error
 	homes    *homes
 	share    *budget.Share // guarded by mu
 	sinks    sinks
@@ -56,58 +56,72 @@
 	jobs    map[ident.Request]*job
 	weights map[ident.AdapterVersion]string // of the adapters that were ordered
 	boot    string
+	holds   holds
+	began   time.Time // when the fencing number was acquired
 
 	wake     chan struct{}
 	wantWake chan struct{}
 	draining atomic.Bool
 	healthy  atomic.Bool
-	failed   chan error
 	cancel   context.CancelFunc
 	listener net.Listener
 	running  sync.WaitGroup
 }
 
+// Parts are an agent's connections to the world. Tests replace them.
+type Parts struct {
+	Objects platform.Objects
+	Engine  *target.Engine  // of an engine's agent
+	Service *target.Service // of a plain service's agent
+	Listen  func() (net.Listener, error)
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// NewParts returns the parts that the settings name.
+func NewParts(s settings.Agent, client *platform.Client) Parts {
+	p := Parts{
+		Objects: client.Objects(),
+		Listen:  func() (net.Listener, error) { return net.Listen("tcp", s.Link) },
+		Dial:    link.DialTCP,
+	}
+	if s.Target.Kind == wire.KindService {
+		p.Service = target.NewService(s.Target.URL)
+	} else {
+		p.Engine = target.NewEngine(s.Target.URL)
+	}
+	return p
+}
+
 // New returns an agent.
-func New(c common.Common, s settings.Agent, client *platform.Client, life *kernel.Lifecycle) (*Agent, error) {
+func New(c common.Common, s settings.Agent, parts Parts, life *kernel.Lifecycle) (*Agent, error) {
 	secret, err := s.Secret()
 	if err != nil {
 		return nil, errors.Annotate(err, "reading secret")
 	}
-	objects := client.Objects()
 	a := &Agent{
 		Common:   c.With("agent"),
 		settings: s,
+		parts:    parts,
 		self:     link.Identity{Role: wire.RoleAgent, VM: s.VM, Secret: secret},
-		log:      rollout.New(objects, catalog.New()),
-		fence:    order.NewFence(objects, s.Target.Name),
+		engine:   parts.Engine,
+		service:  parts.Service,
+		log:      rollout.New(parts.Objects, catalog.New()),
+		fence:    order.NewFence(parts.Objects, s.Target.Name),
 		attempts: order.NewAttempts(),
 		jobs:     make(map[ident.Request]*job),
 		weights:  make(map[ident.AdapterVersion]string),
+		holds:    make(holds),
 		wake:     make(chan struct{}, 1),
 		wantWake: make(chan struct{}, 1),
-		failed:   make(chan error, 1),
 	}
 	a.sinks.init()
 	a.metrics = newMetrics(a.Metrics)
 	a.homes = newHomes(a)
 	a.fence.Highest = a.homes.highest
-	a.connectTarget()
 	life.Append(kernel.Hook{Name: "agent", Start: a.start, Stop: a.stop, Ready: a.ready})
 	return a, nil
 }
 
-func (a *Agent) connectTarget() {
-	t := a.settings.Target
-	if t.Kind == wire.KindService {
-		a.service = target.NewService(t.URL)
-		a.probe = a.service.Probe
-		return
-	}
-	a.engine = target.NewEngine(t.URL)
-	a.engine.Boot = a.observeBoot
-	a.probe = a.engine.Probe
-}
-
 func (a *Agent) limits() budget.Limits {
 	s := a.settings.Store
 	if declared, ok := a.log.Catalog().Store(); ok {
@@ -121,6 +135,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	a.began = time.Now()
 	a.Info("msg", "fencing number acquired", "incarnation", number)
 	if a.settings.Target.IgnoresFencing {
 		select {
@@ -137,7 +152,7 @@
 	if a.service != nil {
 		a.sched.Adopt(time.Now(), ident.AdapterVersion{})
 	}
-	if a.listener, err = net.Listen("tcp", a.settings.Link); err != nil {
+	if a.listener, err = a.parts.Listen(); err != nil {
 		return errors.Trace(err)
 	}
 	a.launch()
@@ -189,7 +204,7 @@
 func (a *Agent) probeLoop(ctx context.Context) {
 	misses := 0
 	for ctx.Err() == nil {
-		if err := a.probe(ctx); err != nil {
+		if err := a.probe(); err != nil {
 			misses++
 			if misses == probesToFailed {
 				a.Warn("msg", "target does not answer", "err", err)
@@ -199,10 +214,25 @@
 			misses = 0
 			a.healthy.Store(true)
 		}
+		if a.engine != nil {
+			a.checkHolds()
+		}
 		sleep(ctx, probePeriod)
 	}
 }
 
+// probe returns nil if the target answers, and notices its restarts.
+func (a *Agent) probe() error {
+	if a.service != nil {
+		return a.service.Probe()
+	}
+	_, mark, err := a.engine.Loaded()
+	if err == nil {
+		a.observeBoot(mark)
+	}
+	return errors.Trace(err)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/pkg/agent/homes.go
+++ b/pkg/agent/homes.go
@@ -41,7 +41,9 @@
 }
 
 func newHomes(a *Agent) *homes {
-	return &homes{a: a, pool: link.NewPool(a.self, a.handlers())}
+	h := &homes{a: a, pool: link.NewPool(a.self, a.handlers())}
+	h.pool.Dial = a.parts.Dial
+	return h
 }
 
 func (h *homes) close() { h.pool.Close() }
@@ -133,6 +135,7 @@
 	if sent.After(h.ackAt) {
 		h.ackAt = sent
 	}
+	signal(h.a.wake)
 	h.ackHighest = max(h.ackHighest, ack.Highest)
 	if len(ack.Entries) > 0 {
 		h.entries = ack.Entries
@@ -145,6 +148,17 @@
 	}
 }
 
+// startLease is how long a home entry's answer permits starts. It is shorter
+// than a successor's takeover wait.
+const startLease = 3 * time.Second
+
+// leased reports whether a home entry confirmed this incarnation of late.
+func (h *homes) leased(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.ackAt) < startLease && !h.a.fence.Superseded()
+}
+
 // highest returns the highest incarnation that a home entry confirmed
 // recently.
 func (h *homes) highest() (ident.Incarnation, bool) {
--- a/pkg/agent/load.go
+++ b/pkg/agent/load.go
@@ -128,6 +128,9 @@
 }
 
 func (a *Agent) order(ctx context.Context, p permit, key, evict ident.AdapterVersion, weights string) error {
+	if !evict.IsZero() {
+		defer a.evicted(evict)
+	}
 	if err := a.checkFence(ctx); err != nil {
 		return errors.Trace(err)
 	}
@@ -135,6 +138,7 @@
 		if err := a.unload(evict); err != nil {
 			return errors.Trace(err)
 		}
+		a.evicted(evict)
 	}
 	if time.Now().After(p.until) {
 		return errors.Timeoutf("load permit")
@@ -143,6 +147,12 @@
 	return a.noteStale(err)
 }
 
+func (a *Agent) evicted(key ident.AdapterVersion) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sched.Evicted(key)
+}
+
 // checkFence returns nil while no later incarnation can be ordering.
 func (a *Agent) checkFence(ctx context.Context) error {
 	good, err := a.fence.Check(ctx)
@@ -170,10 +180,11 @@
 
 // held asks the engine whether it holds key.
 func (a *Agent) held(key ident.AdapterVersion) bool {
-	list, err := a.engine.Loaded()
+	list, mark, err := a.engine.Loaded()
 	if err != nil {
 		return false
 	}
+	a.observeBoot(mark)
 	for _, m := range list {
 		if m.ID == key.String() {
 			return true
@@ -185,11 +196,12 @@
 // reconcile compares what the engine holds with what the scheduler believes,
 // adopts what it can and unloads what nothing accounts for.
 func (a *Agent) reconcile() {
-	list, err := a.engine.Loaded()
+	list, mark, err := a.engine.Loaded()
 	if err != nil {
 		a.Warn("msg", "engine's adapters not read", "err", err)
 		return
 	}
+	a.observeBoot(mark)
 	for _, m := range list {
 		key, err := ident.ParseAdapterVersion(m.ID)
 		if err != nil || key.Version == 0 {
@@ -197,23 +209,43 @@
 			continue
 		}
 		if !a.adopt(key, m.Root) {
-			if err := a.unload(key); err != nil {
-				a.Warn("msg", "adapter not unloaded", "adapter", key, "err", err)
-			}
+			a.discard(key)
 		}
 	}
 }
 
-// adopt reports whether the scheduler accounts for key.
+// discard unloads an adapter that the scheduler does not account for.
+func (a *Agent) discard(key ident.AdapterVersion) {
+	a.mu.Lock()
+	free := a.sched.BeginEvict(key)
+	a.mu.Unlock()
+	if !free {
+		return
+	}
+	defer a.evicted(key)
+	if err := a.checkFence(context.Background()); err != nil {
+		return
+	}
+	if err := a.unload(key); err != nil {
+		a.Warn("msg", "adapter not unloaded", "adapter", key, "err", err)
+	}
+}
+
+// adopt reports whether the scheduler accounts for key. An adapter that a
+// former agent loaded may still be serving that agent's requests.
 func (a *Agent) adopt(key ident.AdapterVersion, weights string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if known, ok := a.weights[key]; ok && known != weights {
-		return a.sched.Pinned(key)
+	known, ordered := a.weights[key]
+	if ordered && known != weights {
+		return a.sched.Pins(key) > 0
 	}
 	if !a.sched.AdoptIfRoom(time.Now(), key) {
 		return false
 	}
+	if !ordered {
+		a.holds.add(a.sched, key, time.Now())
+	}
 	a.weights[key] = weights
 	return true
 }
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -47,6 +47,9 @@
 
 func (a *Agent) release(j *job) {
 	a.mu.Lock()
+	if j.unclean {
+		a.holds.add(a.sched, j.request.Key, time.Now())
+	}
 	a.sched.Finish(j.request, time.Since(j.started))
 	a.mu.Unlock()
 	signal(a.wake)
@@ -109,6 +112,9 @@
 	defer a.sinks.remove(id)
 	a.announce(j)
 	err := a.drive(j, s)
+	if j.unclean {
+		_ = a.engine.Cancel(id)
+	}
 	p := s.progress()
 	switch {
 	case p.whole:
@@ -144,6 +150,9 @@
 			return nil
 		}
 		err := a.stream(j, p.next)
+		if err != nil && !errors.Is(err, target.ErrMissing) {
+			j.unclean = true // the engine may still be generating
+		}
 		if errors.Is(err, target.ErrMissing) {
 			if try > 0 {
 				return errors.New("stream not resumed")
@@ -154,7 +163,7 @@
 		if p = s.progress(); p.whole || p.wrong {
 			return nil
 		}
-		if try == maxResumes {
+		if try == maxResumes || !resumable(j, p) {
 			return errors.Annotatef(err, "after %d resumes", try)
 		}
 		a.metrics.resumes.Inc(1)
@@ -162,6 +171,12 @@
 	}
 }
 
+// resumable reports whether another stream cannot be another run. An engine
+// that is asked from the first token on begins anew.
+func resumable(j *job, p progress) bool {
+	return !j.submit.NonIdempotent || p.next > 0
+}
+
 // lateWait is short when the stream was cut: its own chunks are lost then.
 func (a *Agent) lateWait(err error) time.Duration {
 	if err != nil {
--- a/pkg/agent/submit.go
+++ b/pkg/agent/submit.go
@@ -34,6 +34,8 @@
 	stream  *link.Stream
 	request *queue.Request
 	started time.Time
+	// unclean says that the engine may go on after the attempt's end.
+	unclean bool
 	done    chan struct{} // closed when the attempt has ended
 }
 
@@ -206,6 +208,15 @@
 	}
 }
 
+// startNext returns the next request to start. An agent that no home entry
+// confirmed of late may have been superseded, and starts nothing.
+func (a *Agent) startNext(now time.Time) *queue.Request {
+	if !a.homes.leased(now) {
+		return nil
+	}
+	return a.sched.Start(now)
+}
+
 const (
 	minPause = time.Millisecond
 	maxPause = time.Second
@@ -219,7 +230,7 @@
 	for _, r := range a.sched.Expire(now) {
 		expired = append(expired, a.jobs[r.ID])
 	}
-	for r := a.sched.Start(now); r != nil; r = a.sched.Start(now) {
+	for r := a.startNext(now); r != nil; r = a.startNext(now) {
 		started = append(started, a.jobs[r.ID])
 	}
 	_, _, wants := a.sched.Want(now)
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -16,7 +16,7 @@
 
 const (
 	// loadTimeout frees the place of a load whose end was never reported.
-	loadTimeout = 30 * time.Second
+	loadTimeout   = 30 * time.Second
 	minRateShare  = 0.25
 	slowLoadRatio = 3.0
 	decrease      = 0.7
--- a/pkg/caller/face.go
+++ b/pkg/caller/face.go
@@ -36,12 +36,14 @@
 	HeaderTarget   = "Hyssoproad-Target"
 	HeaderStall    = "Hyssoproad-Stall-Ms"
 	HeaderRepeated = "Hyssoproad-Repeated"
+	// HeaderRepeat marks a request whose idempotency key was sent before.
+	HeaderRepeat = "Hyssoproad-Repeat"
 )
 
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name:    "caller",
-		Provide: []any{New, newDispatcher},
+		Provide: []any{New, NewDispatcher},
 		Start:   func(*Face) {},
 	})
 }
@@ -52,6 +54,7 @@
 	settings settings.Callers
 	catalog  *catalog.Catalog
 	run      func(context.Context, *dispatch.Job, dispatch.Output) dispatch.Result
+	confirm  func(ident.Caller, string, bool, *dispatch.Refusal) *dispatch.Refusal
 	// admissible returns nil while requests may be admitted.
 	admissible func() error
 	inFlight   inFlight
@@ -59,7 +62,8 @@
 	server     *fasthttp.Server
 }
 
-func newDispatcher(c common.Common, p *peer.Peer, s settings.Entry) *dispatch.Dispatcher {
+// NewDispatcher returns an entry's dispatcher, wired to its peer.
+func NewDispatcher(c common.Common, p *peer.Peer, s settings.Entry) *dispatch.Dispatcher {
 	d := dispatch.New(c, p.Table, s.Retry)
 	d.Connect = p.Pool.Get
 	d.Claim = p.Claim
@@ -70,7 +74,8 @@
 
 // New returns the callers' face of an entry.
 func New(c common.Common, p *peer.Peer, d *dispatch.Dispatcher, s settings.Entry, life *kernel.Lifecycle) *Face {
-	f := NewFace(c, s.Callers, p.Config.Catalog(), d.Run, p.Admissible)
+	f := NewFace(c, s.Callers, p.Config.Catalog(), p.Admissible)
+	f.UseDispatcher(d)
 	life.Append(kernel.Hook{
 		Name:  "callers",
 		Start: func(context.Context) error { return f.start() },
@@ -79,12 +84,10 @@
 	return f
 }
 
-// NewFace returns a face over a catalog and a dispatcher.
-func NewFace(c common.Common, s settings.Callers, cat *catalog.Catalog,
-	run func(context.Context, *dispatch.Job, dispatch.Output) dispatch.Result, admissible func() error,
-) *Face {
+// NewFace returns a face over a catalog. It serves once it has a dispatcher.
+func NewFace(c common.Common, s settings.Callers, cat *catalog.Catalog, admissible func() error) *Face {
 	f := &Face{
-		Common: c.With("caller"), settings: s, catalog: cat, run: run, admissible: admissible,
+		Common: c.With("caller"), settings: s, catalog: cat, admissible: admissible,
 		records: newRecords(),
 	}
 	f.inFlight.counts = make(map[ident.Caller]int)
@@ -97,6 +100,12 @@
 	return f
 }
 
+// UseDispatcher makes the face serve through d.
+func (f *Face) UseDispatcher(d *dispatch.Dispatcher) {
+	f.run = d.Run
+	f.confirm = d.Confirm
+}
+
 // Handler routes the callers' requests.
 func (f *Face) Handler() fasthttp.RequestHandler {
 	r := router.New()
@@ -165,21 +174,41 @@
 		x := &exchange{ctx: ctx, id: ident.Request(uuid.NewString()), began: time.Now()}
 		ctx.Response.Header.Set(HeaderRequest, string(x.id))
 		if refusal := f.admit(x, next); refusal != nil {
+			refusal = f.confirmed(x, refusal)
 			f.logRefusal(x, refusal)
 			writeProblem(ctx, problemOf(refusal, string(x.id)))
 		}
 	}
 }
 
-func (f *Face) admit(x *exchange, next step) *dispatch.Refusal {
-	if refusal := f.authenticate(x); refusal != nil {
+// confirmed checks a refusal against what the ledger knows of the request's
+// idempotency key.
+func (f *Face) confirmed(x *exchange, refusal *dispatch.Refusal) *dispatch.Refusal {
+	k := string(x.ctx.Request.Header.Peek(HeaderKey))
+	repeat := len(x.ctx.Request.Header.Peek(HeaderRepeat)) > 0
+	if _, err := ledger.Birth(k); err != nil {
+		return refusal
+	}
+	if refusal.Reason == dispatch.ReasonConfigStale && repeat {
+		refusal.Outcome = wire.Unknown
 		return refusal
 	}
+	if x.caller.Name == "" {
+		return refusal
+	}
+	return f.confirm(x.caller.Name, k, repeat, refusal)
+}
+
+func (f *Face) admit(x *exchange, next step) *dispatch.Refusal {
+	// An entry without a configuration knows no caller.
 	if err := f.admissible(); err != nil {
 		r := notRun(503, dispatch.ReasonConfigStale, err.Error())
 		r.RetryAfter = time.Second
 		return r
 	}
+	if refusal := f.authenticate(x); refusal != nil {
+		return refusal
+	}
 	if !f.inFlight.enter(x.caller) {
 		r := notRun(429, "caller-limit", "the caller has as many requests in flight as it may")
 		r.RetryAfter = time.Second
--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -19,7 +19,7 @@
 // try makes one attempt at the chosen target.
 func (r *run) try(choice route.Choice) verdict {
 	target := choice.Node.Target
-	report := choice.Node.Report()
+	report := choice.Report
 	conn, err := r.d.Connect(r.ctx, report.Address)
 	if err != nil {
 		r.d.breakers.fail(target, time.Now())
--- a/pkg/dispatch/claim.go
+++ b/pkg/dispatch/claim.go
@@ -53,7 +53,7 @@
 }
 
 func (r *run) claimOf(choice route.Choice) wire.Claim {
-	report := choice.Node.Report()
+	report := choice.Report
 	return wire.Claim{
 		Key: r.job.IdempotencyKey, Caller: r.job.Caller, Fingerprint: r.job.Fingerprint,
 		Attempt: r.attempt, Target: choice.Node.Target, Incarnation: report.Incarnation,
@@ -123,7 +123,7 @@
 // inquire settles an attempt whose end was not seen, as far as its agent can
 // tell.
 func (r *run) inquire(choice route.Choice) verdict {
-	report := choice.Node.Report()
+	report := choice.Report
 	for range inquiryTries {
 		reply := r.query(report.Address, r.attempt, report.Incarnation)
 		switch reply.State {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -206,7 +206,10 @@
 	case r.claimed != "" && !r.release():
 		return r.doubt()
 	}
-	out := &Refusal{Outcome: wire.NotRun, Reason: r.reason, Status: 503, RetryAfter: max(r.retryAfter, time.Second)}
+	out := &Refusal{
+		Outcome: wire.NotRun, Reason: r.reason, Status: 503,
+		RetryAfter: max(r.retryAfter, time.Second), settled: r.claimed != "",
+	}
 	if r.reason == ReasonDeadline || time.Now().After(r.job.Deadline) {
 		out.Reason, out.Status = ReasonDeadline, 504
 		out.Detail = "the request could not be started before its deadline"
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -35,7 +35,9 @@
 
 	// Of non-idempotent services.
 	IdempotencyKey string
-	Fingerprint    uint64
+	// Repeat says that the caller has sent the key before.
+	Repeat      bool
+	Fingerprint uint64
 
 	// Resolve brings the job up to a newer configuration. It returns a
 	// refusal if the configuration no longer permits the request.
@@ -53,6 +55,8 @@
 	Detail     string
 	Status     int // HTTP status
 	RetryAfter time.Duration
+	// settled says that the ledger has confirmed the outcome.
+	settled bool
 }
 
 // Reasons of refusals that the dispatcher gives.
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -78,7 +78,8 @@
 	return nil
 }
 
-func (l *Lifecycle) start(ctx context.Context) error {
+// Start runs the start hooks in order. If one fails it stops those before it.
+func (l *Lifecycle) Start(ctx context.Context) error {
 	for i, h := range l.hooks {
 		if h.Start == nil {
 			continue
@@ -94,7 +95,9 @@
 	return nil
 }
 
-// stop stops the first n hooks, last first.
+// Stop runs the stop hooks in the reverse order and returns the first error.
+func (l *Lifecycle) Stop(ctx context.Context) error { return l.stop(ctx, len(l.hooks)) }
+
 func (l *Lifecycle) stop(ctx context.Context, n int) error {
 	l.mu.Lock()
 	l.stopping = true
@@ -133,11 +136,11 @@
 			return errors.Annotatef(dig.RootCause(err), "plug-in %s", p.Name)
 		}
 	}
-	if err := life.start(ctx); err != nil {
+	if err := life.Start(ctx); err != nil {
 		return errors.Trace(err)
 	}
 	<-ctx.Done()
-	return life.stop(context.WithoutCancel(ctx), len(life.hooks))
+	return life.Stop(context.WithoutCancel(ctx))
 }
 
 func plugins() []Plugin {
--- a/pkg/ledger/bucket.go
+++ b/pkg/ledger/bucket.go
@@ -104,6 +104,11 @@
 // commit evaluates the batch against the stored bucket until one conditional
 // update succeeds. Claims that no update confirmed are refused.
 func (b *bucket) commit(ctx context.Context, batch []*operation) {
+	for _, op := range batch {
+		if op.claim != nil && op.claim.Peek {
+			b.loaded = false // another owner may have written since
+		}
+	}
 	for range commitTries {
 		if err := b.load(ctx); err != nil {
 			break
@@ -189,6 +194,9 @@
 	key := storedKey(c.Caller, c.Key)
 	e, known := b.Entries[key]
 	switch {
+	case c.Peek && !known && !b.Closed && op.absent != wire.ClaimExpired:
+		op.claimReply = wire.ClaimReply{State: wire.ClaimFree}
+		return false
 	case known && e.Attempt == c.Attempt && !e.Done:
 		op.claimReply = wire.ClaimReply{State: wire.ClaimGranted}
 		return true // granted only by an update that confirms it
--- a/pkg/link/pool.go
+++ b/pkg/link/pool.go
@@ -41,14 +41,13 @@
 
 // NewPool returns a pool that dials over TCP.
 func NewPool(self Identity, handlers Handlers) *Pool {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Pool{
-		Self: self, Handlers: handlers,
-		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
-		peers: make(map[string]*peer),
-	}
+	return &Pool{Self: self, Handlers: handlers, Dial: DialTCP, peers: make(map[string]*peer)}
+}
+
+// DialTCP opens a TCP connection.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Get returns the live connection to address, dialing if there is none. During
--- a/pkg/peer/membership.go
+++ b/pkg/peer/membership.go
@@ -34,7 +34,7 @@
 
 // readVMs takes proposals from the platform's list; heartbeats decide.
 func (p *Peer) readVMs(ctx context.Context) {
-	vms, err := p.platform.VMs(ctx)
+	vms, err := p.parts.VMs(ctx)
 	if err != nil {
 		p.Debug("msg", "VM list not read", "err", err)
 		return
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -28,7 +28,7 @@
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name:    "peer",
-		Provide: []any{New},
+		Provide: []any{NewParts, New},
 		Start:   func(*Peer) {},
 	})
 }
@@ -38,7 +38,7 @@
 	common.Common
 	settings settings.Entry
 	self     link.Identity
-	platform *platform.Client
+	parts    Parts
 	Registry *member.Registry
 	Table    *route.Table
 	Config   *rollout.Log
@@ -55,18 +55,36 @@
 	pushes   chan struct{}
 }
 
+// Parts are a peer's connections to the world. Tests replace them.
+type Parts struct {
+	Objects platform.Objects
+	VMs     func(context.Context) ([]platform.VMInfo, error)
+	Listen  func() (net.Listener, error)
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// NewParts returns the parts that the settings name.
+func NewParts(s settings.Entry, client *platform.Client) Parts {
+	return Parts{
+		Objects: client.Objects(),
+		VMs:     client.VMs,
+		Listen:  func() (net.Listener, error) { return net.Listen("tcp", s.Link) },
+		Dial:    link.DialTCP,
+	}
+}
+
 // New returns an entry's peer.
-func New(c common.Common, s settings.Entry, client *platform.Client, life *kernel.Lifecycle) (*Peer, error) {
+func New(c common.Common, s settings.Entry, parts Parts, life *kernel.Lifecycle) (*Peer, error) {
 	secret, err := s.Secret()
 	if err != nil {
 		return nil, errors.Annotate(err, "reading secret")
 	}
-	objects := client.Objects()
+	objects := parts.Objects
 	p := &Peer{
 		Common:   c.With("peer"),
 		settings: s,
 		self:     link.Identity{Role: wire.RoleEntry, VM: s.VM, Secret: secret},
-		platform: client,
+		parts:    parts,
 		Registry: member.New(),
 		Table:    route.New(),
 		Config:   rollout.New(objects, catalog.New()),
@@ -78,6 +96,7 @@
 		pushes: make(chan struct{}, 1),
 	}
 	p.Pool = link.NewPool(p.self, p.handlers())
+	p.Pool.Dial = parts.Dial
 	p.budget = newBudgetDesk(p, lease.New(objects, "budget", s.VM, s.Link))
 	p.Config.Applied = func(ident.Revision) { signal(p.pushes) }
 	life.Append(kernel.Hook{Name: "peer", Start: p.start, Stop: p.stop, Ready: p.ready})
@@ -107,7 +126,7 @@
 }
 
 func (p *Peer) start(ctx context.Context) error {
-	listener, err := net.Listen("tcp", p.settings.Link)
+	listener, err := p.parts.Listen()
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/pkg/queue/line.go
+++ b/pkg/queue/line.go
@@ -55,6 +55,7 @@
 	absent lineState = iota
 	loading
 	loaded
+	evicting // the order to unload it is under way
 )
 
 // line is everything the scheduler knows of one adapter version.
--- a/pkg/queue/report.go
+++ b/pkg/queue/report.go
@@ -92,12 +92,6 @@
 // Waiting returns the number of requests that wait.
 func (s *Scheduler) Waiting() int { return s.waiting }
 
-// Pinned reports whether a running request uses key.
-func (s *Scheduler) Pinned(key ident.AdapterVersion) bool {
-	l, ok := s.lines[key]
-	return ok && l.pins > 0
-}
-
 // Uses reports whether key is loaded, pinned or waited for.
 func (s *Scheduler) Uses(key ident.AdapterVersion) bool {
 	l, ok := s.lines[key]
--- a/pkg/queue/scheduler.go
+++ b/pkg/queue/scheduler.go
@@ -246,6 +246,21 @@
 	s.serviceTime.add(took.Seconds())
 }
 
+// Hold pins an adapter that a request of which this scheduler does not know
+// may be using.
+func (s *Scheduler) Hold(key ident.AdapterVersion) { s.line(key).pins++ }
+
+// Unhold ends a Hold.
+func (s *Scheduler) Unhold(key ident.AdapterVersion) { s.lines[key].pins-- }
+
+// Pins returns the number of requests and holds that pin an adapter.
+func (s *Scheduler) Pins(key ident.AdapterVersion) int {
+	if l, ok := s.lines[key]; ok {
+		return l.pins
+	}
+	return 0
+}
+
 // Want returns the adapter whose load is worth most now and that worth, in
 // request-seconds. It reports false when no load is possible or needed.
 func (s *Scheduler) Want(now time.Time) (ident.AdapterVersion, float64, bool) {
@@ -358,7 +373,8 @@
 }
 
 // Load reserves a slot for key, and names the adapter that must be unloaded
-// first, if any. It reports false when the load is no longer possible.
+// first, if any; the caller then calls Evicted. It reports false when the load
+// is no longer possible.
 func (s *Scheduler) Load(now time.Time, key ident.AdapterVersion) (evict ident.AdapterVersion, ok bool) {
 	l := s.line(key)
 	if l.state != absent {
@@ -370,6 +386,7 @@
 			return evict, false
 		}
 		s.drop(v)
+		v.state = evicting
 		evict = v.key
 	}
 	l.state = loading
@@ -381,6 +398,25 @@
 	return evict, true
 }
 
+// BeginEvict reports whether an adapter that the scheduler does not account for
+// may be unloaded. If so, the caller calls Evicted once it is.
+func (s *Scheduler) BeginEvict(key ident.AdapterVersion) bool {
+	l := s.line(key)
+	if l.state != absent || l.pins > 0 {
+		return false
+	}
+	l.state = evicting
+	return true
+}
+
+// Evicted records the end of an order to unload key. Until then key is neither
+// loaded nor adopted.
+func (s *Scheduler) Evicted(key ident.AdapterVersion) {
+	if l := s.lines[key]; l != nil && l.state == evicting {
+		l.state = absent
+	}
+}
+
 func (s *Scheduler) drop(l *line) {
 	l.state = absent
 	l.closing = false
@@ -466,11 +502,11 @@
 // AdoptIfRoom records that the engine holds key, unless all slots are taken by
 // others. It reports whether key is accounted for.
 func (s *Scheduler) AdoptIfRoom(now time.Time, key ident.AdapterVersion) bool {
-	if _, known := s.resident[key]; known {
+	if l, known := s.lines[key]; known && l.state != absent {
 		return true
 	}
 	if len(s.resident) >= s.settings.Slots {
-		return s.Pinned(key)
+		return s.Pins(key) > 0
 	}
 	s.Adopt(now, key)
 	return true
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
 // Query says what a request needs of its target.
@@ -39,6 +40,9 @@
 type Choice struct {
 	Node   *Node
 	Reason Reason
+	// Report is what the target's agent said of itself when it was chosen. A
+	// later agent of the same target knows nothing of attempts sent to this one.
+	Report *wire.Report
 }
 
 const (
@@ -59,13 +63,11 @@
 	c, ok := t.choose(q, now)
 	if ok {
 		c.Node.sent.Add(1)
+		c.Report = c.Node.Report()
 	}
 	return c, ok
 }
 
-// Explain returns what Pick would choose, without counting it.
-func (t *Table) Explain(q Query, now time.Time) (Choice, bool) { return t.choose(q, now) }
-
 func (t *Table) choose(q Query, now time.Time) (Choice, bool) {
 	nodes := t.pool(q.Pool)
 	if q.Key.IsZero() {
@@ -89,18 +91,18 @@
 		expected = nil
 	}
 	if n := firstBelow(loaded, hash, q); n != nil {
-		return Choice{n, ReasonLoaded}, true
+		return Choice{Node: n, Reason: ReasonLoaded}, true
 	}
 	if len(loaded) == 0 && expected != nil && q.allows(expected) {
-		return Choice{expected, ReasonExpected}, true
+		return Choice{Node: expected, Reason: ReasonExpected}, true
 	}
 	ranked := homes(nodes, loaded, hash, q)
 	if full := leastLoaded(loaded, q); full != nil {
 		if ranked.n == 0 || ranked.nodes[0].Load() > replicaLoad {
-			return Choice{full, ReasonLoaded}, true
+			return Choice{Node: full, Reason: ReasonLoaded}, true
 		}
 		shard.expect(q.Key, ranked.nodes[0], now)
-		return Choice{ranked.nodes[0], ReasonReplica}, true
+		return Choice{Node: ranked.nodes[0], Reason: ReasonReplica}, true
 	}
 	if ranked.n == 0 {
 		return Choice{}, false
@@ -111,7 +113,7 @@
 		reason = ReasonOther
 	}
 	shard.expect(q.Key, ranked.nodes[i], now)
-	return Choice{ranked.nodes[i], reason}, true
+	return Choice{Node: ranked.nodes[i], Reason: reason}, true
 }
 
 // cost estimates in s what a load on the node costs this and later requests.
@@ -166,7 +168,7 @@
 			best, load = n, l
 		}
 	}
-	return Choice{best, ReasonLeast}, best != nil
+	return Choice{Node: best, Reason: ReasonLeast}, best != nil
 }
 
 // homeCount is the number of rendezvous choices that are weighed for an adapter
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -1,19 +1,16 @@
 package standin
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/fasthttp/router"
 	"github.com/google/uuid"
-	"github.com/valyala/fasthttp"
+	"github.com/juju/errors"
 
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/target"
 )
 
@@ -46,13 +43,14 @@
 
 // EngineRecord is what an engine saw.
 type EngineRecord struct {
-	Loads        int64          `json:"loads"`
-	EvictedInUse int64          `json:"evicted-in-use"`
-	WrongModel   int64          `json:"wrong-model"` // requests for an adapter that was not loaded
-	MaxRunning   int            `json:"max-running"`
-	Runs         map[string]int `json:"runs"` // by idempotency key
-	Fencing      uint64         `json:"fencing"`
-	StaleOrders  int64          `json:"stale-orders"`
+	Loads        int64             `json:"loads"`
+	EvictedInUse int64             `json:"evicted-in-use"`
+	WrongModel   int64             `json:"wrong-model"` // requests for an adapter that was not loaded
+	Started      int64             `json:"started"`     // completions begun or resumed
+	MaxRunning   int               `json:"max-running"`
+	Runs         map[string]int    `json:"runs"` // by idempotency key
+	Fencing      ident.Incarnation `json:"fencing"`
+	StaleOrders  int64             `json:"stale-orders"`
 }
 
 // Engine is a model engine that generates text which names the adapter,
@@ -64,6 +62,7 @@
 	boot    string
 	loaded  map[string]string // adapter to weights
 	inUse   map[string]int
+	uses    []use // of the recent past, for load reports
 	running int
 	seats   chan struct{}
 	streams map[string]*engineStream
@@ -73,6 +72,55 @@
 	random  *rand.Rand
 }
 
+// use is a span of time for which a request used an adapter.
+type use struct {
+	model      string
+	began, end time.Time // end is zero while the request runs
+}
+
+const (
+	reportLag = time.Second
+	maxUses   = 4096
+)
+
+// InUse returns the adapters that were in use a while ago.
+func (e *Engine) InUse() ([]string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	asOf := time.Now().Add(-reportLag)
+	seen := make(map[string]bool)
+	var out []string
+	for _, u := range e.uses {
+		if !u.began.After(asOf) && (u.end.IsZero() || u.end.After(asOf)) && !seen[u.model] {
+			seen[u.model] = true
+			out = append(out, u.model)
+		}
+	}
+	return out, nil
+}
+
+// beginUse notes that a request uses an adapter. It is called with the lock
+// held.
+func (e *Engine) beginUse(model string) time.Time {
+	e.inUse[model]++
+	now := time.Now()
+	e.uses = append(e.uses, use{model: model, began: now})
+	e.uses = e.uses[max(0, len(e.uses)-maxUses):]
+	return now
+}
+
+func (e *Engine) endUse(model string, began time.Time, boot string) {
+	if e.boot == boot {
+		e.inUse[model]--
+	}
+	for i := range e.uses {
+		if u := &e.uses[i]; u.model == model && u.began.Equal(began) && u.end.IsZero() {
+			u.end = time.Now()
+			return
+		}
+	}
+}
+
 // NewEngine returns an engine with nothing loaded.
 func NewEngine(settings EngineSettings, seed uint64) *Engine {
 	e := &Engine{settings: settings, random: rand.New(rand.NewPCG(seed, 2))}
@@ -121,123 +169,99 @@
 
 func (e *Engine) chance(p float64) bool { return p > 0 && e.random.Float64() < p }
 
-// Register serves the engine.
-func (e *Engine) Register(r *router.Router) {
-	r.POST("/v1/completions", e.serveCompletion)
-	r.POST("/v1/load_lora_adapter", e.serveLoad)
-	r.POST("/v1/unload_lora_adapter", e.serveUnload)
-	r.POST("/v1/cancel", e.serveCancel)
-	r.GET("/v1/models", e.serveModels)
-	r.GET("/record", func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, e.Record()) })
-	r.POST("/restart", func(*fasthttp.RequestCtx) { e.Restart() })
-	r.POST("/faults", func(ctx *fasthttp.RequestCtx) {
-		var f EngineFaults
-		if readJSON(ctx, &f) {
-			e.SetFaults(f)
-		}
-	})
-}
-
-func (e *Engine) setBoot(ctx *fasthttp.RequestCtx) {
-	ctx.Response.Header.Set(target.HeaderBoot, e.boot)
-}
-
 // admitOrder refuses an order with an old fencing number, unless the engine
-// ignores those.
-func (e *Engine) admitOrder(ctx *fasthttp.RequestCtx) bool {
-	e.setBoot(ctx)
-	n, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(target.HeaderFencing)), 10, 64)
-	if n < e.record.Fencing {
+// ignores those. It is called with the lock held.
+func (e *Engine) admitOrder(fencing ident.Incarnation) error {
+	if fencing < e.record.Fencing {
 		e.record.StaleOrders++
 		if !e.settings.IgnoreFencing {
-			ctx.Error("stale fencing number", fasthttp.StatusPreconditionFailed)
-			return false
+			return errors.Annotatef(target.ErrStale, "number %d", fencing)
 		}
 	}
-	e.record.Fencing = max(e.record.Fencing, n)
-	return true
+	e.record.Fencing = max(e.record.Fencing, fencing)
+	return nil
 }
 
-func (e *Engine) serveLoad(ctx *fasthttp.RequestCtx) {
-	var order target.AdapterOrder
-	if !readJSON(ctx, &order) {
-		return
-	}
-	boot, lose, ok := e.beginLoad(ctx)
-	if !ok {
-		return
+// Load loads an adapter.
+func (e *Engine) Load(order target.AdapterOrder, fencing ident.Incarnation) error {
+	boot, lose, err := e.beginLoad(fencing)
+	if err != nil {
+		return errors.Trace(err)
 	}
 	if !e.settings.Fetch(order.Weights) {
-		ctx.Error("weights not fetched", fasthttp.StatusBadGateway)
-		return
+		return errors.New("weights not fetched")
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if boot != e.boot {
-		ctx.Error("engine restarted", fasthttp.StatusServiceUnavailable)
-		return
+		return errors.New("engine restarted")
 	}
 	if _, held := e.loaded[order.Name]; !held && len(e.loaded) >= e.settings.Slots {
-		ctx.Error("no free slot", fasthttp.StatusConflict)
-		return
+		return errors.New("no free slot")
 	}
 	e.loaded[order.Name] = order.Weights
 	e.record.Loads++
 	if lose {
-		ctx.Error("answer lost", fasthttp.StatusGatewayTimeout)
+		return errors.New("answer lost")
 	}
+	return nil
 }
 
-func (e *Engine) beginLoad(ctx *fasthttp.RequestCtx) (boot string, lose, ok bool) {
+func (e *Engine) beginLoad(fencing ident.Incarnation) (boot string, lose bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.admitOrder(ctx) {
-		return "", false, false
+	if err := e.admitOrder(fencing); err != nil {
+		return "", false, errors.Trace(err)
 	}
 	if e.chance(e.faults.FailLoads) {
-		ctx.Error("load failed", fasthttp.StatusInternalServerError)
-		return "", false, false
+		return "", false, errors.New("load failed")
 	}
-	return e.boot, e.chance(e.faults.LoseLoadAnswers), true
+	return e.boot, e.chance(e.faults.LoseLoadAnswers), nil
 }
 
-func (e *Engine) serveUnload(ctx *fasthttp.RequestCtx) {
-	var order target.AdapterOrder
-	if !readJSON(ctx, &order) {
-		return
-	}
+// Unload unloads an adapter, also one in use.
+func (e *Engine) Unload(order target.AdapterOrder, fencing ident.Incarnation) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.admitOrder(ctx) {
-		return
+	if err := e.admitOrder(fencing); err != nil {
+		return errors.Trace(err)
 	}
 	if e.inUse[order.Name] > 0 {
 		e.record.EvictedInUse++
 	}
 	delete(e.loaded, order.Name)
+	return nil
 }
 
-func (e *Engine) serveModels(ctx *fasthttp.RequestCtx) {
+// Loaded returns what the engine holds and the mark of its boot.
+func (e *Engine) Loaded() ([]target.LoadedModel, string, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.setBoot(ctx)
-	var list target.ModelList
+	var list []target.LoadedModel
 	for name, weights := range e.loaded {
-		list.Data = append(list.Data, target.LoadedModel{ID: name, Root: weights})
+		list = append(list, target.LoadedModel{ID: name, Root: weights})
 	}
-	writeJSON(ctx, list)
+	return list, e.boot, nil
 }
 
-func (e *Engine) serveCancel(ctx *fasthttp.RequestCtx) {
-	var order target.CancelOrder
-	if !readJSON(ctx, &order) {
-		return
-	}
+// Cancel ends a completion.
+func (e *Engine) Cancel(id string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s := e.streams[order.ID]; s != nil {
+	if s := e.streams[id]; s != nil {
 		s.abort()
 	}
+	return nil
+}
+
+// Client returns the engine as agents use it, without a network.
+func (e *Engine) Client() *target.Engine {
+	return &target.Engine{
+		Generate: func(in target.CompletionRequest, key string, _ time.Time, deliver func(target.CompletionChunk)) error {
+			return e.Generate(in, key, deliver)
+		},
+		Load: e.Load, Unload: e.Unload, Loaded: e.Loaded, Cancel: e.Cancel, InUse: e.InUse,
+	}
 }
 
 // Token returns the text that an engine generates at an offset, so that tests
@@ -248,38 +272,44 @@
 	return fmt.Sprintf(" %s:%d:%x", model, offset, h.Sum64()&0xffff)
 }
 
-func (e *Engine) serveCompletion(ctx *fasthttp.RequestCtx) {
-	var in target.CompletionRequest
-	if !readJSON(ctx, &in) {
-		return
+// Generate runs or resumes a completion, and passes on the chunks that its
+// stream carries.
+func (e *Engine) Generate(in target.CompletionRequest, key string, deliver func(target.CompletionChunk)) error {
+	s, err := e.begin(in, key)
+	if err != nil {
+		return errors.Trace(err)
 	}
+	return s.each(func(c target.CompletionChunk) error {
+		deliver(c)
+		return nil
+	})
+}
+
+// begin checks a completion and starts it.
+func (e *Engine) begin(in target.CompletionRequest, key string) (*engineStream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.setBoot(ctx)
 	if _, held := e.loaded[in.Model]; !held {
 		e.record.WrongModel++
-		ctx.Error("adapter not loaded", fasthttp.StatusNotFound)
-		return
+		return nil, errors.Annotatef(target.ErrMissing, "adapter %s", in.Model)
 	}
-	key := string(ctx.Request.Header.Peek(target.HeaderKey))
 	if key != "" && in.ResumeFrom > 0 && !e.known[in.ID] {
-		ctx.Error("stream not known", fasthttp.StatusNotFound)
-		return
+		return nil, errors.Annotatef(target.ErrMissing, "stream %s", in.ID)
 	}
 	if key != "" && in.ResumeFrom == 0 {
 		e.record.Runs[key]++
 	}
+	e.record.Started++
 	e.known[in.ID] = true
-	e.inUse[in.Model]++
 	s := newEngineStream(in)
+	s.boot, s.began = e.boot, e.beginUse(in.Model)
 	e.streams[in.ID] = s
-	ctx.SetContentType("text/event-stream")
 	cut := -1
 	if e.chance(e.faults.CutStreams) {
 		cut = in.ResumeFrom + 1
 	}
 	go e.generate(s, cut)
-	ctx.SetBodyStreamWriter(s.write)
+	return s, nil
 }
 
 // generate produces the tokens of one request while it has a seat.
@@ -299,11 +329,11 @@
 	<-e.seats
 	e.mu.Lock()
 	e.running--
-	e.inUse[s.in.Model]--
 	e.mu.Unlock()
 	s.finish()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.endUse(s.in.Model, s.began, s.boot)
 	if e.streams[s.in.ID] == s {
 		delete(e.streams, s.in.ID)
 	}
@@ -340,8 +370,10 @@
 
 // engineStream is the open answer of one request.
 type engineStream struct {
-	in   target.CompletionRequest
-	late sync.WaitGroup
+	in    target.CompletionRequest
+	boot  string // of the engine that runs it
+	began time.Time
+	late  sync.WaitGroup
 
 	mu     sync.Mutex
 	queue  []target.CompletionChunk
@@ -412,23 +444,22 @@
 	return chunks, s.closed, s.stop
 }
 
-func (s *engineStream) write(w *bufio.Writer) {
+// each passes the stream's chunks on until it ends. It returns an error for a
+// stream that was aborted.
+func (s *engineStream) each(deliver func(target.CompletionChunk) error) error {
 	for {
 		chunks, closed, aborted := s.take()
 		if aborted {
-			return
+			return errors.New("stream aborted")
 		}
 		for _, c := range chunks {
-			data, _ := json.Marshal(c)
-			fmt.Fprintf(w, "data: %s\n\n", data)
+			if err := deliver(c); err != nil {
+				s.abort()
+				return errors.Trace(err)
+			}
 		}
 		if closed {
-			fmt.Fprint(w, "data: [DONE]\n\n")
-			return
-		}
-		if w.Flush() != nil {
-			s.abort()
-			return
+			return nil
 		}
 		<-s.wake
 	}
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fasthttp/router"
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/target"
@@ -59,6 +60,23 @@
 	return s.runs[key], s.faults
 }
 
+// Client returns the service as agents use it, without a network.
+func (s *PlainService) Client() *target.Service {
+	return &target.Service{Call: func(in target.ServiceCall, _ time.Time) (target.ServiceAnswer, error) {
+		if in.Path == "/healthz" {
+			return target.ServiceAnswer{Status: fasthttp.StatusOK}, nil
+		}
+		n, faults := s.run(in.Key)
+		time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+		if faults.DropAnswers {
+			return target.ServiceAnswer{}, errors.New("connection closed")
+		}
+		return target.ServiceAnswer{Status: fasthttp.StatusOK, ContentType: "text/plain", Body: []byte(booking(in.Key, n))}, nil
+	}}
+}
+
+func booking(key string, n int) string { return fmt.Sprintf("%s-%d", key, n) }
+
 func (s *PlainService) serve(ctx *fasthttp.RequestCtx) {
 	key := string(ctx.Request.Header.Peek(target.HeaderKey))
 	n, faults := s.run(key)
@@ -68,7 +86,7 @@
 		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 		return
 	}
-	writeJSON(ctx, map[string]string{"service": s.name, "booking": fmt.Sprintf("%s-%d", key, n)})
+	writeJSON(ctx, map[string]string{"service": s.name, "booking": booking(key, n)})
 }
 
 // Register serves the service.
--- a/pkg/target/engine.go
+++ b/pkg/target/engine.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"encoding/json"
 	"strconv"
 	"time"
@@ -29,33 +28,51 @@
 // does not know the stream to resume. Nothing ran.
 const ErrMissing = errors.ConstError("engine does not hold what was named")
 
-// Engine is a client of one model engine.
+// Engine is one model engine. Tests replace its functions.
 type Engine struct {
-	base  string
-	plain *fasthttp.Client
-	// streams has its own connections, which end with their streams.
-	streams *fasthttp.Client
-	// Boot is called with the engine's boot mark on each answer; a new mark
-	// means that the engine restarted with nothing loaded.
-	Boot func(mark string)
+	// Generate runs or resumes a completion and passes every chunk that
+	// arrives on its stream to deliver, also those of other requests. It
+	// returns when the stream ends; whether the answer is whole is for the
+	// receiver to judge.
+	Generate func(in CompletionRequest, key string, deadline time.Time, deliver func(CompletionChunk)) error
+	// Load orders the engine to load an adapter, and returns when it is
+	// loaded. After an error the adapter may be loaded nevertheless, now or
+	// later.
+	Load func(order AdapterOrder, fencing ident.Incarnation) error
+	// Unload orders the engine to unload an adapter.
+	Unload func(order AdapterOrder, fencing ident.Incarnation) error
+	// Loaded returns what the engine holds, and the mark of its boot; a new
+	// mark means that the engine restarted with nothing loaded.
+	Loaded func() ([]LoadedModel, string, error)
+	// Cancel ends a completion that is no longer wanted.
+	Cancel func(id string) error
+	// InUse returns the adapters that requests are using, as of ReportLag
+	// ago at the earliest.
+	InUse func() ([]string, error)
 }
 
-// NewEngine returns a client of the engine at base, such as
-// http://127.0.0.1:8000.
+// ReportLag bounds the age of an engine's load report.
+const ReportLag = 2 * time.Second
+
+// NewEngine returns the engine at base, such as http://127.0.0.1:8000.
 func NewEngine(base string) *Engine {
 	noRetry := func(*fasthttp.Request, int, error) (bool, bool) { return false, false }
-	return &Engine{
+	c := &engineClient{
 		base:    base,
 		plain:   &fasthttp.Client{MaxConnsPerHost: maxEngineConns, RetryIfErr: noRetry},
 		streams: &fasthttp.Client{MaxConnsPerHost: maxEngineConns, RetryIfErr: noRetry, StreamResponseBody: true},
-		Boot:    func(string) {},
 	}
+	return &Engine{Generate: c.generate, Load: c.load, Unload: c.unload, Loaded: c.loaded, Cancel: c.cancel, InUse: c.inUse}
 }
 
-// Generate runs or resumes a completion and passes every chunk that arrives on
-// its stream to deliver, also those of other requests. It returns when the
-// stream ends; whether the answer is whole is for the receiver to judge.
-func (e *Engine) Generate(in CompletionRequest, key string, deadline time.Time, deliver func(CompletionChunk)) error {
+type engineClient struct {
+	base  string
+	plain *fasthttp.Client
+	// streams has its own connections, which end with their streams.
+	streams *fasthttp.Client
+}
+
+func (e *engineClient) generate(in CompletionRequest, key string, deadline time.Time, deliver func(CompletionChunk)) error {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
@@ -69,7 +86,6 @@
 		return errors.Annotatef(err, "completion %s", in.ID)
 	}
 	defer func() { _ = res.CloseBodyStream() }()
-	e.Boot(string(res.Header.Peek(HeaderBoot)))
 	switch code := res.StatusCode(); code {
 	case fasthttp.StatusOK:
 		return readEvents(bufio.NewReader(res.BodyStream()), deliver)
@@ -101,7 +117,7 @@
 	}
 }
 
-func (e *Engine) prepare(req *fasthttp.Request, path string, body any) error {
+func (e *engineClient) prepare(req *fasthttp.Request, path string, body any) error {
 	req.SetRequestURI(e.base + path)
 	if body == nil {
 		return nil
@@ -116,77 +132,86 @@
 	return nil
 }
 
-// call returns the answer's status and body.
-func (e *Engine) call(path string, body any, fencing ident.Incarnation, timeout time.Duration) (int, []byte, error) {
+// answer is an engine's answer to an order or query.
+type answer struct {
+	status int
+	boot   string
+	body   []byte
+}
+
+func (e *engineClient) call(path string, body any, fencing ident.Incarnation, timeout time.Duration) (answer, error) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
 	if err := e.prepare(req, path, body); err != nil {
-		return 0, nil, errors.Trace(err)
+		return answer{}, errors.Trace(err)
 	}
 	if fencing != 0 {
 		req.Header.Set(HeaderFencing, strconv.FormatUint(uint64(fencing), 10))
 	}
 	if err := e.plain.DoTimeout(req, res, timeout); err != nil {
-		return 0, nil, errors.Annotate(err, path)
+		return answer{}, errors.Annotate(err, path)
 	}
-	e.Boot(string(res.Header.Peek(HeaderBoot)))
-	return res.StatusCode(), append([]byte(nil), res.Body()...), nil
+	return answer{
+		status: res.StatusCode(),
+		boot:   string(res.Header.Peek(HeaderBoot)),
+		body:   append([]byte(nil), res.Body()...),
+	}, nil
 }
 
-func orderError(path string, status int, body []byte) error {
+func (a answer) check(path string) error {
 	switch {
-	case status < 300:
+	case a.status < 300:
 		return nil
-	case status == fasthttp.StatusPreconditionFailed:
+	case a.status == fasthttp.StatusPreconditionFailed:
 		return errors.Annotate(ErrStale, path)
 	}
-	return errors.Errorf("%s: status %d: %s", path, status, body)
+	return errors.Errorf("%s: status %d: %s", path, a.status, a.body)
 }
 
-// Load orders the engine to load an adapter, and returns when it is loaded.
-// After an error the adapter may be loaded nevertheless, now or later.
-func (e *Engine) Load(order AdapterOrder, fencing ident.Incarnation) error {
-	const path = "/v1/load_lora_adapter"
-	status, body, err := e.call(path, order, fencing, orderTimeout)
+func (e *engineClient) order(path string, order AdapterOrder, fencing ident.Incarnation) error {
+	a, err := e.call(path, order, fencing, orderTimeout)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return orderError(path, status, body)
+	return a.check(path)
 }
 
-// Unload orders the engine to unload an adapter.
-func (e *Engine) Unload(order AdapterOrder, fencing ident.Incarnation) error {
-	const path = "/v1/unload_lora_adapter"
-	status, body, err := e.call(path, order, fencing, orderTimeout)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	return orderError(path, status, body)
+func (e *engineClient) load(order AdapterOrder, fencing ident.Incarnation) error {
+	return e.order("/v1/load_lora_adapter", order, fencing)
 }
 
-// Loaded returns what the engine holds.
-func (e *Engine) Loaded() ([]LoadedModel, error) {
+func (e *engineClient) unload(order AdapterOrder, fencing ident.Incarnation) error {
+	return e.order("/v1/unload_lora_adapter", order, fencing)
+}
+
+func (e *engineClient) loaded() ([]LoadedModel, string, error) {
 	const path = "/v1/models"
-	status, body, err := e.call(path, nil, 0, queryTimeout)
+	a, err := e.call(path, nil, 0, queryTimeout)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, "", errors.Trace(err)
 	}
-	if err := orderError(path, status, body); err != nil {
-		return nil, errors.Trace(err)
+	if err := a.check(path); err != nil {
+		return nil, "", errors.Trace(err)
 	}
 	var list ModelList
-	return list.Data, errors.Trace(json.Unmarshal(body, &list))
+	return list.Data, a.boot, errors.Trace(json.Unmarshal(a.body, &list))
 }
 
-// Cancel ends a completion that is no longer wanted.
-func (e *Engine) Cancel(id string) error {
-	_, _, err := e.call("/v1/cancel", CancelOrder{ID: id}, 0, queryTimeout)
+func (e *engineClient) cancel(id string) error {
+	_, err := e.call("/v1/cancel", CancelOrder{ID: id}, 0, queryTimeout)
 	return errors.Trace(err)
 }
 
-// Probe returns nil if the engine answers.
-func (e *Engine) Probe(context.Context) error {
-	_, err := e.Loaded()
-	return errors.Trace(err)
+func (e *engineClient) inUse() ([]string, error) {
+	const path = "/load"
+	a, err := e.call(path, nil, 0, queryTimeout)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := a.check(path); err != nil {
+		return nil, errors.Trace(err)
+	}
+	var report LoadReport
+	return report.InUse, errors.Trace(json.Unmarshal(a.body, &report))
 }
--- a/pkg/target/protocol.go
+++ b/pkg/target/protocol.go
@@ -64,3 +64,10 @@
 	ID   string `json:"id"`
 	Root string `json:"root"`
 }
+
+// LoadReport is the answer to GET /load, which lags.
+type LoadReport struct {
+	Running int `json:"running"`
+	// InUse are the adapters that requests are using.
+	InUse []string `json:"running_lora_adapters"`
+}
--- a/pkg/target/service.go
+++ b/pkg/target/service.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"context"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,23 +25,28 @@
 	Body        []byte
 }
 
-// Service is a client of one plain service instance.
+// Service is one plain service instance. Tests replace its functions.
 type Service struct {
-	base string
-	http *fasthttp.Client
+	// Call makes the call once. After an error it may have run.
+	Call func(in ServiceCall, deadline time.Time) (ServiceAnswer, error)
 }
 
-// NewService returns a client of the service at base.
+// NewService returns the service at base.
 func NewService(base string) *Service {
-	return &Service{base: base, http: &fasthttp.Client{
+	c := &serviceClient{base: base, http: &fasthttp.Client{
 		MaxConnsPerHost:     maxEngineConns,
 		MaxResponseBodySize: maxServiceAnswerBytes,
 		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
+	return &Service{Call: c.call}
+}
+
+type serviceClient struct {
+	base string
+	http *fasthttp.Client
 }
 
-// Call makes the call once. After an error it may have run.
-func (s *Service) Call(in ServiceCall, deadline time.Time) (ServiceAnswer, error) {
+func (s *serviceClient) call(in ServiceCall, deadline time.Time) (ServiceAnswer, error) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
@@ -66,7 +70,7 @@
 }
 
 // Probe returns nil if the service answers.
-func (s *Service) Probe(context.Context) error {
+func (s *Service) Probe() error {
 	_, err := s.Call(ServiceCall{Method: "GET", Path: "/healthz"}, time.Now().Add(queryTimeout))
 	return errors.Trace(err)
 }
--- a/pkg/wire/schema.go
+++ b/pkg/wire/schema.go
@@ -239,6 +239,8 @@
 	// Replaces is an attempt of the same request that was refused and is
 	// fenced; the claim takes its place.
 	Replaces ident.Attempt
+	// Peek asks what is on record and claims nothing.
+	Peek bool
 }
 
 // ClaimState is what the ledger knows of a key.
@@ -246,12 +248,12 @@
 
 // The states of a claim.
 const (
-	ClaimFree    ClaimState = iota
-	ClaimGranted            // this attempt may run
-	ClaimHeld               // another attempt holds the key
-	ClaimDone               // the key's request ran; its outcome is attached
-	ClaimExpired            // the key is older than the ledger remembers
-	ClaimRefused            // nothing was claimed, and nothing ran under this claim
+	ClaimFree    ClaimState = iota // nothing is on record
+	ClaimGranted                   // this attempt may run
+	ClaimHeld                      // another attempt holds the key
+	ClaimDone                      // the key's request ran; its outcome is attached
+	ClaimExpired                   // the key is older than the ledger remembers
+	ClaimRefused                   // nothing was claimed, and nothing ran under this claim
 )
 
 // ClaimReply answers a Claim.
--- a/pkg/wire/schema_gen.go
+++ b/pkg/wire/schema_gen.go
@@ -1285,9 +1285,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "Key"
-	o = append(o, 0x88, 0xa3, 0x4b, 0x65, 0x79)
+	o = append(o, 0x89, 0xa3, 0x4b, 0x65, 0x79)
 	o = msgp.AppendString(o, z.Key)
 	// string "Caller"
 	o = append(o, 0xa6, 0x43, 0x61, 0x6c, 0x6c, 0x65, 0x72)
@@ -1330,6 +1330,9 @@
 		err = msgp.WrapError(err, "Replaces")
 		return
 	}
+	// string "Peek"
+	o = append(o, 0xa4, 0x50, 0x65, 0x65, 0x6b)
+	o = msgp.AppendBool(o, z.Peek)
 	return
 }
 
@@ -1399,6 +1402,12 @@
 				err = msgp.WrapError(err, "Replaces")
 				return
 			}
+		case "Peek":
+			z.Peek, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Peek")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1413,7 +1422,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Claim) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 7 + z.Caller.Msgsize() + 12 + msgp.Uint64Size + 8 + z.Attempt.Msgsize() + 7 + z.Target.Msgsize() + 12 + z.Incarnation.Msgsize() + 8 + msgp.StringPrefixSize + len(z.Address) + 9 + z.Replaces.Msgsize()
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 7 + z.Caller.Msgsize() + 12 + msgp.Uint64Size + 8 + z.Attempt.Msgsize() + 7 + z.Target.Msgsize() + 12 + z.Incarnation.Msgsize() + 8 + msgp.StringPrefixSize + len(z.Address) + 9 + z.Replaces.Msgsize() + 5 + msgp.BoolSize
 	return
 }
 
