Unit tests, burn report, real-process faults; an entry without a proof admits nothing

Cause of the fault: an entry that had never read the configuration reported the age of its proof as 292 years, which its peers took for a proof, so that in an outage of the object API two restarted entries served with no configuration and called every token wrong. Also: replacing a whole configuration emptied the adapters for a moment.

--- a/pkg/bench/client.go
+++ b/pkg/bench/client.go
@@ -59,6 +59,7 @@
 	maxTokens  int
 	stream     bool
 	key        string
+	repeat     bool // the key was sent before
 	deadlineMS int
 }
 
@@ -71,6 +72,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
 	c.prepare(req, in.number, "/v1/completions", in.key, in.deadlineMS)
+	markRepeat(req, in.repeat)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(body)
 	began := time.Now()
@@ -99,6 +101,12 @@
 	}
 }
 
+func markRepeat(req *fasthttp.Request, repeat bool) {
+	if repeat {
+		req.Header.Set(caller.HeaderRepeat, "1")
+	}
+}
+
 func (o *outcome) read(res *fasthttp.Response) {
 	o.target = string(res.Header.Peek(caller.HeaderTarget))
 	o.adapter = string(res.Header.Peek(caller.HeaderAdapter))
@@ -179,11 +187,12 @@
 }
 
 // call makes one call of the plain service.
-func (c *client) call(n int, service, path, key string) outcome {
+func (c *client) call(n int, service, path, key string, repeat bool) outcome {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
 	c.prepare(req, n, "/services/"+service+path, key, 0)
+	markRepeat(req, repeat)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBodyString("{}")
 	began := time.Now()
--- a/pkg/bench/deployment.go
+++ b/pkg/bench/deployment.go
@@ -189,9 +189,11 @@
 	changes := []wire.Change{
 		{Store: &wire.WeightStore{LoadsPerSecond: d.Rate, InFlight: 8, Engines: max(d.Drafting+d.Dispatch, 1)}},
 		{Model: &wire.Model{Name: model}},
-		{Service: &wire.Service{Name: drafting, Kind: wire.KindEngine, Model: model, Role: string(drafting), Balance: 0.8, Description: "guides and quote drafts"}},
+		{Service: &wire.Service{Name: drafting, Kind: wire.KindEngine, Model: model, Role: string(drafting), Balance: 0.8, Description: "guides and quote drafts", Objectives: []wire.Objective{{
+			MinPriority: 3, Availability: 0.999, StallMS: 1000, StallShare: 0.95, FirstTokenMS: 1600, FirstTokenShare: 0.95, GapMS: 29, GapShare: 0.95,
+		}}}},
 		{Service: &wire.Service{Name: dispatching, Kind: wire.KindEngine, Model: model, Role: string(dispatching), Balance: 1, NonIdempotent: true, Description: "bookings made by a model"}},
-		{Service: &wire.Service{Name: booking, Kind: wire.KindService, Role: string(booking), NonIdempotent: true, Description: "the booking desk"}},
+		{Service: &wire.Service{Name: booking, Kind: wire.KindService, Role: string(booking), NonIdempotent: true, Description: "the booking desk", Objectives: []wire.Objective{{Availability: 0.999}}}},
 		{Caller: callerOf("showroom", CallerToken, 5)},
 		{Caller: callerOf("night-batch", BatchToken, 0)},
 	}
--- a/pkg/bench/load.go
+++ b/pkg/bench/load.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -217,7 +216,7 @@
 		stream: random.Float64() < p.streamed, deadlineMS: p.deadlineMS,
 	}}
 	if random.Float64() < p.risky {
-		j.key = uuid.Must(uuid.NewV7()).String()
+		j.key = standin.NewKey(time.Now())
 		j.model = fmt.Sprintf("%s@%d", DeskAdapter, 1)
 		j.plain = random.Float64() < 0.5
 	}
@@ -237,10 +236,11 @@
 
 func (j loadJob) once(c *client, retry int) outcome {
 	if j.plain {
-		return c.call(j.number+retry, string(booking), "/call/book", j.key)
+		return c.call(j.number+retry, string(booking), "/call/book", j.key, retry > 0)
 	}
 	in := j.completion
 	in.number += retry
+	in.repeat = retry > 0
 	return c.complete(in)
 }
 
--- a/pkg/bench/sample.go
+++ b/pkg/bench/sample.go
@@ -6,9 +6,10 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/hyssoproad/hyssoproad/pkg/standin"
 )
 
 const samplePrompt = "Mount a 12 kg mirror on a plaster wall"
@@ -47,14 +48,15 @@
 		}
 		show(name, c.complete(in))
 	}
-	key := uuid.Must(uuid.NewV7()).String()
+	key := standin.NewKey(time.Now())
 	desk := completion{model: string(DeskAdapter) + "@1", prompt: "Book a wiring check", maxTokens: 8, key: key}
 	show("dispatch", c.complete(desk))
 	desk.number = 1
+	desk.repeat = true
 	show("dispatch, repeated", c.complete(desk))
-	key = uuid.Must(uuid.NewV7()).String()
-	show("booking", c.call(0, string(booking), "/call/book", key))
-	show("booking, repeated", c.call(1, string(booking), "/call/book", key))
+	key = standin.NewKey(time.Now())
+	show("booking", c.call(0, string(booking), "/call/book", key, false))
+	show("booking, repeated", c.call(1, string(booking), "/call/book", key, true))
 	if err := w.Flush(); err != nil {
 		return errors.Trace(err)
 	}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -42,16 +42,11 @@
 func New() *Catalog {
 	c := &Catalog{}
 	c.reset()
+	c.replaceAdapters(nil)
 	return c
 }
 
 func (c *Catalog) reset() {
-	for i := range c.shards {
-		s := &c.shards[i]
-		s.mu.Lock()
-		s.adapters = make(map[ident.Adapter]wire.Adapter)
-		s.mu.Unlock()
-	}
 	c.services = make(map[ident.Service]wire.Service)
 	c.models = make(map[ident.Model]wire.Model)
 	c.callers = make(map[ident.Caller]wire.Caller)
@@ -91,11 +86,33 @@
 	}
 	c.reset()
 	for _, change := range changes {
-		c.change(change)
+		if change.Adapter == nil {
+			c.change(change)
+		}
 	}
+	c.replaceAdapters(changes)
 	c.revision = revision
 }
 
+// replaceAdapters swaps each shard's adapters at once, so that no reader finds
+// an adapter missing in between.
+func (c *Catalog) replaceAdapters(changes []wire.Change) {
+	var fresh [shardCount]map[ident.Adapter]wire.Adapter
+	for i := range fresh {
+		fresh[i] = make(map[ident.Adapter]wire.Adapter)
+	}
+	for _, x := range changes {
+		if x.Adapter != nil {
+			fresh[shardIndex(x.Adapter.Name)][x.Adapter.Name] = *x.Adapter
+		}
+	}
+	for i := range c.shards {
+		c.shards[i].mu.Lock()
+		c.shards[i].adapters = fresh[i]
+		c.shards[i].mu.Unlock()
+	}
+}
+
 func (c *Catalog) change(x wire.Change) {
 	switch {
 	case x.Service != nil:
@@ -143,9 +160,11 @@
 }
 
 func (c *Catalog) shard(a ident.Adapter) *shard {
-	return &c.shards[xxhash.Sum64String(string(a))%shardCount]
+	return &c.shards[shardIndex(a)]
 }
 
+func shardIndex(a ident.Adapter) uint64 { return xxhash.Sum64String(string(a)) % shardCount }
+
 // Adapter returns a declared adapter.
 func (c *Catalog) Adapter(a ident.Adapter) (wire.Adapter, bool) {
 	s := c.shard(a)
--- a/pkg/catalog/validate.go
+++ b/pkg/catalog/validate.go
@@ -116,6 +116,23 @@
 	if s.DeadlineMS < 0 || s.DeadlineMS > maxDeadlineMS {
 		return errors.NotValidf("deadline-ms %d: outside 0 to %d:", s.DeadlineMS, maxDeadlineMS)
 	}
+	for _, o := range s.Objectives {
+		if err := checkObjective(o); err != nil {
+			return errors.Annotate(err, "objective")
+		}
+	}
+	return nil
+}
+
+func checkObjective(o wire.Objective) error {
+	for _, share := range []float64{o.Availability, o.StallShare, o.FirstTokenShare, o.GapShare} {
+		if share < 0 || share >= 1 {
+			return errors.NotValidf("share %g: outside 0 to below 1:", share)
+		}
+	}
+	if o.StallMS < 0 || o.FirstTokenMS < 0 || o.GapMS < 0 {
+		return errors.NotValidf("negative time")
+	}
 	return nil
 }
 
--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -139,9 +139,21 @@
 		return false
 	}
 	r.next += len(fresh)
+	r.timeTokens(time.Now())
 	return true
 }
 
+// timeTokens keeps the times of the first and the newest text.
+func (r *run) timeTokens(now time.Time) {
+	if r.firstAt.IsZero() {
+		r.firstAt = now
+		r.result.FirstToken = now.Sub(r.job.Arrival)
+	}
+	if r.next > 1 {
+		r.result.Gap = now.Sub(r.firstAt) / time.Duration(r.next-1)
+	}
+}
+
 func (r *run) finished(e wire.Event) verdict {
 	if e.Total != r.next || e.Adapter != r.job.Key {
 		return uncertain
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -69,6 +69,7 @@
 	exclude []ident.Target
 
 	next       int // first token that the caller lacks
+	firstAt    time.Time
 	attempt    ident.Attempt
 	claimed    ident.Attempt // attempt that holds the key in the ledger
 	doubtful   bool          // an earlier attempt may have run
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -85,6 +85,10 @@
 	Stall   time.Duration // wait for the adapter
 	Queue   time.Duration // wait in all
 	Tries   int
+	// FirstToken is the time from arrival to the first text, and Gap the mean
+	// time between tokens after it.
+	FirstToken time.Duration
+	Gap        time.Duration
 	// Repeated says that the answer is that of an earlier request with the
 	// same idempotency key.
 	Repeated bool
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -38,7 +38,7 @@
 		s.Partitions = 8
 	}
 	if s.Interval == 0 {
-		s.Interval = 30 * time.Second
+		s.Interval = 10 * time.Second
 	}
 	if s.Window == 0 {
 		s.Window = time.Hour
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -106,6 +107,23 @@
 	}
 }
 
+// Traffic counts what the links of this process carried.
+type Traffic struct {
+	BytesIn, BytesOut, FramesIn, FramesOut int64
+}
+
+var traffic struct {
+	bytesIn, bytesOut, framesIn, framesOut atomic.Int64
+}
+
+// CountTraffic returns what all links of this process have carried so far.
+func CountTraffic() Traffic {
+	return Traffic{
+		BytesIn: traffic.bytesIn.Load(), BytesOut: traffic.bytesOut.Load(),
+		FramesIn: traffic.framesIn.Load(), FramesOut: traffic.framesOut.Load(),
+	}
+}
+
 func (c *Conn) readLoop() {
 	for {
 		f, err := ReadFrame(c.r)
@@ -113,6 +131,8 @@
 			c.fail(errors.Wrap(err, ErrClosed))
 			return
 		}
+		traffic.framesIn.Add(1)
+		traffic.bytesIn.Add(int64(headerBytes + len(f.Body)))
 		if err := c.dispatch(f); err != nil {
 			c.fail(err)
 			return
@@ -225,8 +245,11 @@
 	if len(c.pending) > writeBufferLimit {
 		return errors.QuotaLimitExceededf("unsent bytes on link to %q", c.Peer.VM)
 	}
+	before := len(c.pending)
 	b, err := AppendFrame(c.pending, kind, stream, m)
 	c.pending = b
+	traffic.framesOut.Add(1)
+	traffic.bytesOut.Add(int64(len(b) - before))
 	if err != nil {
 		return errors.Trace(err)
 	}
--- /dev/null
+++ b/pkg/link/link_test.go
@@ -0,0 +1,164 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+func identity(secret string) Identity {
+	return Identity{Role: wire.RoleEntry, VM: "vm", Secret: []byte(secret)}
+}
+
+// echo serves attempts' queries with a reply that names the attempt's length.
+var echo = Handlers{
+	KindAttemptQuery: func(_ context.Context, s *Stream, f Frame) error {
+		var q wire.AttemptQuery
+		if _, err := q.UnmarshalMsg(f.Body); err != nil {
+			return err
+		}
+		if q.Attempt == "fail" {
+			return errors.New("asked to fail")
+		}
+		return s.Send(KindAttemptReply, &wire.AttemptReply{Answer: wire.StoredAnswer{Status: len(q.Attempt)}})
+	},
+}
+
+func listen(t *testing.T, secret string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = Serve(l, identity(secret), echo, log.NewNopLogger()) }()
+	return l.Addr().String()
+}
+
+func ask(c *Conn, attempt ident.Attempt) (wire.AttemptReply, error) {
+	var reply wire.AttemptReply
+	err := c.Call(context.Background(), KindAttemptQuery, &wire.AttemptQuery{Attempt: attempt}, KindAttemptReply, &reply)
+	return reply, err
+}
+
+func TestPeersNeedTheSecret(t *testing.T) {
+	scenarios := []struct {
+		name, secret string
+		refused      bool
+	}{
+		{"same secret", "right", false},
+		{"other secret", "wrong", true},
+		{"no secret", "", true},
+	}
+	address := listen(t, "right")
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			pool := NewPool(identity(s.secret), nil)
+			defer pool.Close()
+			_, err := pool.Get(context.Background(), address)
+			require.Equal(t, s.refused, err != nil)
+		})
+	}
+}
+
+func TestMalformedFramesCloseOnlyTheirConnection(t *testing.T) {
+	address := listen(t, "right")
+	pool := NewPool(identity("right"), nil)
+	defer pool.Close()
+	good, err := pool.Get(context.Background(), address)
+	require.NoError(t, err)
+	for _, garbage := range []string{"\xff\xff\xff\xff\x06\x00\x00\x00\x01", "\x00\x00\x00\x02\xee\x00\x00\x00\x01ab", "\x00\x00"} {
+		nc, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		bad, err := Client(nc, identity("right"), nil)
+		require.NoError(t, err)
+		_, err = nc.Write([]byte(garbage))
+		require.NoError(t, err)
+		if garbage == "\x00\x00" {
+			require.NoError(t, nc.Close())
+		}
+		<-bad.Done()
+	}
+	reply, err := ask(good, "a")
+	require.NoError(t, err)
+	require.Equal(t, 1, reply.Answer.Status)
+}
+
+func TestFaultsReachTheCaller(t *testing.T) {
+	pool := NewPool(identity("right"), nil)
+	defer pool.Close()
+	c, err := pool.Get(context.Background(), listen(t, "right"))
+	require.NoError(t, err)
+	var reply wire.AttemptReply
+	err = c.Call(context.Background(), KindAttemptQuery, &wire.AttemptQuery{Attempt: "fail"}, KindAttemptReply, &reply)
+	require.ErrorIs(t, err, ErrPeer)
+	err = c.Call(context.Background(), KindClaim, &wire.Claim{}, KindClaimReply, &wire.ClaimReply{})
+	require.ErrorIs(t, err, ErrPeer)
+}
+
+func TestPoolBacksOffAfterAFailure(t *testing.T) {
+	pool := NewPool(identity("right"), nil)
+	dials := 0
+	pool.Dial = func(context.Context, string) (net.Conn, error) {
+		dials++
+		return nil, errors.New("refused")
+	}
+	for range 5 {
+		_, err := pool.Get(context.Background(), "peer")
+		require.Error(t, err)
+	}
+	require.Equal(t, 1, dials)
+}
+
+func TestOversizedMessageIsRefusedBeforeItIsSent(t *testing.T) {
+	pool := NewPool(identity("right"), nil)
+	defer pool.Close()
+	c, err := pool.Get(context.Background(), listen(t, "right"))
+	require.NoError(t, err)
+	_, err = c.Open(KindSubmit, &wire.Submit{Prompt: strings.Repeat("x", MaxFrameBytes+1)})
+	require.ErrorIs(t, err, errors.NotValid)
+	_, err = ask(c, "a")
+	require.NoError(t, err)
+}
+
+func TestCallEndsWithItsContext(t *testing.T) {
+	near, far := net.Pipe()
+	go func() {
+		_, _ = Server(far, identity("right"), Handlers{KindHeartbeat: func(ctx context.Context, _ *Stream, _ Frame) error {
+			<-ctx.Done()
+			return nil
+		}})
+	}()
+	c, err := Client(near, identity("right"), nil)
+	require.NoError(t, err)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	err = c.Call(ctx, KindHeartbeat, &wire.Heartbeat{}, KindHeartbeatAck, &wire.HeartbeatAck{})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+func FuzzReadFrame(f *testing.F) {
+	valid, err := AppendFrame(nil, KindClaim, 7, &wire.Claim{Key: "k"})
+	require.NoError(f, err)
+	f.Add(valid)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, err := ReadFrame(bufio.NewReader(bytes.NewReader(data)))
+		if err != nil {
+			return
+		}
+		require.LessOrEqual(t, len(frame.Body), len(data))
+		for _, m := range []Body{&wire.Submit{}, &wire.Event{}, &wire.Heartbeat{}, &wire.ConfigDelta{}, &wire.Claim{}} {
+			_, _ = m.UnmarshalMsg(frame.Body)
+		}
+	})
+}
--- a/pkg/monitor/monitor.go
+++ b/pkg/monitor/monitor.go
@@ -3,7 +3,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
+	"net/http"
+	_ "net/http/pprof" // profiles on the status listener
 	"runtime/debug"
 	"time"
 
@@ -13,12 +16,10 @@
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
-	_ "net/http/pprof" // profiles on the status listener
-
-	"net/http"
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/settings"
 )
 
@@ -68,6 +69,7 @@
 	})
 	r.GET("/version", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(Version() + "\n") })
 	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(m.reporter.HTTPHandler()))
+	r.GET("/traffic", func(ctx *fasthttp.RequestCtx) { writeTraffic(ctx) })
 	r.GET("/debug/pprof/{profile:*}", fasthttpadaptor.NewFastHTTPHandler(http.DefaultServeMux))
 	mon := &Monitor{Common: c.With("monitor"), server: &fasthttp.Server{Handler: r.Handler, Name: "hyssoproad"}}
 	life.Append(kernel.Hook{
@@ -78,6 +80,14 @@
 	return mon
 }
 
+// writeTraffic answers with what the process's links have carried.
+func writeTraffic(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("application/json")
+	if err := json.NewEncoder(ctx).Encode(link.CountTraffic()); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	}
+}
+
 func (m *Monitor) start(address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/pkg/peer/membership.go
+++ b/pkg/peer/membership.go
@@ -189,5 +189,7 @@
 	if info.Revision > p.Config.Catalog().Revision() {
 		p.pull(ctx, conn)
 	}
-	p.Config.Confirm(info.Revision, now.Add(-time.Duration(info.FreshMS)*time.Millisecond))
+	if info.FreshMS != wire.NeverFresh {
+		p.Config.Confirm(info.Revision, now.Add(-time.Duration(info.FreshMS)*time.Millisecond))
+	}
 }
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -178,13 +178,23 @@
 // force is known to be the latest or, in an outage of the object API, most
 // entries are heard and none of them can have accepted a change.
 func (p *Peer) Admissible() error {
-	age := time.Since(p.Config.Fresh())
-	if age <= p.settings.ConfigMaxAge.Std() || p.Majority() && !p.Config.Fresh().IsZero() {
+	fresh := p.Config.Fresh()
+	if fresh.IsZero() {
+		return errors.New("no configuration was read yet")
+	}
+	age := time.Since(fresh)
+	if age <= p.settings.ConfigMaxAge.Std() || p.newestKnown() {
 		return nil
 	}
 	return errors.Errorf("configuration not confirmed for %s", age.Round(time.Second))
 }
 
+// newestKnown reports whether most entries are heard and none has a later
+// configuration.
+func (p *Peer) newestKnown() bool {
+	return p.Majority() && p.Config.Highest() <= p.Config.Catalog().Revision()
+}
+
 // Majority reports whether most of the known entries, this one included, are
 // heard.
 func (p *Peer) Majority() bool {
@@ -206,11 +216,14 @@
 func (p *Peer) Info() wire.EntryInfo {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return wire.EntryInfo{
+	info := wire.EntryInfo{
 		VM: p.settings.VM, Domain: p.settings.Domain, Address: p.settings.Link,
-		Revision: p.Config.Catalog().Revision(), Draining: p.draining,
-		FreshMS: time.Since(p.Config.Fresh()).Milliseconds(),
+		Revision: p.Config.Catalog().Revision(), Draining: p.draining, FreshMS: wire.NeverFresh,
+	}
+	if fresh := p.Config.Fresh(); !fresh.IsZero() {
+		info.FreshMS = time.Since(fresh).Milliseconds()
 	}
+	return info
 }
 
 // Entries returns the live entries, this one included.
--- /dev/null
+++ b/pkg/queue/scheduler_test.go
@@ -0,0 +1,190 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func key(i int) ident.AdapterVersion {
+	return ident.AdapterVersion{Adapter: ident.Adapter(fmt.Sprintf("a%d", i)), Version: 1}
+}
+
+func request(id string, adapter int, now time.Time, wait time.Duration) *Request {
+	return &Request{ID: ident.Request(id), Key: key(adapter), Arrival: now, Deadline: now.Add(wait)}
+}
+
+// TestSchedulerKeepsItsPromises drives the scheduler at random and checks it
+// against a simple account of pins, slots and seats.
+func TestSchedulerKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slots, seats = 2, 3
+		s := New(Settings{Slots: slots, Seats: seats, Balance: rapid.Float64Range(0, 1).Draw(t, "balance")}, start)
+		now := start
+		held := make(map[ident.AdapterVersion]bool)
+		loadingKeys := make(map[ident.AdapterVersion]bool)
+		pins := make(map[ident.AdapterVersion]int)
+		ended := make(map[ident.Request]string)
+		waiting := make(map[ident.Request]*Request)
+		var running []*Request
+		end := func(id ident.Request, how string) {
+			require.Empty(t, ended[id], "request ended twice")
+			require.Contains(t, waiting, id)
+			ended[id] = how
+			delete(waiting, id)
+		}
+		for i := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
+			case 0, 1:
+				r := request(fmt.Sprint(i), rapid.IntRange(0, 5).Draw(t, "adapter"), now, time.Duration(rapid.IntRange(100, 20000).Draw(t, "deadline"))*time.Millisecond)
+				r.Priority = ident.Priority(rapid.IntRange(0, 9).Draw(t, "priority"))
+				if _, err := s.Add(now, r); err == nil {
+					waiting[r.ID] = r
+				}
+			case 2:
+				if k, _, ok := s.Want(now); ok {
+					require.False(t, held[k] || loadingKeys[k], "wants what it has")
+					evict, ok := s.Load(now, k)
+					require.True(t, ok)
+					if !evict.IsZero() {
+						require.Zero(t, pins[evict], "evicts an adapter in use")
+						require.True(t, held[evict])
+						delete(held, evict)
+						s.Evicted(evict)
+					}
+					loadingKeys[k] = true
+					require.LessOrEqual(t, len(held)+len(loadingKeys), slots)
+				}
+			case 3:
+				for k := range loadingKeys {
+					failed := rapid.Bool().Draw(t, "failed")
+					s.Loaded(now, k, 250*time.Millisecond, failed)
+					delete(loadingKeys, k)
+					if !failed {
+						held[k] = true
+					}
+					break
+				}
+			case 4:
+				if len(running) > 0 {
+					r := running[0]
+					running = running[1:]
+					pins[r.Key]--
+					s.Finish(r, time.Second)
+				}
+			case 5:
+				for id := range waiting {
+					if rapid.Bool().Draw(t, "cancel") && s.Cancel(id) {
+						end(id, "cancelled")
+					}
+					break
+				}
+			}
+			for _, r := range s.Expire(now) {
+				end(r.ID, "expired")
+			}
+			for r := s.Start(now); r != nil; r = s.Start(now) {
+				require.True(t, held[r.Key], "starts on an adapter that is not loaded")
+				require.False(t, now.After(r.Deadline), "starts past the deadline")
+				end(r.ID, "started")
+				pins[r.Key]++
+				running = append(running, r)
+				require.LessOrEqual(t, len(running), seats)
+			}
+			require.Equal(t, len(waiting), s.Waiting())
+			require.Equal(t, len(running), s.Running())
+		}
+	})
+}
+
+func TestPrioritiesAndAgeing(t *testing.T) {
+	scenarios := []struct {
+		name  string
+		gap   time.Duration // by which the low priority arrives earlier
+		first ident.Request
+	}{
+		{"priority goes first", time.Second, "high"},
+		{"age makes up for priority", 30 * time.Second, "low"},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			s := New(Settings{Slots: 1, Seats: 1}, start)
+			s.Adopt(start, key(0))
+			low, high := request("low", 0, start, time.Hour), request("high", 0, start.Add(sc.gap), time.Hour)
+			high.Priority = 5
+			_, err := s.Add(start, low)
+			require.NoError(t, err)
+			_, err = s.Add(start.Add(sc.gap), high)
+			require.NoError(t, err)
+			require.Equal(t, sc.first, s.Start(start.Add(sc.gap)).ID)
+		})
+	}
+}
+
+func TestStarvedAdapterGetsTheSlotOfABusyOne(t *testing.T) {
+	s := New(Settings{Slots: 1, Seats: 4}, start)
+	s.Adopt(start, key(0))
+	now := start
+	_, err := s.Add(now, request("cold", 1, now, time.Minute))
+	require.NoError(t, err)
+	var running []*Request
+	for i := 0; ; i++ {
+		require.Less(t, i, 60, "the cold adapter starves")
+		_, err := s.Add(now, request(fmt.Sprint(i), 0, now, time.Minute))
+		require.NoError(t, err)
+		if r := s.Start(now); r != nil {
+			running = append(running, r)
+		}
+		if len(running) > 1 {
+			s.Finish(running[0], time.Second)
+			running = running[1:]
+		}
+		if k, _, ok := s.Want(now); ok && k == key(1) {
+			break
+		}
+		if i > 20 {
+			for _, r := range running {
+				s.Finish(r, time.Second)
+			}
+			running = nil
+		}
+		now = now.Add(500 * time.Millisecond)
+	}
+	evict, ok := s.Load(now, key(1))
+	require.True(t, ok)
+	require.Equal(t, key(0), evict)
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	s := New(Settings{Slots: 1, Seats: 1, MaxWaiting: 3}, start)
+	for i := range 3 {
+		_, err := s.Add(start, request(fmt.Sprint(i), 0, start, time.Minute))
+		require.NoError(t, err)
+	}
+	retryAfter, err := s.Add(start, request("one too many", 0, start, time.Minute))
+	require.ErrorIs(t, err, ErrFull)
+	require.Positive(t, retryAfter)
+}
+
+func BenchmarkWant(b *testing.B) {
+	for _, waiting := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("adapters=%d", waiting), func(b *testing.B) {
+			s := New(Settings{Slots: 8, Seats: 16, Balance: 0.8, MaxWaiting: waiting}, start)
+			for i := range waiting {
+				_, _ = s.Add(start, request(fmt.Sprint(i), i, start, time.Hour))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Want(start.Add(time.Second))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,170 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+var (
+	now  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	pool = Pool{Kind: wire.KindEngine, Model: "base", Role: "drafting"}
+)
+
+func report(i int, loaded ...ident.AdapterVersion) wire.Report {
+	return wire.Report{
+		Target: ident.Target(fmt.Sprintf("t%03d", i)), Incarnation: 1, Sequence: 1, Kind: pool.Kind, Model: pool.Model, Role: pool.Role,
+		Slots: 4 + 2*(i%3), Seats: 8, Ready: true, Loaded: loaded,
+	}
+}
+
+func table(n int) *Table {
+	t := New()
+	for i := range n {
+		t.Update(report(i), true, now)
+	}
+	return t
+}
+
+func adapter(i int) ident.AdapterVersion {
+	return ident.AdapterVersion{Adapter: ident.Adapter(fmt.Sprintf("adapter-%05d", i)), Version: 1}
+}
+
+func query(i int) Query { return Query{Pool: pool, Key: adapter(i), Balance: 1} }
+
+func TestTablesAgreeOnHomes(t *testing.T) {
+	a, b := table(12), table(12)
+	for i := range 200 {
+		x, ok := a.Pick(query(i), now)
+		require.True(t, ok)
+		y, _ := b.Pick(query(i), now)
+		require.Equal(t, x.Node.Target, y.Node.Target)
+	}
+}
+
+func TestHomesFollowTheWeights(t *testing.T) {
+	tab := table(12)
+	counts := make(map[int]int)
+	for i := range 6000 {
+		c, _ := tab.choose(Query{Pool: pool, Key: adapter(i), Balance: 1}, now)
+		counts[c.Node.Report().Slots]++
+	}
+	// Slots of 4, 6 and 8 on a third of the targets each.
+	require.InDelta(t, 6.0/4, float64(counts[6])/float64(counts[4]), 0.25)
+	require.InDelta(t, 8.0/4, float64(counts[8])/float64(counts[4]), 0.3)
+}
+
+func TestPickScenarios(t *testing.T) {
+	full := report(0, adapter(1))
+	full.Running, full.Waiting = 8, 8
+	draining := report(1, adapter(1))
+	scenarios := []struct {
+		name    string
+		reports []wire.Report
+		exclude []ident.Target
+		usable  bool
+		want    Reason
+		target  ident.Target
+	}{
+		{"the holder is chosen", []wire.Report{report(0), report(1, adapter(1)), report(2)}, nil, true, ReasonLoaded, "t001"},
+		{"a full holder gets a replica", []wire.Report{full, report(1)}, nil, true, ReasonReplica, "t001"},
+		{"a full holder keeps it when all are full", []wire.Report{full}, nil, true, ReasonLoaded, "t000"},
+		{"an excluded holder is not chosen", []wire.Report{report(0, adapter(1)), report(1)}, []ident.Target{"t000"}, true, ReasonHome, "t001"},
+		{"an unusable holder is not chosen", []wire.Report{draining, report(2)}, nil, false, ReasonHome, "t002"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			tab := New()
+			for _, r := range s.reports {
+				tab.Update(r, true, now)
+			}
+			if !s.usable {
+				tab.SetUsable("t001", false)
+			}
+			q := query(1)
+			q.Exclude = s.exclude
+			c, ok := tab.Pick(q, now)
+			require.True(t, ok)
+			require.Equal(t, s.want, c.Reason)
+			require.Equal(t, s.target, c.Node.Target)
+		})
+	}
+}
+
+func TestSentRequestsCountUntilTheNextReport(t *testing.T) {
+	tab := table(1)
+	c, _ := tab.Pick(query(1), now)
+	_, _ = tab.Pick(query(1), now)
+	require.InDelta(t, 2.0/8, c.Node.Load(), 1e-9)
+	r := report(0)
+	r.Sequence = 2
+	tab.Update(r, true, now)
+	require.Zero(t, c.Node.Load())
+}
+
+func TestNoTargetIsLeft(t *testing.T) {
+	tab := table(1)
+	q := query(1)
+	q.Exclude = []ident.Target{"t000"}
+	_, ok := tab.Pick(q, now)
+	require.False(t, ok)
+	_, ok = tab.Pick(Query{Pool: Pool{Kind: wire.KindService}}, now)
+	require.False(t, ok)
+}
+
+func TestPackerUsesFewerTargetsWhileThereIsRoom(t *testing.T) {
+	p := NewPacker()
+	share := 1.0
+	for range 200 {
+		share = p.Step(0.3, 0.3)
+	}
+	require.InDelta(t, minShare, share, 1e-9)
+	for range 200 {
+		share = p.Step(1, 0.3)
+	}
+	require.InDelta(t, 1, share, 1e-9)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, targets := range []int{15, 100, 660} {
+		for _, adapters := range []int{3000, 44000} {
+			for _, state := range []string{"loaded", "absent"} {
+				b.Run(fmt.Sprintf("targets=%d/adapters=%d/%s", targets, adapters, state), func(b *testing.B) {
+					benchmarkPick(b, targets, adapters, state == "loaded")
+				})
+			}
+		}
+	}
+}
+
+func benchmarkPick(b *testing.B, targets, adapters int, loaded bool) {
+	tab := New()
+	for i := range targets {
+		r := report(i)
+		if loaded {
+			for j := range 8 {
+				r.Loaded = append(r.Loaded, adapter((i*8+j)%adapters))
+			}
+		}
+		tab.Update(r, true, now)
+	}
+	queries := make([]Query, adapters)
+	for i := range queries {
+		queries[i] = query(i % adapters)
+		if loaded {
+			queries[i] = query(i % min(adapters, targets*8))
+		}
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		// Without the memory of the newest choice, each pick ranks all targets.
+		_, _ = tab.choose(queries[i%len(queries)], now.Add(time.Duration(i)*expectedFor))
+		i++
+	}
+}
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -93,7 +93,7 @@
 			ReadTimeout: Duration(10 * time.Second), IdleTimeout: Duration(time.Minute),
 			Deadline: Duration(30 * time.Second), MaxTokens: 4096, DrainDelay: Duration(2 * time.Second),
 		},
-		Ledger: Ledger{Partitions: 8, Interval: Duration(30 * time.Second), Window: Duration(time.Hour), WritesPerSecond: 60},
+		Ledger: Ledger{Partitions: 8, Interval: Duration(10 * time.Second), Window: Duration(time.Hour), WritesPerSecond: 60},
 		Retry:  Retry{MaxAttempts: 4, Ratio: 0.2, Burst: 20},
 		Relays: 1, ConfigMaxAge: Duration(15 * time.Second),
 		Store: WeightStore{LoadsPerSecond: 3, InFlight: 8, Engines: 16},
--- a/pkg/system/machine_test.go
+++ b/pkg/system/machine_test.go
@@ -158,7 +158,7 @@
 }
 
 func (m *machine) risky(r request) {
-	r.key = uuid.Must(uuid.NewV7()).String()
+	r.key = standin.NewKey(time.Now())
 	r.timeout = 10 * time.Second
 	m.keys = append(m.keys, r)
 	m.async(m.entry(m.number), r)
--- a/pkg/wire/schema.go
+++ b/pkg/wire/schema.go
@@ -149,10 +149,14 @@
 	Address  string
 	Revision ident.Revision
 	Draining bool
-	// FreshMS is the age of the newest proof that Revision is the latest, in ms.
+	// FreshMS is the age of the newest proof that Revision is the latest, in
+	// ms, or NeverFresh.
 	FreshMS int64
 }
 
+// NeverFresh stands for the age of a proof that there never was.
+const NeverFresh = -1
+
 // Heartbeat carries an agent's report to a home entry.
 type Heartbeat struct {
 	Report Report
@@ -364,6 +368,28 @@
 	DeadlineMS  int64   `json:"deadline-ms,omitempty" msg:"d,omitempty"`
 	MaxTokens   int     `json:"max-tokens,omitempty" msg:"t,omitempty"`
 	Description string  `json:"description,omitempty" msg:"s,omitempty"`
+	// Objectives are the service levels that the burn report holds the
+	// service's requests against.
+	Objectives []Objective `json:"objectives,omitempty" msg:"o,omitempty"`
+}
+
+// Objective is a service level for the requests of callers from a priority up.
+// Shares are of requests, from 0 to 1; a share of 0 leaves its level out.
+type Objective struct {
+	MinPriority ident.Priority `json:"min-priority,omitempty" msg:"p,omitempty"`
+	// Availability is the share of requests that are answered.
+	Availability float64 `json:"availability,omitempty" msg:"a,omitempty"`
+	// StallShare of the answered requests wait at most StallMS for their
+	// adapter.
+	StallMS    int64   `json:"stall-ms,omitempty" msg:"s,omitempty"`
+	StallShare float64 `json:"stall-share,omitempty" msg:"t,omitempty"`
+	// FirstTokenShare of the answered requests get their first token within
+	// FirstTokenMS.
+	FirstTokenMS    int64   `json:"first-token-ms,omitempty" msg:"f,omitempty"`
+	FirstTokenShare float64 `json:"first-token-share,omitempty" msg:"g,omitempty"`
+	// GapShare of the answered requests get tokens GapMS apart on average.
+	GapMS    int64   `json:"gap-ms,omitempty" msg:"b,omitempty"`
+	GapShare float64 `json:"gap-share,omitempty" msg:"c,omitempty"`
 }
 
 // Model declares a base model.
--- a/pkg/wire/schema_gen.go
+++ b/pkg/wire/schema_gen.go
@@ -3588,6 +3588,176 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Objective) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Availability == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.StallMS == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.StallShare == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.FirstTokenMS == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.FirstTokenShare == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.GapMS == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.GapShare == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o, err = z.MinPriority.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "MinPriority")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendFloat64(o, z.Availability)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendInt64(o, z.StallMS)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendFloat64(o, z.StallShare)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "f"
+			o = append(o, 0xa1, 0x66)
+			o = msgp.AppendInt64(o, z.FirstTokenMS)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendFloat64(o, z.FirstTokenShare)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendInt64(o, z.GapMS)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendFloat64(o, z.GapShare)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Objective) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			bts, err = z.MinPriority.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MinPriority")
+				return
+			}
+		case "a":
+			z.Availability, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Availability")
+				return
+			}
+		case "s":
+			z.StallMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StallMS")
+				return
+			}
+		case "t":
+			z.StallShare, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StallShare")
+				return
+			}
+		case "f":
+			z.FirstTokenMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstTokenMS")
+				return
+			}
+		case "g":
+			z.FirstTokenShare, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstTokenShare")
+				return
+			}
+		case "b":
+			z.GapMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GapMS")
+				return
+			}
+		case "c":
+			z.GapShare, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GapShare")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Objective) Msgsize() (s int) {
+	s = 1 + 2 + z.MinPriority.Msgsize() + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Outcome) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4020,8 +4190,8 @@
 func (z *Service) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.NonIdempotent == false {
 		zb0001Len--
@@ -4043,6 +4213,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
+	if z.Objectives == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -4093,6 +4267,18 @@
 			o = append(o, 0xa1, 0x73)
 			o = msgp.AppendString(o, z.Description)
 		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Objectives)))
+			for za0001 := range z.Objectives {
+				o, err = z.Objectives[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Objectives", za0001)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -4173,6 +4359,25 @@
 				err = msgp.WrapError(err, "Description")
 				return
 			}
+		case "o":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Objectives")
+				return
+			}
+			if cap(z.Objectives) >= int(zb0003) {
+				z.Objectives = (z.Objectives)[:zb0003]
+			} else {
+				z.Objectives = make([]Objective, zb0003)
+			}
+			for za0001 := range z.Objectives {
+				bts, err = z.Objectives[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Objectives", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4187,7 +4392,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Service) Msgsize() (s int) {
-	s = 1 + 2 + z.Name.Msgsize() + 2 + msgp.StringPrefixSize + len(string(z.Kind)) + 2 + z.Model.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Description)
+	s = 1 + 2 + z.Name.Msgsize() + 2 + msgp.StringPrefixSize + len(string(z.Kind)) + 2 + z.Model.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Description) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Objectives {
+		s += z.Objectives[za0001].Msgsize()
+	}
 	return
 }
 
