--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build run test race lint fuzz bench bench-decisions check overhead chaos rollout capacity clean
+.PHONY: build run test race lint fuzz bench bench-decisions check overhead chaos rollout capacity settings-reference clean
 
 build:
 	go build -o build/ $(addprefix ./cmd/,$(PROGRAMS))
@@ -56,5 +56,8 @@
 capacity: build
 	scripts/capacity.sh
 
+settings-reference: build
+	build/hyssoproad-bench settings-reference > docs/settings.md
+
 clean:
 	rm -rf build
--- a/pkg/declaration/declaration_test.go
+++ b/pkg/declaration/declaration_test.go
@@ -94,3 +94,11 @@
 	require.NoError(t, err)
 	require.Len(t, changes, 3)
 }
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, user := range []string{"bergstrom", "latones"} {
+		changes, err := Read(filepath.Join("../../examples", user, "declarations"))
+		require.NoError(t, err)
+		require.NotEmpty(t, changes)
+	}
+}
--- a/pkg/settings/agent.go
+++ b/pkg/settings/agent.go
@@ -43,6 +43,7 @@
 
 // Queue holds the limits of an agent's queue.
 type Queue struct {
+	// MaxWaiting bounds the waiting requests.
 	MaxWaiting int `json:"max-waiting"`
 	// Balance weighs batch efficiency (0) against load stalls (1) where the
 	// service does not.
@@ -51,9 +52,12 @@
 
 // WeightStore holds the weight store's limits.
 type WeightStore struct {
+	// LoadsPerSecond is the rate of loads by all engines.
 	LoadsPerSecond float64 `json:"loads-per-second"`
-	InFlight       int     `json:"in-flight"`
-	Engines        int     `json:"engines"`
+	// InFlight is the number of loads at once at full speed.
+	InFlight int `json:"in-flight"`
+	// Engines is an upper bound on the engines that load.
+	Engines int `json:"engines"`
 }
 
 // DefaultAgent returns the agent's defaults.
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -27,12 +27,18 @@
 
 // Callers holds the limits of the callers' listener.
 type Callers struct {
-	Listen         string   `json:"listen"`
-	MaxBodyBytes   int      `json:"max-body-bytes"`
-	MaxHeaderBytes int      `json:"max-header-bytes"`
-	MaxConnections int      `json:"max-connections"`
-	ReadTimeout    Duration `json:"read-timeout"`
-	IdleTimeout    Duration `json:"idle-timeout"`
+	// Listen is the address of the listener.
+	Listen string `json:"listen"`
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int `json:"max-body-bytes"`
+	// MaxHeaderBytes bounds a request's header.
+	MaxHeaderBytes int `json:"max-header-bytes"`
+	// MaxConnections bounds the connections at a time.
+	MaxConnections int `json:"max-connections"`
+	// ReadTimeout bounds the reading of one request.
+	ReadTimeout Duration `json:"read-timeout"`
+	// IdleTimeout closes a connection without requests.
+	IdleTimeout Duration `json:"idle-timeout"`
 	// Deadline bounds requests whose caller and service name none.
 	Deadline Duration `json:"deadline"`
 	// MaxTokens bounds the length of an answer.
@@ -45,22 +51,26 @@
 
 // TLS names a listener's certificate; both files empty means plain TCP.
 type TLS struct {
+	// CertFile holds the certificate, read again when it changes.
 	CertFile string `json:"cert-file"`
-	KeyFile  string `json:"key-file"`
+	// KeyFile holds the certificate's key.
+	KeyFile string `json:"key-file"`
 }
 
 // Operators holds the operators' listener and their tokens.
 type Operators struct {
+	// Listen is the address of the listener.
 	Listen string `json:"listen"`
-	// Tokens maps an operator's name to the SHA-256 of the token in
-	// hexadecimal.
+	// Tokens lists the operators that are let in.
 	Tokens []OperatorToken `json:"tokens"`
 	TLS    TLS             `json:"tls"`
 }
 
 // OperatorToken lets one operator in.
 type OperatorToken struct {
+	// Name appears in logs and in accepted commands.
 	Name string `json:"name"`
+	// Hash is the SHA-256 of the token in hexadecimal.
 	Hash string `json:"token-hash"`
 	// ReadOnly permits queries only.
 	ReadOnly bool `json:"read-only"`
@@ -68,14 +78,19 @@
 
 // Ledger holds the at-most-once ledger's sizes, the same on all entries.
 type Ledger struct {
-	Partitions      int      `json:"partitions"`
-	Interval        Duration `json:"interval"`
-	Window          Duration `json:"window"`
-	WritesPerSecond float64  `json:"writes-per-second"`
+	// Partitions is the number of partitions.
+	Partitions int `json:"partitions"`
+	// Interval is the span of key birth times that share an object.
+	Interval Duration `json:"interval"`
+	// Window is the age up to which an unseen key is accepted.
+	Window Duration `json:"window"`
+	// WritesPerSecond bounds this entry's updates of the object API.
+	WritesPerSecond float64 `json:"writes-per-second"`
 }
 
 // Retry bounds retries.
 type Retry struct {
+	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts int `json:"max-attempts"`
 	// Ratio is the number of retries permitted per request of one caller,
 	// on average.
--- /dev/null
+++ b/pkg/settings/reference.go
@@ -0,0 +1,134 @@
+package settings
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// WriteReference writes the reference of all settings in Markdown, from the
+// package's source in dir and the defaults.
+func WriteReference(out io.Writer, dir string) error {
+	comments, err := fieldComments(dir)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	r := reference{out: out, comments: comments}
+	fmt.Fprint(out, "# Settings\n\nJSON with comments. Made from the code by `hyssoproad-bench settings-reference`.\n")
+	r.program("hyssoproad-entry", reflect.ValueOf(DefaultEntry()))
+	r.program("hyssoproad-agent", reflect.ValueOf(DefaultAgent()))
+	return errors.Trace(r.err)
+}
+
+type reference struct {
+	out      io.Writer
+	comments map[string]string // by type and field
+	err      error
+}
+
+func (r *reference) printf(format string, args ...any) {
+	if _, err := fmt.Fprintf(r.out, format, args...); err != nil && r.err == nil {
+		r.err = err
+	}
+}
+
+func (r *reference) program(name string, v reflect.Value) {
+	r.printf("\n## %s\n\n| key | type | default | meaning |\n|---|---|---|---|\n", name)
+	r.fields("", v)
+}
+
+func (r *reference) fields(prefix string, v reflect.Value) {
+	t := v.Type()
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if f.Anonymous {
+			r.fields(prefix, v.Field(i))
+			continue
+		}
+		key, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		r.field(prefix+key, t.Name(), f, v.Field(i))
+	}
+}
+
+func (r *reference) field(key, owner string, f reflect.StructField, v reflect.Value) {
+	if f.Type.Kind() == reflect.Struct {
+		r.fields(key+".", v)
+		return
+	}
+	if f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct {
+		r.row(key, "list", "", r.comments[owner+"."+f.Name])
+		r.fields(key+"[].", reflect.New(f.Type.Elem()).Elem())
+		return
+	}
+	r.row(key, typeName(f.Type), defaultOf(v), r.comments[owner+"."+f.Name])
+}
+
+func (r *reference) row(key, kind, fallback, meaning string) {
+	r.printf("| `%s` | %s | %s | %s |\n", key, kind, fallback, meaning)
+}
+
+func typeName(t reflect.Type) string {
+	switch {
+	case t == reflect.TypeFor[Duration]():
+		return "duration"
+	case t.Kind() == reflect.Slice:
+		return "list of texts"
+	case t.Kind() == reflect.String:
+		return "text"
+	case t.Kind() == reflect.Bool:
+		return "bool"
+	}
+	return "number"
+}
+
+func defaultOf(v reflect.Value) string {
+	if v.IsZero() {
+		return ""
+	}
+	if d, ok := v.Interface().(Duration); ok {
+		return time.Duration(d).String()
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// fieldComments returns the doc comments of all struct fields.
+func fieldComments(dir string) (map[string]string, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	out := make(map[string]string)
+	for _, name := range files {
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ParseComments)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			spec, ok := n.(*ast.TypeSpec)
+			if !ok {
+				return true
+			}
+			if s, ok := spec.Type.(*ast.StructType); ok {
+				collect(out, spec.Name.Name, s)
+			}
+			return false
+		})
+	}
+	return out, nil
+}
+
+func collect(out map[string]string, owner string, s *ast.StructType) {
+	for _, f := range s.Fields.List {
+		for _, name := range f.Names {
+			out[owner+"."+name.Name] = strings.Join(strings.Fields(f.Doc.Text()), " ")
+		}
+	}
+}
