Role changes, requests under way, cancel, ledger table, links that can fail

Change: an operator sets a target's role; its agent closes it, hands back what waits, and orders the engine's new role once nothing runs. An entry lists and cancels its requests. Agents may advertise another address than they listen on, and the stand-ins can put a proxy there that cuts or stalls links.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -62,6 +62,7 @@
 	wake     chan struct{}
 	wantWake chan struct{}
 	draining atomic.Bool
+	role     atomic.Pointer[string]
 	healthy  atomic.Bool
 	cancel   context.CancelFunc
 	listener net.Listener
@@ -115,6 +116,7 @@
 		wantWake: make(chan struct{}, 1),
 	}
 	a.sinks.init()
+	a.role.Store(&a.settings.Target.Role)
 	a.metrics = newMetrics(a.Metrics)
 	a.homes = newHomes(a)
 	a.fence.Highest = a.homes.highest
@@ -173,6 +175,7 @@
 	go a.probeLoop(ctx)
 	go a.scheduleLoop(ctx)
 	go a.homes.loop(ctx)
+	go a.roleLoop(ctx)
 	if a.engine != nil {
 		go a.loadLoop(ctx)
 	}
@@ -302,7 +305,8 @@
 
 // closed reports whether the target takes no new work.
 func (a *Agent) closed() bool {
-	return a.draining.Load() || a.log.Catalog().Target(a.settings.Target.Name).Draining
+	declared := a.log.Catalog().Target(a.settings.Target.Name)
+	return a.draining.Load() || declared.Draining || a.wantedRole(declared) != *a.role.Load()
 }
 
 // stop drains: the queue is handed back, running requests finish.
--- a/pkg/agent/homes.go
+++ b/pkg/agent/homes.go
@@ -238,8 +238,8 @@
 	defer a.mu.Unlock()
 	r := wire.Report{
 		Target: t.Name, Incarnation: a.fence.Number(), Revision: a.log.Catalog().Revision(),
-		VM: a.settings.VM, Domain: a.settings.Domain, Address: a.settings.Link,
-		Kind: t.Kind, Model: t.Model, Role: t.Role, Slots: t.Slots, Seats: t.Seats,
+		VM: a.settings.VM, Domain: a.settings.Domain, Address: a.settings.Address(),
+		Kind: t.Kind, Model: t.Model, Role: *a.role.Load(), Slots: t.Slots, Seats: t.Seats,
 		Running: a.sched.Running(), Waiting: a.sched.Waiting(),
 		WaitMS: a.sched.SeatWait().Milliseconds(), LoadWaitMS: a.sched.LoadWait().Milliseconds(),
 		EvictCost: a.sched.EvictCost(now), Draining: a.closed(),
--- a/pkg/bench/deployment.go
+++ b/pkg/bench/deployment.go
@@ -44,6 +44,8 @@
 	Rate      float64 // of the weight store, in loads per second
 	TokenTime time.Duration
 	LogLevel  string
+	// Proxied puts a proxy that can fail before each agent's links.
+	Proxied bool
 }
 
 // Port offsets of a deployment.
@@ -52,6 +54,7 @@
 	enginePort   = 10
 	entryPort    = 1000
 	agentPort    = 1100
+	proxyPort    = 900
 	portStride   = 4
 )
 
@@ -114,10 +117,18 @@
 	VMLag    settings.Duration `json:"vm-lag"`
 	Store    StandInStore      `json:"store"`
 	Targets  []settings.Target `json:"targets"`
+	Proxies  []ProxySettings   `json:"proxies"`
 	Token    settings.Duration `json:"token-time"`
 	Seed     uint64            `json:"seed"`
 }
 
+// ProxySettings describe a proxy before an agent's links.
+type ProxySettings struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	To     string `json:"to"`
+}
+
 // StandInStore describes the weight store's stand-in.
 type StandInStore struct {
 	LoadsPerSecond float64           `json:"loads-per-second"`
@@ -136,6 +147,9 @@
 		s.VMs = append(s.VMs, platform.VMInfo{VM: entryVM(i), Domain: domain(i), State: platform.VMLive, Entry: d.EntryLink(i)})
 	}
 	for i, t := range s.Targets {
+		if d.Proxied {
+			s.Proxies = append(s.Proxies, ProxySettings{Name: string(t.Name), Listen: d.address(proxyPort + i), To: d.address(agentPort + portStride*i)})
+		}
 		s.VMs = append(s.VMs, platform.VMInfo{VM: targetVM(i), Domain: domain(i), State: platform.VMLive, Targets: []string{string(t.Name)}})
 	}
 	return s
@@ -179,6 +193,9 @@
 	link := d.address(agentPort + portStride*i)
 	s.Process = d.process(targetVM(i), i, link, d.address(agentPort+portStride*i+1))
 	s.Entries = d.links()
+	if d.Proxied {
+		s.Advertise = d.address(proxyPort + i)
+	}
 	s.Target = t
 	s.Store = d.store()
 	return s
@@ -275,6 +292,7 @@
 	fs.IntVar(&d.Adapters, "adapters", 300, "adapters")
 	fs.Float64Var(&d.Rate, "rate", 3, "loads per second of the weight store")
 	fs.DurationVar(&d.TokenTime, "token-time", 10*time.Millisecond, "time of one generated token")
+	fs.BoolVar(&d.Proxied, "proxied", false, "put a proxy that can fail before each agent")
 	fs.StringVar(&d.LogLevel, "log-level", "info", "lowest level logged")
 	return &ffcli.Command{
 		Name: "deployment", ShortHelp: "write the settings of a system on loopback", FlagSet: fs,
--- a/pkg/bench/standins.go
+++ b/pkg/bench/standins.go
@@ -43,6 +43,11 @@
 	standin.NewObjects(s.Seed).Register(r)
 	standin.NewVMs(s.VMs, s.VMLag.Std()).Register(r)
 	store.Register(r)
+	proxies, err := openProxies(s.Proxies)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	proxies.Register(r)
 	if err := serve(s.Platform, r); err != nil {
 		return errors.Trace(err)
 	}
@@ -64,6 +69,18 @@
 	return nil
 }
 
+func openProxies(list []ProxySettings) (standin.Proxies, error) {
+	out := make(standin.Proxies, len(list))
+	for _, s := range list {
+		p, err := standin.NewProxy(s.Listen, s.To)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		out[s.Name] = p
+	}
+	return out, nil
+}
+
 func serve(address string, r *router.Router) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -31,6 +31,7 @@
 	}
 	defer s.Close()
 	r.result.Target = target
+	r.active.set(target, "waiting")
 	return r.follow(s, choice)
 }
 
@@ -112,6 +113,7 @@
 
 func (r *run) started(e wire.Event) {
 	r.silence.Stop()
+	r.active.set(r.result.Target, "running")
 	r.result.Adapter = e.Adapter
 	r.result.Stall = time.Duration(e.StallMS) * time.Millisecond
 	r.result.Queue = time.Duration(e.QueueMS) * time.Millisecond
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -30,6 +30,7 @@
 	budgets  budgets
 	breakers breakers
 	metrics  metrics
+	active   active
 }
 
 type metrics struct {
@@ -42,6 +43,7 @@
 	d := &Dispatcher{Common: c.With("dispatch"), Table: table, retry: retry}
 	d.budgets.init(retry)
 	d.breakers.init()
+	d.active.init()
 	s := d.Metrics
 	d.metrics = metrics{
 		requests: s.Counter("requests"), retries: s.Counter("retries"), resumes: s.Counter("resumes"),
@@ -76,6 +78,7 @@
 	retryAfter time.Duration
 	reason     string
 	silence    *time.Timer
+	active     *activeRun
 }
 
 // silenceGrace is the time past the deadline for an agent's refusal to arrive.
@@ -85,12 +88,14 @@
 func (d *Dispatcher) Run(ctx context.Context, job *Job, out Output) Result {
 	d.metrics.requests.Inc(1)
 	d.budgets.earn(job.Caller)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	r := &run{d: d, ctx: ctx, job: job, out: out, reason: ReasonNoTarget}
+	r.active = d.active.add(job, cancel)
+	defer d.active.remove(job.Request)
 	// Agents keep the deadline; this is for those that fall silent. What has
 	// started is not cut off by it.
-	r.silence = time.AfterFunc(time.Until(job.Deadline)+silenceGrace, cancel)
+	r.silence = time.AfterFunc(time.Until(job.Deadline)+silenceGrace, func() { cancel(nil) })
 	defer r.silence.Stop()
 	refusal := r.drive()
 	if refusal != nil {
@@ -211,6 +216,10 @@
 		Outcome: wire.NotRun, Reason: r.reason, Status: 503,
 		RetryAfter: max(r.retryAfter, time.Second), settled: r.claimed != "",
 	}
+	if errors.Is(context.Cause(r.ctx), errCancelled) {
+		out.Reason, out.RetryAfter = ReasonCancelled, 0
+		return out
+	}
 	if r.reason == ReasonDeadline || time.Now().After(r.job.Deadline) {
 		// Without a time that an agent told, none can be told truthfully.
 		out.Reason, out.Status, out.RetryAfter = ReasonDeadline, 504, r.retryAfter
--- a/pkg/operator/command.go
+++ b/pkg/operator/command.go
@@ -19,7 +19,8 @@
 	case s.Version != nil:
 		return compileVersion(s.Version, c)
 	case s.Drain != nil:
-		t := wire.Target{Name: ident.Target(s.Drain.Target), Draining: s.Drain.Verb == "drain"}
+		t := c.Target(ident.Target(s.Drain.Target))
+		t.Draining = s.Drain.Verb == "drain"
 		return []wire.Change{{Target: &t}}, nil
 	}
 	return nil, errors.NotValidf("a query is not a command:")
@@ -31,7 +32,8 @@
 	if p.Verb == "add" && known {
 		return nil, errors.AlreadyExistsf("%s %q", p.Kind, p.Name)
 	}
-	if p.Verb == "set" && !known {
+	// Targets are known by their agents' reports, not by declarations.
+	if p.Verb == "set" && !known && ref.Kind != wire.ObjectTarget {
 		return nil, errors.NotFoundf("%s %q", p.Kind, p.Name)
 	}
 	x, apply := draft(p, c)
@@ -65,6 +67,10 @@
 		caller.Name = ident.Caller(p.Name)
 		return wire.Change{Caller: &caller}, func(k, v string) error { return setCaller(&caller, k, v) }
 	}
+	if p.Kind == string(wire.ObjectTarget) {
+		t := c.Target(ident.Target(p.Name))
+		return wire.Change{Target: &t}, func(k, v string) error { return setTarget(&t, k, v) }
+	}
 	store, _ := c.Store()
 	return wire.Change{Store: &store}, func(k, v string) error { return setStore(&store, k, v) }
 }
@@ -157,6 +163,14 @@
 	return nil
 }
 
+func setTarget(t *wire.Target, key, value string) error {
+	if key != "role" {
+		return unknownField(key, "role")
+	}
+	t.Role = value
+	return nil
+}
+
 func setStore(s *wire.WeightStore, key, value string) (err error) {
 	switch key {
 	case "loads-per-second":
--- a/pkg/operator/face.go
+++ b/pkg/operator/face.go
@@ -15,6 +15,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/caller"
 	"github.com/hyssoproad/hyssoproad/pkg/catalog"
 	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/dispatch"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/pkg/peer"
@@ -43,12 +44,13 @@
 	settings settings.Operators
 	peer     *peer.Peer
 	records  *caller.Records
+	dispatch *dispatch.Dispatcher
 	server   *fasthttp.Server
 }
 
 // New returns the operators' face of an entry.
-func New(c common.Common, p *peer.Peer, callers *caller.Face, s settings.Entry, life *kernel.Lifecycle) *Face {
-	f := &Face{Common: c.With("operator"), settings: s.Operators, peer: p, records: callers.Records()}
+func New(c common.Common, p *peer.Peer, callers *caller.Face, d *dispatch.Dispatcher, s settings.Entry, life *kernel.Lifecycle) *Face {
+	f := &Face{Common: c.With("operator"), settings: s.Operators, peer: p, records: callers.Records(), dispatch: d}
 	r := router.New()
 	r.POST("/operator/command", f.serve(true, f.command))
 	r.POST("/operator/query", f.serve(false, f.serveQuery))
@@ -214,6 +216,9 @@
 	if err != nil {
 		return Reply{}, errors.Trace(err)
 	}
+	if s.Cancel != nil {
+		return f.cancel(operator, s.Cancel)
+	}
 	base := in.Base
 	if base == 0 {
 		base = f.peer.Config.Catalog().Revision()
@@ -225,6 +230,15 @@
 	return f.propose(rollout.Proposal{Command: in.Command, Operator: operator, Base: base, Changes: changes})
 }
 
+// cancel ends a request under way at this entry. It changes no configuration.
+func (f *Face) cancel(operator string, c *Cancel) (Reply, error) {
+	if !f.dispatch.Cancel(ident.Request(c.Request)) {
+		return Reply{}, errors.NotFoundf("request %q under way at this entry", c.Request)
+	}
+	f.Info("msg", "request cancelled", "operator", operator, "request", c.Request)
+	return Reply{Revision: f.peer.Config.Catalog().Revision()}, nil
+}
+
 func (f *Face) apply(ctx *fasthttp.RequestCtx, operator string) (Reply, error) {
 	var in ApplyRequest
 	if err := decode(ctx, &in); err != nil {
--- a/pkg/operator/language.go
+++ b/pkg/operator/language.go
@@ -17,6 +17,7 @@
 	Put     *Put     `parser:"| @@"`
 	Version *Version `parser:"| @@"`
 	Drain   *Drain   `parser:"| @@"`
+	Cancel  *Cancel  `parser:"| 'cancel' @@"`
 }
 
 // Show asks for a table.
@@ -43,7 +44,7 @@
 // Put declares or changes an object.
 type Put struct {
 	Verb   string     `parser:"@( 'add' | 'set' )"`
-	Kind   string     `parser:"@( 'service' | 'model' | 'adapter' | 'caller' | 'weight-store' )"`
+	Kind   string     `parser:"@( 'service' | 'model' | 'adapter' | 'caller' | 'target' | 'weight-store' )"`
 	Name   string     `parser:"( @( Word | String ) )?"`
 	Fields []*Setting `parser:"( ',' @@ )*"`
 }
@@ -67,6 +68,11 @@
 	Target string `parser:"@( Word | String )"`
 }
 
+// Cancel ends a request under way.
+type Cancel struct {
+	Request string `parser:"'request' @( Word | Number | String )"`
+}
+
 var parser = participle.MustBuild[Statement](
 	participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
 		{Name: "Space", Pattern: `\s+`},
@@ -83,7 +89,7 @@
 // vocabulary are the words that a statement can begin or go on with, for
 // suggestions.
 var vocabulary = []string{
-	"show", "explain", "add", "set", "retire", "reinstate", "default", "drain", "undrain",
+	"show", "explain", "add", "set", "retire", "reinstate", "default", "drain", "undrain", "cancel", "request",
 	"where", "and", "by", "limit", "version", "target", "weights", "route", "refusal",
 	"service", "model", "adapter", "caller", "weight-store",
 }
--- a/pkg/operator/language_test.go
+++ b/pkg/operator/language_test.go
@@ -26,6 +26,8 @@
 		{"add version guide@3 weights guide/3", ""},
 		{"retire version guide@1", ""},
 		{"drain target t-3", ""},
+		{"cancel request 5034b7e2-1523-4495-8730-1601791f541c", ""},
+		{"cancel request c034b7e2-1523-4495-8730-1601791f541c", ""},
 		{"shwo targets", "did you mean show?"},
 		{"retire vershun guide@1", "did you mean version?"},
 		{"drain target", "column 13"},
--- a/pkg/operator/query.go
+++ b/pkg/operator/query.go
@@ -28,6 +28,8 @@
 	"callers":  (*Face).callerTable,
 	"leases":   (*Face).leaseTable,
 	"refusals": (*Face).refusalTable,
+	"requests": (*Face).requestTable,
+	"ledger":   (*Face).ledgerTable,
 }
 
 func (f *Face) query(s *Statement) (*Table, error) {
@@ -192,6 +194,29 @@
 	return t
 }
 
+// requestTable lists the requests under way at this entry.
+func (f *Face) requestTable() *Table {
+	t := &Table{Columns: []string{"request", "caller", "service", "adapter", "target", "state", "age-ms"}}
+	for _, a := range f.dispatch.Active() {
+		adapter := ""
+		if !a.Adapter.IsZero() {
+			adapter = a.Adapter.String()
+		}
+		t.add(string(a.Request), string(a.Caller), string(a.Service), adapter, string(a.Target), a.State, number(a.Age.Milliseconds()))
+	}
+	return t
+}
+
+// ledgerTable lists the ledger's partitions, their owners as this entry sees
+// them, and this entry's updates.
+func (f *Face) ledgerTable() *Table {
+	t := &Table{Columns: []string{"partition", "owner", "updates-here"}}
+	for partition, owner := range f.peer.LedgerOwners() {
+		t.add(number(partition), string(owner), number(f.peer.Ledger.Writes()))
+	}
+	return t
+}
+
 // explain tells why a request would be routed as it would.
 func (f *Face) explain(e *Explain) (*Table, error) {
 	if e.Subject == "refusal" {
--- a/pkg/peer/budget.go
+++ b/pkg/peer/budget.go
@@ -94,7 +94,7 @@
 		d.term = tenure.Term
 		d.known.ShareMilli = fullShare
 	}
-	d.known = wire.BudgetInfo{Address: d.p.settings.Link, Term: tenure.Term, ShareMilli: d.known.ShareMilli}
+	d.known = wire.BudgetInfo{Address: d.p.settings.Address(), Term: tenure.Term, ShareMilli: d.known.ShareMilli}
 	d.until = tenure.Until
 	d.holder.SetLimits(d.limits(), now)
 	d.holder.SetReached(d.liveEngines(now), now)
@@ -241,7 +241,7 @@
 
 func (d *budgetDesk) forwardWant(ctx context.Context, address string, in wire.LoadWant) (wire.LoadGrant, error) {
 	var out wire.LoadGrant
-	if address == "" || address == d.p.settings.Link {
+	if address == "" || address == d.p.settings.Address() {
 		return out, errors.New("no budget holder known")
 	}
 	conn, err := d.p.Pool.Get(ctx, address)
@@ -266,7 +266,7 @@
 		signal(d.wake)
 		return nil
 	}
-	if address == "" || address == d.p.settings.Link {
+	if address == "" || address == d.p.settings.Address() {
 		return nil
 	}
 	conn, err := d.p.Pool.Get(ctx, address)
--- a/pkg/peer/claims.go
+++ b/pkg/peer/claims.go
@@ -24,6 +24,15 @@
 	return member.Rank(fmt.Sprintf("ledger/%d", partition), p.Entries())[0]
 }
 
+// LedgerOwners returns the owner of each ledger partition.
+func (p *Peer) LedgerOwners() []ident.VM {
+	out := make([]ident.VM, p.settings.Ledger.Partitions)
+	for i := range out {
+		out[i] = p.owner(i).VM
+	}
+	return out
+}
+
 // Claim asks the ledger for the right to run a key.
 func (p *Peer) Claim(ctx context.Context, c wire.Claim) wire.ClaimReply {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
--- a/pkg/peer/membership.go
+++ b/pkg/peer/membership.go
@@ -119,7 +119,7 @@
 }
 
 func (p *Peer) otherEntries() []string {
-	seen := map[string]bool{p.settings.Link: true}
+	seen := map[string]bool{p.settings.Address(): true}
 	var out []string
 	add := func(address string) {
 		if !seen[address] {
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -97,7 +97,7 @@
 	}
 	p.Pool = link.NewPool(p.self, p.handlers())
 	p.Pool.Dial = parts.Dial
-	p.budget = newBudgetDesk(p, lease.New(objects, "budget", s.VM, s.Link))
+	p.budget = newBudgetDesk(p, lease.New(objects, "budget", s.VM, s.Address()))
 	p.Config.Applied = func(ident.Revision) { signal(p.pushes) }
 	life.Append(kernel.Hook{Name: "peer", Start: p.start, Stop: p.stop, Ready: p.ready})
 	return p, nil
@@ -217,7 +217,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	info := wire.EntryInfo{
-		VM: p.settings.VM, Domain: p.settings.Domain, Address: p.settings.Link,
+		VM: p.settings.VM, Domain: p.settings.Domain, Address: p.settings.Address(),
 		Revision: p.Config.Catalog().Revision(), Draining: p.draining, FreshMS: wire.NeverFresh,
 	}
 	if fresh := p.Config.Fresh(); !fresh.IsZero() {
--- a/pkg/settings/process.go
+++ b/pkg/settings/process.go
@@ -19,6 +19,8 @@
 	Domain ident.Domain `json:"domain"`
 	// Link is the IP address and port for links from other processes.
 	Link string `json:"link"`
+	// Advertise is the address at which others reach Link, if it is another.
+	Advertise string `json:"advertise,omitempty"`
 	// Status is the address of health checks and metrics.
 	Status string `json:"status"`
 	// Platform is the base URL of the platform's object API and VM list.
@@ -35,6 +37,7 @@
 	c.require(ident.CheckName(string(p.VM)) == nil, "/vm", "missing or not a name")
 	c.require(ident.CheckName(string(p.Domain)) == nil, "/domain", "missing or not a name")
 	c.require(isAddress(p.Link), "/link", "%q is not an IP address and port", p.Link)
+	c.require(p.Advertise == "" || isAddress(p.Advertise), "/advertise", "%q is not an IP address and port", p.Advertise)
 	c.require(isAddress(p.Status), "/status", "%q is not an IP address and port", p.Status)
 	c.require(isURL(p.Platform), "/platform", "%q is not an HTTP URL", p.Platform)
 	c.require(p.SecretFile != "", "/secret-file", "missing")
@@ -57,6 +60,14 @@
 	return []byte(secret), nil
 }
 
+// Address returns the address at which others reach the process.
+func (p Process) Address() string {
+	if p.Advertise != "" {
+		return p.Advertise
+	}
+	return p.Link
+}
+
 func isAddress(s string) bool {
 	host, port, err := net.SplitHostPort(s)
 	return err == nil && net.ParseIP(host) != nil && port != ""
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -50,7 +50,10 @@
 	MaxRunning   int               `json:"max-running"`
 	Runs         map[string]int    `json:"runs"` // by idempotency key
 	Fencing      ident.Incarnation `json:"fencing"`
-	StaleOrders  int64             `json:"stale-orders"`
+	// RoleInUse counts the adapters that were in use when the role changed.
+	RoleInUse   int64  `json:"role-in-use"`
+	Role        string `json:"role"`
+	StaleOrders int64  `json:"stale-orders"`
 }
 
 // Engine is a model engine that generates text which names the adapter,
@@ -219,6 +222,22 @@
 	return e.boot, e.chance(e.faults.LoseLoadAnswers), nil
 }
 
+// SetRole changes the engine's role.
+func (e *Engine) SetRole(order target.RoleOrder, fencing ident.Incarnation) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.admitOrder(fencing); err != nil {
+		return errors.Trace(err)
+	}
+	for _, n := range e.inUse {
+		if n > 0 {
+			e.record.RoleInUse++
+		}
+	}
+	e.record.Role = order.Role
+	return nil
+}
+
 // Unload unloads an adapter, also one in use.
 func (e *Engine) Unload(order target.AdapterOrder, fencing ident.Incarnation) error {
 	e.mu.Lock()
@@ -260,7 +279,7 @@
 		Generate: func(in target.CompletionRequest, key string, _ time.Time, deliver func(target.CompletionChunk)) error {
 			return e.Generate(in, key, deliver)
 		},
-		Load: e.Load, Unload: e.Unload, Loaded: e.Loaded, Cancel: e.Cancel, InUse: e.InUse,
+		Load: e.Load, Unload: e.Unload, Loaded: e.Loaded, Cancel: e.Cancel, InUse: e.InUse, SetRole: e.SetRole,
 	}
 }
 
--- a/pkg/standin/engine_http.go
+++ b/pkg/standin/engine_http.go
@@ -19,6 +19,7 @@
 	r.POST("/v1/completions", e.serveCompletion)
 	r.POST("/v1/load_lora_adapter", e.serveOrder(e.Load))
 	r.POST("/v1/unload_lora_adapter", e.serveOrder(e.Unload))
+	r.POST("/v1/role", e.serveRole)
 	r.POST("/v1/cancel", e.serveCancel)
 	r.GET("/v1/models", e.serveModels)
 	r.GET("/load", func(ctx *fasthttp.RequestCtx) {
@@ -54,13 +55,27 @@
 		if !readJSON(ctx, &order) {
 			return
 		}
-		n, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(target.HeaderFencing)), 10, 64)
-		if err := carryOut(order, ident.Incarnation(n)); err != nil {
+		if err := carryOut(order, fencingOf(ctx)); err != nil {
 			failEngine(ctx, err)
 		}
 	}
 }
 
+func (e *Engine) serveRole(ctx *fasthttp.RequestCtx) {
+	var order target.RoleOrder
+	if !readJSON(ctx, &order) {
+		return
+	}
+	if err := e.SetRole(order, fencingOf(ctx)); err != nil {
+		failEngine(ctx, err)
+	}
+}
+
+func fencingOf(ctx *fasthttp.RequestCtx) ident.Incarnation {
+	n, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(target.HeaderFencing)), 10, 64)
+	return ident.Incarnation(n)
+}
+
 func (e *Engine) serveModels(ctx *fasthttp.RequestCtx) {
 	list, boot, _ := e.Loaded()
 	ctx.Response.Header.Set(target.HeaderBoot, boot)
--- a/pkg/system/oracle_test.go
+++ b/pkg/system/oracle_test.go
@@ -126,6 +126,8 @@
 	if !p.alive {
 		return
 	}
+	p.inFlight.Add(1)
+	defer p.inFlight.Done()
 	place := w.oracle.sent(r)
 	r.repeat = place > 1
 	ctx := w.contextOf(r)
--- a/pkg/system/world_test.go
+++ b/pkg/system/world_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -63,12 +64,15 @@
 	life    *kernel.Lifecycle
 	alive   bool
 	startup *startup
-	dead    chan struct{} // closed when killed: nothing that it does has an effect any more
-	peer    *peer.Peer
-	handler fasthttp.RequestHandler
-	agent   *agent.Agent
-	target  int
-	seen    ident.Revision // highest revision seen in force in this life
+	// Of an entry: what its listener would do at a stop.
+	stopping bool
+	inFlight sync.WaitGroup
+	dead     chan struct{} // closed when killed: nothing that it does has an effect any more
+	peer     *peer.Peer
+	handler  fasthttp.RequestHandler
+	agent    *agent.Agent
+	target   int
+	seen     ident.Revision // highest revision seen in force in this life
 }
 
 // startup is the start of one life of a process.
@@ -104,6 +108,7 @@
 	entries  []*process
 	agents   []*process
 	oracle   *oracle
+	leaving  []platform.VMInfo // of the platform's list
 }
 
 func newWorld(t *testing.T, variant broken, seed uint64) *world {
@@ -230,7 +235,7 @@
 	s.Entries = w.links()
 	s.Callers.DrainDelay = settings.Duration(time.Second)
 	s.Store = settings.WeightStore{LoadsPerSecond: storeRate, InFlight: 8, Engines: len(w.engines)}
-	p.life, p.dead, p.alive, p.seen = &kernel.Lifecycle{}, make(chan struct{}), true, 0
+	p.life, p.dead, p.alive, p.seen, p.stopping = &kernel.Lifecycle{}, make(chan struct{}), true, 0, false
 	parts := peer.Parts{
 		Objects: w.objectsOf(p), Dial: w.dialer(p),
 		VMs:    func(context.Context) ([]platform.VMInfo, error) { return w.vms(), nil },
@@ -251,7 +256,7 @@
 }
 
 func (w *world) vms() []platform.VMInfo {
-	var out []platform.VMInfo
+	out := append([]platform.VMInfo(nil), w.leaving...)
 	for i, address := range w.links() {
 		out = append(out, platform.VMInfo{VM: ident.VM(address), Domain: w.domain(i), State: platform.VMLive, Entry: address})
 	}
@@ -375,6 +380,12 @@
 			}
 			return c.InUse()
 		},
+		SetRole: func(o target.RoleOrder, n ident.Incarnation) error {
+			if err := gate(); err != nil {
+				return err
+			}
+			return c.SetRole(o, n)
+		},
 	}
 }
 
@@ -459,12 +470,24 @@
 	}()
 }
 
+// drainEntry does what an entry's listener does at a stop: readiness fails, and
+// what runs is finished.
+func (w *world) drainEntry(p *process) {
+	p.stopping = true
+	p.peer.Drain(context.Background())
+	time.Sleep(time.Second)
+	p.inFlight.Wait()
+}
+
 // stop ends a process gracefully and returns when it has.
 func (w *world) stop(p *process) {
 	if !p.alive {
 		return
 	}
 	life := p.life
+	if p.peer != nil {
+		w.drainEntry(p)
+	}
 	if p.startup.succeeded() {
 		_ = life.Stop(context.Background())
 	}
--- a/pkg/target/engine.go
+++ b/pkg/target/engine.go
@@ -49,6 +49,8 @@
 	// InUse returns the adapters that requests are using, as of ReportLag
 	// ago at the earliest.
 	InUse func() ([]string, error)
+	// SetRole orders the engine to change its role. The engine must be idle.
+	SetRole func(order RoleOrder, fencing ident.Incarnation) error
 }
 
 // ReportLag bounds the age of an engine's load report.
@@ -62,7 +64,7 @@
 		plain:   &fasthttp.Client{MaxConnsPerHost: maxEngineConns, RetryIfErr: noRetry},
 		streams: &fasthttp.Client{MaxConnsPerHost: maxEngineConns, RetryIfErr: noRetry, StreamResponseBody: true},
 	}
-	return &Engine{Generate: c.generate, Load: c.load, Unload: c.unload, Loaded: c.loaded, Cancel: c.cancel, InUse: c.inUse}
+	return &Engine{Generate: c.generate, Load: c.load, Unload: c.unload, Loaded: c.loaded, Cancel: c.cancel, InUse: c.inUse, SetRole: c.setRole}
 }
 
 type engineClient struct {
@@ -203,6 +205,15 @@
 	return errors.Trace(err)
 }
 
+func (e *engineClient) setRole(order RoleOrder, fencing ident.Incarnation) error {
+	const path = "/v1/role"
+	a, err := e.call(path, order, fencing, orderTimeout)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return a.check(path)
+}
+
 func (e *engineClient) inUse() ([]string, error) {
 	const path = "/load"
 	a, err := e.call(path, nil, 0, queryTimeout)
--- a/pkg/target/protocol.go
+++ b/pkg/target/protocol.go
@@ -49,6 +49,11 @@
 	Weights string `json:"lora_path,omitempty"`
 }
 
+// RoleOrder is the body of POST /v1/role.
+type RoleOrder struct {
+	Role string `json:"role"`
+}
+
 // CancelOrder is the body of POST /v1/cancel.
 type CancelOrder struct {
 	ID string `json:"request_id"`
--- a/pkg/wire/schema.go
+++ b/pkg/wire/schema.go
@@ -432,6 +432,8 @@
 type Target struct {
 	Name     ident.Target `json:"name" msg:"n"`
 	Draining bool         `json:"draining,omitempty" msg:"d,omitempty"`
+	// Role replaces the role of the agent's settings, if it is not empty.
+	Role string `json:"role,omitempty" msg:"r,omitempty"`
 }
 
 // WeightStore declares the weight store's limits.
--- a/pkg/wire/schema_gen.go
+++ b/pkg/wire/schema_gen.go
@@ -902,13 +902,17 @@
 				o = msgp.AppendNil(o)
 			} else {
 				// check for omitted fields
-				zb0003Len := uint32(2)
-				var zb0003Mask uint8 /* 2 bits */
+				zb0003Len := uint32(3)
+				var zb0003Mask uint8 /* 3 bits */
 				_ = zb0003Mask
 				if z.Target.Draining == false {
 					zb0003Len--
 					zb0003Mask |= 0x2
 				}
+				if z.Target.Role == "" {
+					zb0003Len--
+					zb0003Mask |= 0x4
+				}
 				// variable map header, size zb0003Len
 				o = append(o, 0x80|uint8(zb0003Len))
 
@@ -926,6 +930,11 @@
 						o = append(o, 0xa1, 0x64)
 						o = msgp.AppendBool(o, z.Target.Draining)
 					}
+					if (zb0003Mask & 0x4) == 0 { // if not omitted
+						// string "r"
+						o = append(o, 0xa1, 0x72)
+						o = msgp.AppendString(o, z.Target.Role)
+					}
 				}
 			}
 		}
@@ -1112,6 +1121,12 @@
 							err = msgp.WrapError(err, "Target", "Draining")
 							return
 						}
+					case "r":
+						z.Target.Role, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Target", "Role")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1265,7 +1280,7 @@
 	if z.Target == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 2 + z.Target.Name.Msgsize() + 2 + msgp.BoolSize
+		s += 1 + 2 + z.Target.Name.Msgsize() + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Target.Role)
 	}
 	s += 2
 	if z.Store == nil {
@@ -4986,13 +5001,17 @@
 func (z *Target) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
 	_ = zb0001Mask
 	if z.Draining == false {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
+	if z.Role == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -5010,6 +5029,11 @@
 			o = append(o, 0xa1, 0x64)
 			o = msgp.AppendBool(o, z.Draining)
 		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendString(o, z.Role)
+		}
 	}
 	return
 }
@@ -5044,6 +5068,12 @@
 				err = msgp.WrapError(err, "Draining")
 				return
 			}
+		case "r":
+			z.Role, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Role")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5058,7 +5088,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Target) Msgsize() (s int) {
-	s = 1 + 2 + z.Name.Msgsize() + 2 + msgp.BoolSize
+	s = 1 + 2 + z.Name.Msgsize() + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Role)
 	return
 }
 
