--- a/pkg/queue/line.go
+++ b/pkg/queue/line.go
@@ -29,8 +29,10 @@
 
 type requestHeap []*Request
 
-func (h requestHeap) Len() int           { return len(h) }
+func (h requestHeap) Len() int { return len(h) }
+
 func (h requestHeap) Less(i, j int) bool { return h[i].rank.Before(h[j].rank) }
+
 func (h requestHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index = i
@@ -105,56 +107,12 @@
 	return max(0, now.Sub(epoch).Seconds()-(l.rankSum+l.promisedSum)/float64(n))
 }
 
-// promises are the refused requests of a line that were told when to retry.
-type promises struct {
-	due         []promise
-	promisedSum float64 // sum of their refusal times, in s since the epoch
-}
-
-type promise struct {
-	made, due time.Time
-}
-
-const (
-	// maxPromiseWait bounds the wait that a promise can be made for.
-	maxPromiseWait = 60 * time.Second
-	// promiseGrace is how long after its time a promise is kept.
-	promiseGrace = 5 * time.Second
-	// promiseMargin stretches the expected wait that is told.
-	promiseMargin = 2
-)
-
-func (p *promises) add(now, due, epoch time.Time) {
-	p.due = append(p.due, promise{made: now, due: due})
-	p.promisedSum += now.Sub(epoch).Seconds()
-}
-
-// drop forgets the promises whose time is over, and, when a request came back,
-// the oldest one.
-func (p *promises) drop(now, epoch time.Time, kept bool) {
-	var left []promise
-	p.promisedSum = 0
-	for i, x := range p.due {
-		if kept && i == 0 || now.After(x.due.Add(promiseGrace)) {
-			continue
-		}
-		left = append(left, x)
-		p.promisedSum += x.made.Sub(epoch).Seconds()
-	}
-	p.due = left
-}
-
 // decayed is an event count that halves each half-life.
 type decayed struct {
 	count float64
 	at    time.Time
 }
 
-func (d *decayed) add(now time.Time, halfLife time.Duration) {
-	d.count = d.value(now, halfLife) + 1
-	d.at = now
-}
-
 func (d *decayed) value(now time.Time, halfLife time.Duration) float64 {
 	if d.count == 0 {
 		return 0
