--- a/pkg/queue/promise.go
+++ b/pkg/queue/promise.go
@@ -88,3 +88,10 @@
 	d.count = d.value(now, halfLife) + 1
 	d.at = now
 }
+
+const (
+	// promiseLead is the time before a promise's by which its adapter goes
+	// before most others.
+	promiseLead   = 12 * time.Second
+	promiseWeight = 20
+)
--- a/pkg/queue/scheduler.go
+++ b/pkg/queue/scheduler.go
@@ -252,13 +252,6 @@
 	s.serviceTime.add(took.Seconds())
 }
 
-const (
-	// promiseLead is the time before a promise's by which its adapter goes
-	// before most others.
-	promiseLead   = 12 * time.Second
-	promiseWeight = 20
-)
-
 // NextEvent returns the earliest time at which time alone changes what the
 // scheduler does, or the zero time.
 func (s *Scheduler) NextEvent(now time.Time) time.Time {
