--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -19,6 +19,10 @@
 	streamBufferLimit = 8 << 20
 	maxStreams        = 16 << 10
 	writeTimeout      = 10 * time.Second
+	// pingPeriod is the time between two pings of a link, and silenceLimit the
+	// time without any frame after which its peer is taken for dead or cut off.
+	pingPeriod   = 5 * time.Second
+	silenceLimit = 15 * time.Second
 )
 
 // ErrClosed is returned by calls on a closed connection.
@@ -50,6 +54,8 @@
 	next    uint32
 	parity  uint32 // of the streams that this side opens
 
+	heard atomic.Int64 // when the newest frame came, in ns of Unix time
+
 	out     sync.Mutex
 	pending []byte
 	wake    chan struct{}
@@ -74,6 +80,7 @@
 		c.next = 1
 	}
 	c.parity = c.next % 2
+	c.heard.Store(time.Now().UnixNano())
 	go c.readLoop()
 	go c.writeLoop()
 	return c, nil
@@ -131,6 +138,7 @@
 			c.fail(errors.Wrap(err, ErrClosed))
 			return
 		}
+		c.heard.Store(time.Now().UnixNano())
 		traffic.framesIn.Add(1)
 		traffic.bytesIn.Add(int64(headerBytes + len(f.Body)))
 		if err := c.dispatch(f); err != nil {
@@ -148,7 +156,7 @@
 	case known:
 		s.deliver(f)
 		return nil
-	case f.Kind == KindCancel, f.Kind == KindEnd, f.Kind == KindFault, f.Stream%2 == c.parity:
+	case f.Kind == KindPing, f.Kind == KindCancel, f.Kind == KindEnd, f.Kind == KindFault, f.Stream%2 == c.parity:
 		return nil // late frame of a stream that this side has ended
 	}
 	handler, ok := c.handlers[f.Kind]
@@ -262,10 +270,18 @@
 
 func (c *Conn) writeLoop() {
 	var spare []byte
+	pings := time.NewTicker(pingPeriod)
+	defer pings.Stop()
 	for {
 		select {
 		case <-c.ctx.Done():
 			return
+		case <-pings.C:
+			if err := c.ping(); err != nil {
+				c.fail(err)
+				return
+			}
+			continue
 		case <-c.wake:
 		}
 		c.out.Lock()
@@ -283,6 +299,15 @@
 	}
 }
 
+// ping shows the peer that this side lives, and checks that the peer does.
+func (c *Conn) ping() error {
+	silence := time.Since(time.Unix(0, c.heard.Load()))
+	if silence > silenceLimit {
+		return errors.Annotatef(ErrClosed, "silent for %s", silence)
+	}
+	return c.send(KindPing, 0, nil)
+}
+
 func (c *Conn) write(b []byte) error {
 	if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -39,6 +39,7 @@
 	KindSettleReply
 	KindAttemptQuery
 	KindAttemptReply
+	KindPing
 	kindLimit
 )
 
