Routing passes over most targets by their hash alone

Cause: ranking an adapter that is loaded nowhere computed a score for each target and looked the newest choice up in the whole pool.

--- a/pkg/route/pack.go
+++ b/pkg/route/pack.go
@@ -61,14 +61,14 @@
 const fullBalance = 0.5
 
 // active returns the part of a pool on which a service's work is packed.
-func (t *Table) active(nodes []*Node, balance float64) []*Node {
+func (t *Table) active(all nodeList, balance float64) nodeList {
 	t.packing.mu.RLock()
 	share := t.packing.share
 	t.packing.mu.RUnlock()
 	floor := min(1, balance*balance/(fullBalance*fullBalance))
 	share = floor + (1-floor)*share
-	n := int(math.Ceil(share * float64(len(nodes))))
-	return nodes[:min(max(n, 1), len(nodes))]
+	n := int(math.Ceil(share * float64(len(all.nodes))))
+	return all.first(min(max(n, 1), len(all.nodes)))
 }
 
 // sortPool puts a pool into packing order: targets with the most seats first.
@@ -86,7 +86,7 @@
 // as a share.
 func (t *Table) ActiveLoad(p Pool, balance float64) float64 {
 	used, seats := 0.0, 0
-	for _, n := range t.active(t.pool(p), balance) {
+	for _, n := range t.active(t.pool(p), balance).nodes {
 		r := n.Report()
 		if n.usable.Load() {
 			used += float64(r.Running + r.Waiting)
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -69,26 +69,28 @@
 }
 
 func (t *Table) choose(q Query, now time.Time) (Choice, bool) {
-	nodes := t.pool(q.Pool)
+	all := t.pool(q.Pool)
 	if q.Key.IsZero() {
-		return least(nodes, q)
+		return least(all.nodes, q)
 	}
-	if active := t.active(nodes, q.Balance); len(active) < len(nodes) {
-		if c, ok := t.place(active, q, now); ok {
+	if active := t.active(all, q.Balance); len(active.nodes) < len(all.nodes) {
+		if c, ok := t.place(active, true, q, now); ok {
 			return c, true
 		}
 	}
-	return t.place(nodes, q, now)
+	return t.place(all, false, q, now)
 }
 
-// place chooses among the given nodes of the pool.
-func (t *Table) place(nodes []*Node, q Query, now time.Time) (Choice, bool) {
+// place chooses among the given nodes, which are the whole pool or a part of it.
+func (t *Table) place(list nodeList, part bool, q Query, now time.Time) (Choice, bool) {
 	hash := keyHash(q.Key)
 	shard := t.places.shard(hash)
 	loaded, expected := shard.find(q.Key, now)
-	loaded = within(loaded, nodes)
-	if expected != nil && !contains(nodes, expected) {
-		expected = nil
+	if part {
+		loaded = within(loaded, list.nodes)
+		if expected != nil && !contains(list.nodes, expected) {
+			expected = nil
+		}
 	}
 	if n := firstBelow(loaded, hash, q); n != nil {
 		return Choice{Node: n, Reason: ReasonLoaded}, true
@@ -96,7 +98,7 @@
 	if len(loaded) == 0 && expected != nil && q.allows(expected) {
 		return Choice{Node: expected, Reason: ReasonExpected}, true
 	}
-	ranked := homes(nodes, loaded, hash, q)
+	ranked := homes(list, loaded, hash, t.highestWeight(), q)
 	if full := leastLoaded(loaded, q); full != nil {
 		if ranked.n == 0 || ranked.nodes[0].Load() > replicaLoad {
 			return Choice{Node: full, Reason: ReasonLoaded}, true
@@ -182,9 +184,10 @@
 	n      int
 }
 
-func (r *ranking) add(n *Node, s float64) {
+// add reports whether the node is among the first.
+func (r *ranking) add(n *Node, s float64) bool {
 	if r.n == homeCount && s <= r.scores[homeCount-1] {
-		return
+		return false
 	}
 	if r.n < homeCount {
 		r.n++
@@ -194,6 +197,7 @@
 		r.nodes[i], r.scores[i] = r.nodes[i-1], r.scores[i-1]
 	}
 	r.nodes[i], r.scores[i] = n, s
+	return true
 }
 
 // cheapest returns the position of the node whose load costs least.
@@ -207,15 +211,23 @@
 	return best
 }
 
-// homes ranks the usable nodes that do not hold the adapter.
-func homes(nodes, holding []*Node, hash uint64, q Query) ranking {
+// homes ranks the usable nodes that do not hold the adapter. Most nodes are
+// passed over by their draw alone.
+func homes(list nodeList, holding []*Node, hash uint64, highest float64, q Query) ranking {
 	var r ranking
-	for _, n := range nodes {
-		s := score(hash, n)
-		if r.n == homeCount && s <= r.scores[homeCount-1] || !q.allows(n) || contains(holding, n) {
+	least := uint64(0)
+	for i, node := range list.hashes {
+		d := draw(hash, node)
+		if d < least {
 			continue
 		}
-		r.add(n, s)
+		n := list.nodes[i]
+		if !q.allows(n) || contains(holding, n) {
+			continue
+		}
+		if r.add(n, scoreOf(d, n.weight)) && r.n == homeCount {
+			least = leastDraw(r.scores[homeCount-1], highest)
+		}
 	}
 	return r
 }
@@ -261,7 +273,7 @@
 	loaded, _ := t.places.shard(hash).find(q.Key, now)
 	chosen, ok := t.choose(q, now)
 	var out []Candidate
-	for _, n := range t.pool(q.Pool) {
+	for _, n := range t.pool(q.Pool).nodes {
 		c := Candidate{Choice: Choice{Node: n}, Holds: contains(loaded, n), Usable: q.allows(n)}
 		if ok && n == chosen.Node {
 			c.Chosen, c.Reason = true, chosen.Reason
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"testing"
 	"time"
 
@@ -59,6 +60,19 @@
 	require.InDelta(t, 8.0/4, float64(counts[8])/float64(counts[4]), 0.3)
 }
 
+// TestHomesAreTheHighestScores compares the shortened ranking with a full one.
+func TestHomesAreTheHighestScores(t *testing.T) {
+	tab := table(200)
+	list := tab.pool(pool)
+	for i := range 500 {
+		hash := keyHash(adapter(i))
+		got := homes(list, nil, hash, tab.highestWeight(), Query{})
+		sorted := append([]*Node(nil), list.nodes...)
+		sort.Slice(sorted, func(a, b int) bool { return score(hash, sorted[a]) > score(hash, sorted[b]) })
+		require.Equal(t, sorted[:homeCount], got.nodes[:])
+	}
+}
+
 func TestPickScenarios(t *testing.T) {
 	full := report(0, adapter(1))
 	full.Running, full.Waiting = 8, 8
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -50,14 +50,16 @@
 type Table struct {
 	mu     sync.RWMutex
 	nodes  map[ident.Target]*Node
-	pools  map[Pool][]*Node
+	pools  map[Pool]nodeList
 	places placeShards
+	// highest is the highest weight that any node had.
+	highest float64
 	packing
 }
 
 // New returns an empty table.
 func New() *Table {
-	t := &Table{nodes: make(map[ident.Target]*Node), pools: make(map[Pool][]*Node)}
+	t := &Table{nodes: make(map[ident.Target]*Node), pools: make(map[Pool]nodeList)}
 	t.places.init()
 	t.packing.share = 1
 	return t
@@ -88,21 +90,22 @@
 	}
 	n := &Node{Target: report.Target, Pool: pool, hash: xxhash.Sum64String(string(report.Target)), weight: weightOf(report), seats: report.Seats}
 	t.nodes[n.Target] = n
-	members := append(append([]*Node(nil), t.pools[pool]...), n)
+	t.highest = max(t.highest, n.weight)
+	members := append(append([]*Node(nil), t.pools[pool].nodes...), n)
 	sortPool(members)
-	t.pools[pool] = members
+	t.pools[pool] = listOf(members)
 	return n
 }
 
 func (t *Table) detach(n *Node) {
 	t.places.removeNode(n)
 	var kept []*Node
-	for _, other := range t.pools[n.Pool] {
+	for _, other := range t.pools[n.Pool].nodes {
 		if other != n {
 			kept = append(kept, other)
 		}
 	}
-	t.pools[n.Pool] = kept
+	t.pools[n.Pool] = listOf(kept)
 }
 
 // SetUsable says if a target may get new work.
@@ -124,12 +127,38 @@
 	}
 }
 
-func (t *Table) pool(p Pool) []*Node {
+// nodeList is the targets of a pool. Their hashes lie side by side, since most
+// targets are passed over by their hash alone.
+type nodeList struct {
+	nodes  []*Node
+	hashes []uint64
+}
+
+func listOf(nodes []*Node) nodeList {
+	l := nodeList{nodes: nodes, hashes: make([]uint64, len(nodes))}
+	for i, n := range nodes {
+		l.hashes[i] = n.hash
+	}
+	return l
+}
+
+// first returns the first n targets.
+func (l nodeList) first(n int) nodeList {
+	return nodeList{nodes: l.nodes[:n], hashes: l.hashes[:n]}
+}
+
+func (t *Table) pool(p Pool) nodeList {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.pools[p]
 }
 
+func (t *Table) highestWeight() float64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.highest
+}
+
 // Size returns the number of targets.
 func (t *Table) Size() int {
 	t.mu.RLock()
@@ -139,9 +168,23 @@
 
 // score is the weighted rendezvous score of a node for an adapter: the node
 // with the highest wins, and each wins in proportion to its weight.
-func score(adapter uint64, n *Node) float64 {
-	u := (float64(mix(adapter^n.hash)>>11) + 0.5) / (1 << 53)
-	return -n.weight / fastLog(u)
+func score(adapter uint64, n *Node) float64 { return scoreOf(draw(adapter, n.hash), n.weight) }
+
+// drawBits is the length of a draw.
+const drawBits = 53
+
+// draw is a node's uniform draw for an adapter.
+func draw(adapter, node uint64) uint64 { return mix(adapter^node) >> (64 - drawBits) }
+
+func scoreOf(draw uint64, weight float64) float64 {
+	return -weight / fastLog((float64(draw)+0.5)/(1<<drawBits))
+}
+
+// leastDraw is a draw below which no weight up to the highest reaches a score,
+// with a margin for the approximate logarithm.
+func leastDraw(score, highest float64) uint64 {
+	const margin = 0.97
+	return uint64(margin * math.Exp(-highest/score) * (1 << drawBits))
 }
 
 func mix(x uint64) uint64 {
