--- a/pkg/bench/deployment.go
+++ b/pkg/bench/deployment.go
@@ -248,7 +248,7 @@
 
 // Write writes the deployment's settings and declarations to its directory.
 func (d Deployment) Write() error {
-	if err := os.MkdirAll(d.Dir, 0o755); err != nil {
+	if err := d.clear(); err != nil {
 		return errors.Trace(err)
 	}
 	for name, token := range map[string]string{"secret": linkSecret, "operator-token": OperatorToken, "caller-token": CallerToken} {
@@ -272,6 +272,25 @@
 	return errors.Trace(declaration.Write(filepath.Join(d.Dir, "declarations"), d.Declarations()))
 }
 
+// clear makes the directory and removes the files of an earlier deployment.
+func (d Deployment) clear() error {
+	if err := os.MkdirAll(d.Dir, 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	for _, pattern := range []string{"entry-*.hujson", "agent-*.hujson", "declarations/*.hujson"} {
+		old, err := filepath.Glob(filepath.Join(d.Dir, pattern))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		for _, name := range old {
+			if err := os.Remove(name); err != nil {
+				return errors.Trace(err)
+			}
+		}
+	}
+	return nil
+}
+
 func (d Deployment) writeSettings(name string, v any) error {
 	data, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
--- a/pkg/bench/plots.go
+++ b/pkg/bench/plots.go
@@ -18,6 +18,8 @@
 	figureWidth  = 16 * vg.Centimeter
 	figureHeight = 10 * vg.Centimeter
 	msPerSecond  = 1000
+	// legendRoom is the factor by which the ordinate exceeds the highest point.
+	legendRoom = 1.3
 )
 
 // figure is one plot of results.
@@ -77,6 +79,7 @@
 	if err := plotutil.AddLinePoints(p, args...); err != nil {
 		return errors.Trace(err)
 	}
+	p.Y.Max *= legendRoom
 	return errors.Trace(p.Save(figureWidth, figureHeight, filepath.Join(dir, f.file)))
 }
 
--- a/pkg/objective/render.go
+++ b/pkg/objective/render.go
@@ -61,10 +61,9 @@
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s, %s: bad requests, %%", r.Service, r.Label())
 	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04"}
-	p.Y.Min = 0
 	points := make(plotter.XYs, len(r.Points))
 	for i, point := range r.Points {
-		points[i].X = float64(point.AtMS) / float64(time.Second/time.Millisecond)
+		points[i].X = float64(point.AtMS) / msPerSecond
 		points[i].Y = 100 * point.Bad
 	}
 	if len(points) > 0 {
@@ -77,6 +76,9 @@
 	budget := plotter.NewFunction(func(float64) float64 { return 100 * (1 - r.Target) })
 	budget.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
 	p.Add(budget)
+	p.X.Min, p.X.Max = float64(r.AtMS-hourMS)/msPerSecond, float64(r.AtMS)/msPerSecond
+	p.Y.Min = 0
+	p.Y.Max = max(p.Y.Max, 200*(1-r.Target), 1)
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var svg bytes.Buffer
@@ -89,8 +91,10 @@
 }
 
 const (
-	plotWidth  = 14 * vg.Centimeter
-	plotHeight = 5 * vg.Centimeter
+	msPerSecond = 1000
+	hourMS      = 3600 * msPerSecond
+	plotWidth   = 14 * vg.Centimeter
+	plotHeight  = 5 * vg.Centimeter
 )
 
 var page = template.Must(template.New("burn").Parse(`<!doctype html>
@@ -99,7 +103,7 @@
 body{font-family:sans-serif;margin:2em;color:#222}
 table{border-collapse:collapse;margin:1em 0}
 td,th{padding:.3em .8em;border-bottom:1px solid #ccc;text-align:right}
-td:first-child,th:first-child,td:nth-child(2),td:nth-child(4){text-align:left}
+td:first-child,th:first-child,td:nth-child(2),td:nth-child(4),th:nth-child(4){text-align:left}
 .page{background:#f8c9c4}.ticket{background:#fbe8b6}.ok{background:#d6efd4}
 figure{display:inline-block;margin:.5em}
 </style></head><body>
--- a/pkg/objective/report.go
+++ b/pkg/objective/report.go
@@ -67,6 +67,7 @@
 	// BudgetLeft is the share of the newest hour's budget that is unspent.
 	BudgetLeft float64 `json:"budget-left"`
 	State      State   `json:"state"`
+	AtMS       int64   `json:"-"` // of the report
 	Points     []Point `json:"points"`
 }
 
@@ -166,6 +167,7 @@
 	}
 	r.BudgetLeft = 1 - r.Windows[len(r.Windows)-1].Burn
 	r.State = stateOf(r.Windows)
+	r.AtMS = now.UnixMilli()
 	r.Points = points(buckets, j, now)
 }
 
