--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -56,6 +56,7 @@
 	jobs    map[ident.Request]*job
 	weights map[ident.AdapterVersion]string // of the adapters that were ordered
 	boot    string
+	loads   int // orders to load that are under way
 	holds   holds
 	began   time.Time // when the fencing number was acquired
 
@@ -66,7 +67,6 @@
 	healthy  atomic.Bool
 	cancel   context.CancelFunc
 	listener net.Listener
-	running  sync.WaitGroup
 }
 
 // Parts are an agent's connections to the world. Tests replace them.
@@ -309,23 +309,18 @@
 	return a.draining.Load() || declared.Draining || a.wantedRole(declared) != *a.role.Load()
 }
 
+const (
+	idlePoll = 10 * time.Millisecond
+	// flushGrace is the time for the last events to reach their entries.
+	flushGrace = 500 * time.Millisecond
+)
+
 // stop drains: the queue is handed back, running requests finish.
 func (a *Agent) stop(ctx context.Context) error {
-	a.Info("msg", "draining", "running", a.sched.Running())
+	a.Info("msg", "draining")
 	a.draining.Store(true)
 	a.homes.beat(ctx)
-	a.handBack()
-	done := make(chan struct{})
-	go func() {
-		a.running.Wait()
-		close(done)
-	}()
-	var err error
-	select {
-	case <-done:
-	case <-time.After(a.settings.StopGrace.Std()):
-		err = errors.Errorf("requests still running after %s", a.settings.StopGrace.Std())
-	}
+	err := a.finish()
 	a.cancel()
 	a.homes.close()
 	if closeErr := a.listener.Close(); err == nil {
@@ -334,6 +329,27 @@
 	return errors.Trace(err)
 }
 
+// finish hands back what waits until nothing is left. An attempt that was
+// admitted while the stop began is among what is looked for again.
+func (a *Agent) finish() error {
+	deadline := time.Now().Add(a.settings.StopGrace.Std())
+	for a.busy() {
+		if time.Now().After(deadline) {
+			return errors.Errorf("requests still running after %s", a.settings.StopGrace.Std())
+		}
+		a.handBack()
+		time.Sleep(idlePoll)
+	}
+	time.Sleep(flushGrace)
+	return nil
+}
+
+func (a *Agent) busy() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.jobs) > 0 || a.loads > 0
+}
+
 // handBack refuses every waiting request, so that the entries route it anew.
 func (a *Agent) handBack() {
 	a.mu.Lock()
--- a/pkg/agent/load.go
+++ b/pkg/agent/load.go
@@ -97,6 +97,9 @@
 		wanted = false
 	}
 	weights := a.weights[key]
+	if wanted {
+		a.loads++
+	}
 	a.mu.Unlock()
 	if !wanted {
 		a.returnPermit(p, 0, false)
@@ -115,6 +118,7 @@
 	}
 	a.returnPermit(p, took, err != nil)
 	a.mu.Lock()
+	a.loads--
 	a.sched.Loaded(time.Now(), key, took, err != nil)
 	a.mu.Unlock()
 	a.metrics.loads.Inc(1)
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -22,7 +22,6 @@
 
 // run carries out an attempt that has a seat, and then frees the seat.
 func (a *Agent) run(j *job) {
-	defer a.running.Done()
 	if j.submit.NonIdempotent && !a.attempts.Start(j.submit.Attempt) {
 		a.release(j)
 		a.refuse(j, reasonFenced, 0)
--- a/pkg/agent/submit.go
+++ b/pkg/agent/submit.go
@@ -242,7 +242,6 @@
 		a.refuse(j, reasonDeadline, 0)
 	}
 	for _, j := range started {
-		a.running.Add(1)
 		go a.run(j)
 	}
 	if wants {
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -187,6 +187,9 @@
 	h.rate = min(1, h.rate+increase)
 }
 
+// GiveBack frees the place of a grant that was never used.
+func (h *Holder) GiveBack(id GrantID) { delete(h.flying, id) }
+
 // NextGrant returns when the next grant becomes possible, or the zero time
 // when that depends on a want or on the end of a load.
 func (h *Holder) NextGrant(now time.Time) time.Time {
--- a/pkg/peer/budget.go
+++ b/pkg/peer/budget.go
@@ -234,10 +234,16 @@
 	}
 	select {
 	case id := <-waiter:
-		return granted(id)
+		if ctx.Err() == nil {
+			return granted(id)
+		}
+		// The agent is gone; its place must not stay taken.
+		if d.holder != nil {
+			d.holder.GiveBack(id)
+		}
 	default:
-		return wire.LoadGrant{}
 	}
+	return wire.LoadGrant{}
 }
 
 func granted(id budget.GrantID) wire.LoadGrant {
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sort"
 	"sync"
 	"time"
 
@@ -263,6 +264,8 @@
 // Entries returns the live entries, this one included.
 func (p *Peer) Entries() []wire.EntryInfo { return p.view().entries }
 
+// liveEntries returns the live entries in the order in which all entries list
+// them, so that agents meet the same list everywhere.
 func (p *Peer) liveEntries() []wire.EntryInfo {
 	out := []wire.EntryInfo{p.Info()}
 	for _, e := range p.Registry.LiveEntries(time.Now()) {
@@ -270,5 +273,6 @@
 			out = append(out, e)
 		}
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
 	return out
 }
