--- a/pkg/system/machine_test.go
+++ b/pkg/system/machine_test.go
@@ -373,7 +373,7 @@
 	m.pause(a, d)
 	z := &process{name: a.name + "0", target: a.target, isAgent: true}
 	m.successors[a] = z
-	m.startAgent(z)
+	m.start(z)
 }
 
 // retireSuccessors leaves each target with one agent again.
--- a/pkg/system/world_test.go
+++ b/pkg/system/world_test.go
@@ -150,11 +150,11 @@
 	w.addTargets(seed)
 	for i := range entryCount {
 		w.entries = append(w.entries, &process{name: fmt.Sprintf("10.0.0.%d:1", i+1), target: i})
-		w.startEntry(w.entries[i])
+		w.start(w.entries[i])
 	}
 	for i := range w.targets {
 		w.agents = append(w.agents, &process{name: fmt.Sprintf("10.0.1.%d:1", i+1), target: i, isAgent: true})
-		w.startAgent(w.agents[i])
+		w.start(w.agents[i])
 	}
 	w.declare()
 	return w
@@ -269,13 +269,13 @@
 	}
 }
 
-func (w *world) startEntry(p *process) {
+func (w *world) startEntry(p *process, old *life) {
 	s := settings.DefaultEntry()
 	s.Process = w.processSettings(p, p.target)
 	s.Entries = w.links()
 	s.Callers.DrainDelay = settings.Duration(time.Second)
 	s.Store = settings.WeightStore{LoadsPerSecond: storeRate, InFlight: 8, Engines: len(w.engines)}
-	old, l := p.current.Load(), newLife()
+	l := newLife()
 	parts := peer.Parts{
 		Objects: w.objectsOf(p, l), Dial: w.dialer(p, l),
 		VMs:    func(context.Context) ([]platform.VMInfo, error) { return w.vms(), nil },
@@ -340,13 +340,13 @@
 	}
 }
 
-func (w *world) startAgent(p *process) {
+func (w *world) startAgent(p *process, old *life) {
 	s := settings.DefaultAgent()
 	s.Process = w.processSettings(p, p.target)
 	s.Entries = w.links()
 	s.Target = w.targets[p.target]
 	s.Store = settings.WeightStore{LoadsPerSecond: storeRate, InFlight: 8, Engines: len(w.engines)}
-	old, l := p.current.Load(), newLife()
+	l := newLife()
 	parts := agent.Parts{
 		Objects: w.objectsOf(p, l), Dial: w.dialer(p, l),
 		Listen: w.listener(p, l),
@@ -538,13 +538,14 @@
 }
 
 func (w *world) start(p *process) {
-	if p.alive() {
+	old := p.current.Load()
+	if old != nil && !isClosed(old.dead) {
 		return
 	}
 	if p.isAgent {
-		w.startAgent(p)
+		w.startAgent(p, old)
 	} else {
-		w.startEntry(p)
+		w.startEntry(p, old)
 	}
 }
 
