Drop code that nothing calls

Cause: a read of the whole change. Gone: waiting requests by adapter in the queue, which no query reaches; a test of unsettled errors, an alias and two reasons that nothing uses; the time of a want, which no decision read.

--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -37,7 +37,6 @@
 type Want struct {
 	Target ident.Target
 	Value  float64
-	Since  time.Time
 }
 
 // Holder grants loads to the agents that want them most. At most one Holder
@@ -115,9 +114,6 @@
 
 // Want records or updates what a target wants to load.
 func (h *Holder) Want(w Want) {
-	if old, ok := h.wants[w.Target]; ok {
-		w.Since = old.Since
-	}
 	h.wants[w.Target] = w
 }
 
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -61,19 +61,17 @@
 
 // Reasons of refusals that the dispatcher gives.
 const (
-	ReasonNoTarget     = "no-target"
-	ReasonBusy         = "busy"
-	ReasonDeadline     = "deadline"
-	ReasonLedger       = "ledger-unavailable"
-	ReasonInProgress   = "in-progress"
-	ReasonInDoubt      = "in-doubt"
-	ReasonKeyExpired   = "key-expired"
-	ReasonKeyReused    = "key-reused"
-	ReasonBadKey       = "bad-key"
-	ReasonStreamLost   = "stream-lost"
-	ReasonConfigStale  = "config-stale"
-	ReasonCallerGone   = "caller-gone"
-	ReasonAnswerFailed = "answer-failed"
+	ReasonNoTarget    = "no-target"
+	ReasonDeadline    = "deadline"
+	ReasonLedger      = "ledger-unavailable"
+	ReasonInProgress  = "in-progress"
+	ReasonInDoubt     = "in-doubt"
+	ReasonKeyExpired  = "key-expired"
+	ReasonKeyReused   = "key-reused"
+	ReasonBadKey      = "bad-key"
+	ReasonStreamLost  = "stream-lost"
+	ReasonConfigStale = "config-stale"
+	ReasonCallerGone  = "caller-gone"
 )
 
 // Result is how a request ended: an answer, or a refusal.
--- a/pkg/experiment/ours.go
+++ b/pkg/experiment/ours.go
@@ -229,7 +229,7 @@
 		}
 		return
 	}
-	e.o.holder.Want(budget.Want{Target: e.target, Value: value, Since: now})
+	e.o.holder.Want(budget.Want{Target: e.target, Value: value})
 	e.o.look()
 }
 
--- a/pkg/peer/budget.go
+++ b/pkg/peer/budget.go
@@ -209,7 +209,7 @@
 	}
 	waiter := make(chan budget.GrantID, 1)
 	d.waiters[in.Target] = waiter
-	d.holder.Want(budget.Want{Target: in.Target, Value: in.Value, Since: time.Now()})
+	d.holder.Want(budget.Want{Target: in.Target, Value: in.Value})
 	d.mu.Unlock()
 	signal(d.wake)
 	return d.await(ctx, in.Target, waiter), nil
--- a/pkg/platform/objects.go
+++ b/pkg/platform/objects.go
@@ -46,8 +46,3 @@
 	// within the wait.
 	Watch func(ctx context.Context, key string, version ObjectVersion, wait time.Duration) (Object, error)
 }
-
-// Unsettled reports whether err leaves open if an update took effect.
-func Unsettled(err error) bool {
-	return err != nil && !errors.Is(err, ErrConflict)
-}
--- a/pkg/queue/report.go
+++ b/pkg/queue/report.go
@@ -114,32 +114,6 @@
 	return out
 }
 
-// Backlog is the number of requests that wait for one adapter version.
-type Backlog struct {
-	Key     ident.AdapterVersion
-	Waiting int
-	Oldest  time.Duration
-	Loaded  bool
-}
-
-// Backlogs returns the waiting requests by adapter version, longest first, at
-// most limit of them.
-func (s *Scheduler) Backlogs(now time.Time, limit int) []Backlog {
-	var out []Backlog
-	for key, l := range s.lines {
-		if len(l.waiting) > 0 {
-			out = append(out, Backlog{Key: key, Waiting: len(l.waiting), Oldest: now.Sub(l.waiting[0].Arrival), Loaded: l.state == loaded})
-		}
-	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].Waiting != out[j].Waiting {
-			return out[i].Waiting > out[j].Waiting
-		}
-		return less(out[i].Key, out[j].Key)
-	})
-	return out[:min(len(out), limit)]
-}
-
 // WaitingRequests returns every waiting request, as when a drain hands them
 // back.
 func (s *Scheduler) WaitingRequests() []*Request {
--- a/pkg/wire/schema.go
+++ b/pkg/wire/schema.go
@@ -4,8 +4,6 @@
 package wire
 
 import (
-	"github.com/tinylib/msgp/msgp"
-
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 )
 
@@ -532,6 +530,3 @@
 	Tail          []Record       `msg:"t"` // records after some revision at or before Snapshot
 	Marks         []CommandMark  `msg:"m,omitempty"`
 }
-
-// Raw is a decoded-later message body.
-type Raw = msgp.Raw
