--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-PROGRAMS := hyssoproad-entry hyssoproad-agent hyssoproadctl hyssoproad-bench
+PROGRAMS := hyssoproad-entry hyssoproad-agent hyssoproad-gateway hyssoproad-orderer hyssoproadctl hyssoproad-bench
 MODULES := . $(addprefix cmd/,$(PROGRAMS))
 SEED ?= 1
 TIME ?= 25s
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,246 @@
+// Package gateway serves callers on an entry VM of the users' platform: it reads
+// their requests, finds a target for each, forwards it and passes the answer on.
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/directory"
+	"github.com/hyssoproad/hyssoproad/pkg/fleet"
+	"github.com/hyssoproad/hyssoproad/pkg/forward"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/placement"
+	"github.com/hyssoproad/hyssoproad/pkg/retry"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// peerLiveness finds a silent agent before a stuck request costs its objective;
+// a ping is some 30 bytes.
+var peerLiveness = link.Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second}
+
+// Gateway is the process's service to callers.
+type Gateway struct {
+	common.Common
+	node      platform.Node
+	directory *directory.Directory
+	fleet     *fleet.View
+	versions  *placement.Versions
+	pool      *forward.Pool
+	agents    *agents
+	loads     *loads
+	listed    atomic.Bool // the targets were listed once
+
+	budgetMu sync.Mutex
+	budgets  map[ident.Service]*budget
+
+	listener net.Listener
+	stopping atomic.Bool
+	active   atomic.Int64
+	connMu   sync.Mutex
+	waiting  map[*caller]bool // connections between two requests
+}
+
+// budget is a retry budget under its lock.
+type budget struct {
+	mu sync.Mutex
+	b  *retry.Budget
+}
+
+func (b *budget) request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.b.Request(time.Now())
+}
+
+func (b *budget) take(entries int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Take(entries, time.Now())
+}
+
+// New returns a gateway that knows no configuration.
+func New(c common.Common, node platform.Node) *Gateway {
+	return &Gateway{
+		Common: c.With("gateway"), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(),
+		pool:   forward.NewPool(),
+		agents: newAgents(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: peerLiveness}, node.PeerPort),
+		loads:  newLoads(), budgets: make(map[ident.Service]*budget), waiting: make(map[*caller]bool),
+	}
+}
+
+func (g *Gateway) budget(s ident.Service) *budget {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	b := g.budgets[s]
+	if b == nil {
+		bounds := g.node.Bounds
+		b = &budget{b: retry.New(retry.Limits{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow})}
+		g.budgets[s] = b
+	}
+	return b
+}
+
+// entries is the number of entries that share a budget.
+func (g *Gateway) entries() int { return 6 }
+
+func (g *Gateway) limits() platform.Limits {
+	if c := g.directory.Configuration(); c != nil {
+		return c.Limits
+	}
+	return platform.DefaultLimits()
+}
+
+// spread lengthens a retry time by up to a half, so that callers do not return
+// together.
+func (g *Gateway) spread(d time.Duration) time.Duration { return d + rand.N(d/2+1) }
+
+// usable returns the service's targets that are not excluded.
+func (g *Gateway) usable(s ident.Service, excluded []ident.Target) []fleet.Target {
+	all := g.fleet.Of(s)
+	if len(excluded) == 0 {
+		return all
+	}
+	out := make([]fleet.Target, 0, len(all))
+	for _, t := range all {
+		if !among(t.Instance, excluded) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func among(t ident.Target, list []ident.Target) bool {
+	for _, other := range list {
+		if other == t {
+			return true
+		}
+	}
+	return false
+}
+
+// homes returns the targets to ask for the weights, in order.
+func (g *Gateway) homes(targets []fleet.Target, w ident.Weights) []fleet.Target {
+	if w.IsZero() {
+		return placement.Least(targets, g.loads.of, rand.Uint64())
+	}
+	return placement.Homes(targets, w)
+}
+
+func (g *Gateway) failed(t fleet.Target, step string, err error) {
+	g.Info("msg", "target failed", "target", t.Instance, "service", t.Service, "step", step, "err", err)
+}
+
+func (g *Gateway) succeeded(fleet.Target) {}
+
+func (g *Gateway) turnedAway(s *seat, a *forward.Answer) {
+	g.Info("msg", "target turned request away", "target", s.target.Instance, "status", a.Status, "version", s.version)
+}
+
+// Start serves callers.
+func (g *Gateway) Start(context.Context) error {
+	listener, err := net.Listen("tcp4", g.node.Callers)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	g.listener = listener
+	go g.accept(listener)
+	return nil
+}
+
+func (g *Gateway) accept(l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			g.Warn("msg", "accept failed", "err", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		go g.serve(nc)
+	}
+}
+
+// acceptPause lets descriptors come free.
+const acceptPause = 20 * time.Millisecond
+
+func (g *Gateway) serve(nc net.Conn) {
+	limits := g.limits()
+	_ = nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	c := &caller{g: g, nc: nc, r: bufio.NewReaderSize(nc, limits.HeaderBytes)}
+	g.idle(c, true)
+	c.serve()
+	g.idle(c, false)
+}
+
+// idle notes whether a connection waits for its next request.
+func (g *Gateway) idle(c *caller, waits bool) {
+	g.connMu.Lock()
+	defer g.connMu.Unlock()
+	if waits {
+		g.waiting[c] = true
+		return
+	}
+	delete(g.waiting, c)
+}
+
+const (
+	// noticeTime is how long the balancer takes to see that the process is not
+	// ready: two misses, one second apart, and a margin.
+	noticeTime = 2500 * time.Millisecond
+	// stopMargin is left of the stop's grace when the last requests are given up.
+	stopMargin = 250 * time.Millisecond
+	stopPoll   = 20 * time.Millisecond
+)
+
+// Stop finishes the requests under way. New ones are served until the balancer
+// has noticed that the process is leaving.
+func (g *Gateway) Stop(context.Context) error {
+	began := time.Now()
+	g.stopping.Store(true)
+	g.Info("msg", "stopping", "active", g.active.Load())
+	time.Sleep(noticeTime)
+	g.closeIdle()
+	last := began.Add(g.node.Bounds.StopGrace - stopMargin)
+	for g.active.Load() > 0 && time.Now().Before(last) {
+		time.Sleep(stopPoll)
+		g.closeIdle()
+	}
+	_ = g.listener.Close()
+	g.Info("msg", "finished", "unfinished", g.active.Load(), "after", time.Since(began))
+	return nil
+}
+
+// closeIdle ends the connections that wait for a request.
+func (g *Gateway) closeIdle() {
+	g.connMu.Lock()
+	defer g.connMu.Unlock()
+	for c := range g.waiting {
+		_ = c.nc.SetReadDeadline(time.Now())
+	}
+}
+
+// Ready returns why callers should not be sent here, or nil.
+func (g *Gateway) Ready() error {
+	switch {
+	case g.stopping.Load():
+		return errors.New("stopping")
+	case g.directory.Configuration() == nil:
+		return errors.New("no configuration")
+	case !g.listed.Load():
+		return errors.New("no list of targets")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/gateway/plugin.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"net"
+
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/follow"
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "gateway",
+		Provide: []any{New},
+		Start: func(g *Gateway, store *platform.Store, life *kernel.Lifecycle) {
+			ctx, cancel := context.WithCancel(context.Background())
+			life.Append(kernel.Hook{
+				Name: "followers",
+				Start: func(context.Context) error {
+					for _, f := range g.followers(follow.StoreSource(store)) {
+						go f.Run(ctx)
+					}
+					go g.upkeep(ctx)
+					return nil
+				},
+				Stop: func(context.Context) error { cancel(); return nil },
+			})
+			life.Append(kernel.Hook{Name: "readiness", Start: g.startReadiness})
+			life.Append(kernel.Hook{Name: "callers", Start: g.Start, Stop: g.Stop})
+		},
+	})
+}
+
+// startReadiness answers the balancer's health checks until the process ends.
+func (g *Gateway) startReadiness(context.Context) error {
+	r := router.New()
+	r.GET(platform.ReadinessPath, func(ctx *fasthttp.RequestCtx) {
+		if err := g.Ready(); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+			return
+		}
+		ctx.SetBodyString("ready\n")
+	})
+	listener, err := net.Listen("tcp4", g.node.Readiness)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	server := &fasthttp.Server{Handler: r.Handler, Name: "hyssoproad"}
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			g.Warn("msg", "readiness listener ended", "err", err)
+		}
+	}()
+	return nil
+}
+
+// Check returns a NotValid error if the process cannot serve callers with its
+// settings.
+func Check(n platform.Node) error {
+	switch {
+	case n.Callers == "":
+		return errors.NotValidf("listen.front: empty address")
+	case n.Readiness == "":
+		return errors.NotValidf("listen.ready: empty address")
+	case n.Store == "":
+		return errors.NotValidf("platform.address: empty address")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/gateway/request.go
@@ -0,0 +1,303 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// request is one request of a caller, read whole.
+type request struct {
+	head    fasthttp.RequestHeader
+	method  string
+	uri     string
+	path    string
+	attempt string
+	// lines are the header lines to pass on, each with its line end.
+	lines     []byte
+	body      []byte
+	hasBody   bool
+	keepAlive bool
+	deadline  time.Duration // that the caller sets; 0 if none
+	lastEvent string
+	weights   ident.Weights
+	prompt    int // tokens
+	output    int // tokens at most
+}
+
+// rejection is an answer to a request that cannot be read, after which the
+// connection closes.
+type rejection struct {
+	status int
+	reason string
+}
+
+// Error returns the reason.
+func (r *rejection) Error() string { return r.reason }
+
+func reject(status int, reason string) error { return &rejection{status, reason} }
+
+// hopHeaders concern one connection only, and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// dropped holds the lower-case names of headers that are not passed on.
+var dropped = lowerSet(append(append([]string(nil), hopHeaders...), platform.ReservedHeaders...))
+
+func lowerSet(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, n := range names {
+		out[strings.ToLower(n)] = true
+	}
+	return out
+}
+
+// framing is what the headers say of the body.
+type framing struct {
+	length   int // -1 if none is given
+	chunked  bool
+	expect   bool
+	hopNames []string // headers that the Connection header names
+}
+
+// readHead reads and checks a request's head. It returns a *rejection for one
+// that is not acceptable.
+func (q *request) readHead(r *bufio.Reader) (framing, error) {
+	// Names stay as they were written: they are passed on unchanged.
+	q.head.DisableNormalizing()
+	if err := q.head.Read(r); err != nil {
+		return framing{}, headError(err)
+	}
+	q.method, q.uri = string(q.head.Method()), string(q.head.RequestURI())
+	q.keepAlive = !q.head.ConnectionClose()
+	if !strings.HasPrefix(q.uri, "/") || strings.ContainsAny(q.uri, " #") {
+		return framing{}, reject(fasthttp.StatusBadRequest, "request target is not a path")
+	}
+	q.path, _, _ = strings.Cut(q.uri, "?")
+	if len(q.head.Host()) == 0 {
+		return framing{}, reject(fasthttp.StatusBadRequest, "no host")
+	}
+	f, err := q.readLines(q.head.RawHeaders())
+	if err != nil {
+		return f, err
+	}
+	if f.chunked && f.length >= 0 {
+		return f, reject(fasthttp.StatusBadRequest, "both a length and a transfer encoding")
+	}
+	return f, nil
+}
+
+func headError(err error) error {
+	var small *fasthttp.ErrSmallBuffer
+	var nothing fasthttp.ErrNothingRead
+	switch {
+	case errors.As(err, &small):
+		return reject(fasthttp.StatusRequestHeaderFieldsTooLarge, "header too large")
+	case errors.Is(err, io.EOF), errors.As(err, &nothing), isTimeout(err):
+		return err
+	}
+	return reject(fasthttp.StatusBadRequest, "malformed header")
+}
+
+// readLines goes through the raw header lines once: it reads those that matter
+// here and keeps those to pass on.
+func (q *request) readLines(raw []byte) (framing, error) {
+	f := framing{length: -1}
+	for rest := raw; len(rest) > 0; {
+		line, after, _ := bytes.Cut(rest, []byte{'\n'})
+		rest = after
+		line = bytes.TrimSuffix(line, []byte{'\r'})
+		if len(line) == 0 {
+			break
+		}
+		if line[0] == ' ' || line[0] == '\t' {
+			return f, reject(fasthttp.StatusBadRequest, "folded header")
+		}
+		name, value, ok := bytes.Cut(line, []byte{':'})
+		if !ok {
+			return f, reject(fasthttp.StatusBadRequest, "header without a colon")
+		}
+		if err := q.readLine(&f, string(bytes.ToLower(name)), bytes.TrimSpace(value), line); err != nil {
+			return f, err
+		}
+	}
+	if len(f.hopNames) > 0 {
+		q.lines = without(q.lines, f.hopNames)
+	}
+	return f, nil
+}
+
+func (q *request) readLine(f *framing, name string, value, line []byte) error {
+	switch name {
+	case "content-length":
+		n, err := strconv.ParseUint(string(value), 10, 31)
+		if err != nil || f.length >= 0 || value[0] == '+' {
+			return reject(fasthttp.StatusBadRequest, "invalid length")
+		}
+		f.length = int(n)
+	case "transfer-encoding":
+		if f.chunked || !strings.EqualFold(string(value), "chunked") || !q.head.IsHTTP11() {
+			return reject(fasthttp.StatusBadRequest, "transfer encoding not supported")
+		}
+		f.chunked = true
+	case "expect":
+		f.expect = strings.EqualFold(string(value), "100-continue")
+	case "connection":
+		for token := range strings.SplitSeq(strings.ToLower(string(value)), ",") {
+			if token = strings.TrimSpace(token); token != "" && token != "close" && token != "keep-alive" {
+				f.hopNames = append(f.hopNames, token)
+			}
+		}
+	default:
+		q.readOwn(name, value)
+	}
+	if !dropped[name] {
+		q.lines = append(append(q.lines, line...), '\r', '\n')
+	}
+	return nil
+}
+
+// readOwn reads the headers that routing goes by. Their lower-case names are
+// those of package platform.
+func (q *request) readOwn(name string, value []byte) {
+	if name[0] != 'x' && name[0] != 'l' {
+		return
+	}
+	switch {
+	case strings.EqualFold(name, platform.HeaderAttempt):
+		q.attempt = string(value)
+	case strings.EqualFold(name, platform.HeaderDeadline):
+		q.deadline = platform.ParseDeadline(value)
+	case strings.EqualFold(name, platform.HeaderLastEvent):
+		q.lastEvent = string(value)
+	case strings.EqualFold(name, platform.HeaderModel):
+		q.weights.Model, q.weights.Adapter = platform.ParseModel(value)
+	case strings.EqualFold(name, platform.HeaderTokenCount):
+		q.prompt, q.output = platform.ParseTokenCount(value)
+	}
+}
+
+// without drops the lines of the named headers, which end-to-end headers that
+// requests need are never among.
+func without(lines []byte, names []string) []byte {
+	var out []byte
+	for rest := lines; len(rest) > 0; {
+		line, after, _ := bytes.Cut(rest, []byte{'\n'})
+		rest = after
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		drop := false
+		for _, n := range names {
+			drop = drop || strings.EqualFold(string(name), n) && !strings.EqualFold(n, "host")
+		}
+		if !drop {
+			out = append(append(out, line...), '\n')
+		}
+	}
+	return out
+}
+
+// maxTrailerLines bounds the trailer after a body in chunks.
+const maxTrailerLines = 32
+
+// readBody reads the body that the framing announces.
+func (q *request) readBody(r *bufio.Reader, f framing, limit int) error {
+	switch {
+	case f.length > limit:
+		return reject(fasthttp.StatusRequestEntityTooLarge, "body too large")
+	case f.length >= 0:
+		q.hasBody = true
+		q.body = make([]byte, f.length)
+		_, err := io.ReadFull(r, q.body)
+		return err
+	case !f.chunked:
+		return nil
+	}
+	q.hasBody = true
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), int64(limit)+1))
+	if len(body) > limit {
+		return reject(fasthttp.StatusRequestEntityTooLarge, "body too large")
+	}
+	if err != nil {
+		if isTimeout(err) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return err
+		}
+		return reject(fasthttp.StatusBadRequest, "malformed chunks")
+	}
+	q.body = body
+	return readTrailer(r)
+}
+
+// readTrailer reads over the trailer of a body in chunks.
+func readTrailer(r *bufio.Reader) error {
+	for range maxTrailerLines {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
+		if len(line) == 0 {
+			return nil
+		}
+		if !bytes.Contains(line, []byte{':'}) {
+			break
+		}
+	}
+	return reject(fasthttp.StatusBadRequest, "malformed trailer")
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// send is what differs between two sends of one request.
+type send struct {
+	left      time.Duration
+	instance  ident.Target
+	version   ident.Version // 0 if any will do
+	lastEvent string
+	rank      int
+}
+
+// encode appends the request as it is sent to a target.
+func (q *request) encode(b []byte, s send) []byte {
+	b = append(b, q.method...)
+	b = append(b, ' ')
+	b = append(b, q.uri...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = append(b, q.lines...)
+	b = appendHeader(b, platform.HeaderDeadline, strconv.FormatInt(max(s.left.Milliseconds(), 1), 10))
+	if s.instance != "" {
+		b = appendHeader(b, platform.HeaderExpectInstance, string(s.instance))
+	}
+	if s.version > 0 {
+		b = appendHeader(b, platform.HeaderExpectVersion, strconv.FormatUint(uint64(s.version), 10))
+	}
+	if s.lastEvent != "" {
+		b = appendHeader(b, platform.HeaderLastEvent, s.lastEvent)
+	}
+	if q.hasBody {
+		b = appendHeader(b, "Content-Length", strconv.Itoa(len(q.body)))
+	}
+	b = append(b, "\r\n"...)
+	return append(b, q.body...)
+}
+
+func appendHeader(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/pkg/gateway/seat.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/fleet"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/placement"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+// seat finds a target that takes the request, or says why none does.
+func (x *exchange) seat() (*seat, refusal) {
+	targets := x.g.usable(x.service.Name, x.excluded)
+	if len(targets) == 0 {
+		return nil, refusal{reason: "no target", wait: noTargetWait}
+	}
+	if x.service.Engine == nil || x.q.weights.Model == "" {
+		return x.g.plainSeat(targets, x.q.attempt), refusal{}
+	}
+	return x.grant(targets)
+}
+
+// noTargetWait is when a target may be back: some beats of the targets' list.
+const noTargetWait = time.Second
+
+// plainSeat takes the target with the fewest requests.
+func (g *Gateway) plainSeat(targets []fleet.Target, attempt string) *seat {
+	t := placement.Least(targets, g.loads.of, hash(attempt))[0]
+	g.loads.begin(t.Instance)
+	return &seat{target: t, release: func() { g.loads.end(t.Instance) }, started: func(time.Duration) {}}
+}
+
+// maxAsked is the number of agents that are asked for one request: more would
+// spread rare adapters over engines and cost a round trip each.
+const maxAsked = 3
+
+// grant asks the agents of the adapter's homes for a seat.
+func (x *exchange) grant(targets []fleet.Target) (*seat, refusal) {
+	weights := x.g.versions.Newest(x.q.weights)
+	homes := x.g.homes(targets, weights)
+	soonest, wait := -1, time.Duration(0)
+	asked := min(maxAsked, len(homes))
+	for i := 0; i < asked; i++ {
+		s, reply := x.ask(homes[i], weights, true)
+		if s != nil {
+			return s, refusal{}
+		}
+		if x.ctx.Err() != nil {
+			return nil, refusal{reason: "timed out"}
+		}
+		switch {
+		case reply.Code == wire.GrantBusy:
+			if w := time.Duration(reply.WaitMS) * time.Millisecond; soonest < 0 || w < wait {
+				soonest, wait = i, w
+			}
+		case asked < len(homes):
+			asked++ // this one cannot be counted on
+		}
+	}
+	if soonest < 0 {
+		return nil, refusal{reason: "no engine can run it", wait: noTargetWait}
+	}
+	if wait >= x.left() {
+		return nil, refusal{reason: "engines busy", wait: wait}
+	}
+	s, reply := x.ask(homes[soonest], weights, false)
+	if s == nil {
+		return nil, refusal{reason: "engines busy", wait: max(wait, time.Duration(reply.WaitMS)*time.Millisecond)}
+	}
+	return s, refusal{}
+}
+
+// ask asks one target's agent.
+func (x *exchange) ask(t fleet.Target, w ident.Weights, elsewhere bool) (*seat, wire.GrantReply) {
+	unable := wire.GrantReply{Code: wire.GrantUnable}
+	conn, err := x.g.agents.conn(x.ctx, t)
+	if err != nil {
+		x.g.Debug("msg", "agent not reached", "target", t.Instance, "err", err)
+		return nil, unable
+	}
+	objective := time.Until(x.began.Add(x.route.Objective))
+	stream, err := conn.Open(link.KindGrantWant, &wire.GrantWant{
+		Instance: t.Instance, Model: w.Model, Adapter: w.AdapterVersion,
+		PromptTokens: x.q.prompt, OutputTokens: x.q.output, Rank: x.route.Rank,
+		WaitMS: x.left().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: elsewhere,
+	})
+	if err != nil {
+		return nil, unable
+	}
+	reply, err := receiveGrant(x.ctx, stream)
+	if err != nil {
+		stream.Close()
+		x.g.Debug("msg", "no grant", "target", t.Instance, "err", err)
+		return nil, unable
+	}
+	if reply.Code != wire.GrantGiven {
+		stream.Close()
+		return nil, reply
+	}
+	w.Version = reply.Version
+	x.g.versions.Learn(w)
+	return &seat{
+		target: t, version: reply.Version, release: stream.Close,
+		started: func(d time.Duration) {
+			// A lost report only blurs the agent's forecast.
+			_ = stream.Send(link.KindGrantUse, &wire.GrantUse{FirstEventMS: d.Milliseconds()})
+		},
+	}, reply
+}
+
+func receiveGrant(ctx context.Context, s *link.Stream) (wire.GrantReply, error) {
+	var reply wire.GrantReply
+	f, err := s.Receive(ctx)
+	if err != nil {
+		return reply, errors.Trace(err)
+	}
+	if f.Kind != link.KindGrantReply {
+		return reply, errors.NotValidf("reply kind %d", f.Kind)
+	}
+	_, err = reply.UnmarshalMsg(f.Body)
+	return reply, errors.Trace(err)
+}
+
+// agentAddress returns where the agent beside a target listens.
+func agentAddress(t fleet.Target, port int) string {
+	host, _, err := net.SplitHostPort(t.Address)
+	if err != nil {
+		return t.Address
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
--- /dev/null
+++ b/pkg/gateway/stream.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/forward"
+)
+
+const (
+	streamBufferBytes = 4 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+	// pauseFactor is the number of a route's longest allowed pauses after which
+	// a stream that can go on elsewhere counts as stuck; callers leave after
+	// eight.
+	pauseFactor = 4
+	minPause    = 800 * time.Millisecond
+)
+
+var (
+	eventEnd = []byte("\n\n")
+	eventID  = []byte("id:")
+)
+
+// stream passes a target's events on as they come, and only whole ones, so that
+// another target can go on after the last.
+func (x *exchange) stream(s *seat, a *forward.Answer, sent time.Time) outcome {
+	first := true
+	pending := make([]byte, 0, streamBufferBytes)
+	for {
+		if err := a.SetReadDeadline(x.pauseEnd()); err != nil {
+			a.Close()
+			return outcomeUnknown
+		}
+		pending = grow(pending)
+		n, err := a.Read(pending[len(pending):cap(pending)])
+		pending = pending[:len(pending)+n]
+		whole := wholeEvents(pending)
+		if err == io.EOF {
+			whole = len(pending)
+		}
+		if whole > 0 {
+			if first {
+				s.started(time.Since(sent))
+				first = false
+			}
+			if !x.passEvents(a, pending[:whole]) {
+				a.Close()
+				x.c.closing = true
+				return outcomeDelivered
+			}
+			pending = pending[:copy(pending, pending[whole:])]
+		}
+		switch {
+		case err == io.EOF:
+			return x.endStream(s, a)
+		case err != nil || len(pending) > maxEventBytes:
+			a.Close()
+			if x.ctx.Err() == nil {
+				x.g.failed(s.target, "stream", err)
+			}
+			return outcomeUnknown
+		}
+	}
+}
+
+func (x *exchange) endStream(s *seat, a *forward.Answer) outcome {
+	x.g.pool.Finish(a)
+	x.g.succeeded(s.target)
+	if !x.streaming {
+		x.c.beginStream(a)
+	}
+	if err := x.c.endStream(); err != nil {
+		x.c.closing = true
+	}
+	return outcomeDelivered
+}
+
+// passEvents writes whole events to the caller. It reports false when the
+// caller cannot be reached.
+func (x *exchange) passEvents(a *forward.Answer, events []byte) bool {
+	if id := lastEventID(events); id != "" {
+		x.lastEvent = id
+	}
+	if !x.streaming {
+		x.streaming = true
+		x.c.beginStream(a)
+	}
+	return x.c.part(events) == nil
+}
+
+func (x *exchange) pauseEnd() time.Time {
+	if !x.repeatable() || x.runs+1 >= x.route.MaxTargets {
+		return x.until
+	}
+	pause := time.Now().Add(max(pauseFactor*x.route.GapObjective, minPause))
+	if pause.Before(x.until) {
+		return pause
+	}
+	return x.until
+}
+
+func grow(b []byte) []byte {
+	if len(b) < cap(b) {
+		return b
+	}
+	return append(b, 0)[:len(b)]
+}
+
+// wholeEvents returns the length of the whole events at the front of b.
+func wholeEvents(b []byte) int {
+	i := bytes.LastIndex(b, eventEnd)
+	if i < 0 {
+		return 0
+	}
+	return i + len(eventEnd)
+}
+
+// lastEventID returns the id of the last event that has one.
+func lastEventID(events []byte) string {
+	at := bytes.LastIndex(events, eventID)
+	for at > 0 && events[at-1] != '\n' {
+		at = bytes.LastIndex(events[:at], eventID)
+	}
+	if at < 0 {
+		return ""
+	}
+	line, _, _ := bytes.Cut(events[at+len(eventID):], []byte{'\n'})
+	return string(bytes.TrimSpace(line))
+}
+
+var _ io.Reader = (*forward.Answer)(nil)
--- /dev/null
+++ b/pkg/grant/engine.go
@@ -0,0 +1,89 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+)
+
+// Report is the engine's account of itself.
+type Report struct {
+	Born     int64 // when it started, in ms of Unix time; 0 if unknown
+	Sequence uint64
+	Busy     bool
+	Models   []ident.Model
+	Held     []ident.Weights // adapters
+	Flying   []ident.Weights // adapters on their way
+}
+
+// Observe puts the engine's newest report in force.
+func (b *Book) Observe(r Report, now time.Time) {
+	if b.up && (r.Born != b.born || r.Sequence < b.sequence) {
+		b.forget()
+	}
+	b.up, b.born, b.sequence, b.busy = true, r.Born, r.Sequence, r.Busy
+	b.models = make(map[ident.Model]bool, len(r.Models))
+	for _, m := range r.Models {
+		b.models[m] = true
+	}
+	b.observeHeld(r.Held, now)
+	flying := make(map[ident.Weights]time.Time, len(r.Flying))
+	for _, w := range r.Flying {
+		since, known := b.flying[w]
+		if !known {
+			since = now
+		}
+		flying[w] = since
+	}
+	b.flying = flying
+}
+
+func (b *Book) observeHeld(weights []ident.Weights, now time.Time) {
+	held := make(map[ident.Weights]*adapter, len(weights))
+	for _, w := range weights {
+		key := w.Unversioned()
+		a := b.held[key]
+		if a == nil {
+			a = &adapter{lastUse: now}
+		}
+		if since, flew := b.flying[w]; flew {
+			b.loaded(now.Sub(since))
+		}
+		a.version = w.Version
+		held[key] = a
+	}
+	b.held = held
+	b.recount()
+}
+
+// recount counts the uses of the held adapters anew: an engine that restarted
+// may hold an adapter again that requests of before still name.
+func (b *Book) recount() {
+	for _, a := range b.held {
+		a.uses = 0
+	}
+	for _, r := range b.running {
+		if a := b.held[r.weights().Unversioned()]; a != nil {
+			a.uses++
+		}
+	}
+}
+
+// Down records that the engine does not answer.
+func (b *Book) Down() {
+	b.up = false
+	b.forget()
+}
+
+// Carried records that the engine accepted an order.
+func (b *Book) Carried(o Order, now time.Time) {
+	b.sequence++
+	switch {
+	case o.Weights.IsZero():
+		b.busy = true
+	case o.Unload:
+		delete(b.held, o.Weights.Unversioned())
+	default:
+		b.flying[o.Weights] = now
+	}
+}
--- /dev/null
+++ b/pkg/grant/order.go
@@ -0,0 +1,122 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+// Order returns the next order to give, if any. At most one may be under way.
+func (b *Book) Order() (Order, bool) {
+	if !b.up || b.setup.Instance == "" || b.busy {
+		return Order{}, false
+	}
+	if model, ok := b.missingModel(); ok {
+		return b.order(false, ident.Weights{Model: model}), true
+	}
+	if len(b.flying) >= maxFlying {
+		return Order{}, false
+	}
+	for _, w := range b.waiting {
+		if o, ok := b.bring(w); ok {
+			return o, true
+		}
+	}
+	return Order{}, false
+}
+
+func (b *Book) order(unload bool, w ident.Weights) Order {
+	return Order{Unload: unload, Weights: w, Sequence: b.sequence, Instance: b.setup.Instance}
+}
+
+// missingModel returns the base model that an engine without one should load:
+// the one that is waited for, or else the first of its service.
+func (b *Book) missingModel() (ident.Model, bool) {
+	room := b.setup.MB
+	for _, m := range b.setup.Models {
+		if b.models[m.Name] {
+			room -= m.MB
+		}
+	}
+	for _, w := range b.waiting {
+		if m, ok := b.model(w.Model); ok && !b.models[w.Model] && m.MB <= room {
+			return m.Name, true
+		}
+	}
+	if len(b.models) == 0 && len(b.setup.Models) > 0 && b.setup.Models[0].MB <= room {
+		return b.setup.Models[0].Name, true
+	}
+	return "", false
+}
+
+func (b *Book) model(name ident.Model) (wire.ModelSetup, bool) {
+	for _, m := range b.setup.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return wire.ModelSetup{}, false
+}
+
+// bring returns the next order towards holding what the want needs.
+func (b *Book) bring(w *Want) (Order, bool) {
+	if w.Adapter.IsZero() || !b.models[w.Model] || b.replacing(w.weights()) {
+		return Order{}, false
+	}
+	if a := b.held[w.weights().Unversioned()]; a != nil {
+		// A replacement waits for its runs, and new requests with it.
+		return b.order(false, w.weights()), a.version < w.Adapter.Version && a.uses == 0
+	}
+	if !b.full() {
+		return b.order(false, w.weights()), true
+	}
+	victim := b.victim()
+	return b.order(true, victim), !victim.IsZero()
+}
+
+// full reports whether no further adapter fits.
+func (b *Book) full() bool {
+	count := len(b.held) + len(b.flying)
+	for f := range b.flying {
+		if b.held[f.Unversioned()] != nil {
+			count-- // a replacement takes the place of the older version
+		}
+	}
+	return count >= b.places()
+}
+
+// places is the number of adapters that fit the engine.
+func (b *Book) places() int {
+	room, largest := b.setup.MB, 0.0
+	for _, m := range b.setup.Models {
+		if b.models[m.Name] {
+			room -= m.MB
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	if largest <= 0 {
+		return b.setup.AdapterSlots
+	}
+	return min(b.setup.AdapterSlots, int(room/largest))
+}
+
+// victim returns the idle adapter that was used least recently, or zero
+// weights. Adapters that are waited for stay.
+func (b *Book) victim() ident.Weights {
+	wanted := make(map[ident.Weights]bool)
+	for _, w := range b.waiting {
+		wanted[w.weights().Unversioned()] = true
+	}
+	var out ident.Weights
+	var oldest time.Time
+	for key, a := range b.held {
+		if a.uses > 0 || wanted[key] {
+			continue
+		}
+		if out.IsZero() || a.lastUse.Before(oldest) {
+			out, oldest = key, a.lastUse
+		}
+	}
+	return out
+}
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -103,3 +103,25 @@
 	}
 	return false
 }
+
+// Weights names what a request runs on: a base model, or one of its adapters.
+//
+//msgp:ignore Weights
+type Weights struct {
+	Model Model `msg:"m"`
+	AdapterVersion
+}
+
+// Unversioned returns the weights without their version.
+func (w Weights) Unversioned() Weights {
+	w.Version = 0
+	return w
+}
+
+// String renders model/adapter@version.
+func (w Weights) String() string {
+	if w.IsZero() {
+		return string(w.Model)
+	}
+	return string(w.Model) + "/" + w.AdapterVersion.String()
+}
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -19,12 +19,18 @@
 	streamBufferLimit = 8 << 20
 	maxStreams        = 16 << 10
 	writeTimeout      = 10 * time.Second
-	// pingPeriod is the time between two pings of a link, and silenceLimit the
-	// time without any frame after which its peer is taken for dead or cut off.
-	pingPeriod   = 5 * time.Second
-	silenceLimit = 15 * time.Second
 )
 
+// Liveness says how soon a link notices a silent peer.
+type Liveness struct {
+	// Ping is the time between two pings, and Silence the time without any frame
+	// after which the peer is taken for dead or cut off.
+	Ping, Silence time.Duration
+}
+
+// defaultLiveness keeps the links of a large fleet cheap.
+var defaultLiveness = Liveness{Ping: 5 * time.Second, Silence: 15 * time.Second}
+
 // ErrClosed is returned by calls on a closed connection.
 const ErrClosed = errors.ConstError("link closed")
 
@@ -54,6 +60,8 @@
 	next    uint32
 	parity  uint32 // of the streams that this side opens
 
+	liveness Liveness
+
 	heard atomic.Int64 // when the newest frame came, in ns of Unix time
 
 	out     sync.Mutex
@@ -72,9 +80,13 @@
 	c := &Conn{
 		Peer: peer, nc: nc, r: r, handlers: handlers,
 		ctx: ctx, cancel: cancel,
-		streams: make(map[uint32]*Stream),
-		next:    2,
-		wake:    make(chan struct{}, 1),
+		streams:  make(map[uint32]*Stream),
+		next:     2,
+		wake:     make(chan struct{}, 1),
+		liveness: self.Liveness,
+	}
+	if c.liveness == (Liveness{}) {
+		c.liveness = defaultLiveness
 	}
 	if dialer {
 		c.next = 1
@@ -270,7 +282,7 @@
 
 func (c *Conn) writeLoop() {
 	var spare []byte
-	pings := time.NewTicker(pingPeriod)
+	pings := time.NewTicker(c.liveness.Ping)
 	defer pings.Stop()
 	for {
 		select {
@@ -302,7 +314,7 @@
 // ping shows the peer that this side lives, and checks that the peer does.
 func (c *Conn) ping() error {
 	silence := time.Since(time.Unix(0, c.heard.Load()))
-	if silence > silenceLimit {
+	if silence > c.liveness.Silence {
 		return errors.Annotatef(ErrClosed, "silent for %s", silence)
 	}
 	return c.send(KindPing, 0, nil)
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -40,6 +40,10 @@
 	KindAttemptQuery
 	KindAttemptReply
 	KindPing
+	KindEngineSetup
+	KindGrantWant
+	KindGrantReply
+	KindGrantUse
 	kindLimit
 )
 
--- a/pkg/link/handshake.go
+++ b/pkg/link/handshake.go
@@ -25,6 +25,8 @@
 	Role   wire.Role
 	VM     ident.VM
 	Secret []byte // shared by all processes of the system
+	// Liveness is how soon a silent peer is noticed; zero takes the default.
+	Liveness Liveness
 }
 
 // handshake exchanges hellos and proofs. Both sides prove that they know the
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,123 @@
+// Package node runs one process on the users' platform: it reads the settings
+// file that the platform writes, and runs the plug-ins that the program imports
+// until a signal stops it.
+package node
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// Exit codes of the programs.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+)
+
+const (
+	// gcPercent is the growth of the heap between two collections, in percent.
+	// Processor time is scarcer than the first tens of MB.
+	gcPercent = 200
+	// memoryShare is the part of the VM's memory at which the collector works
+	// harder: the process is killed above the whole.
+	memoryShare = 0.6
+)
+
+// Program is one program of the system.
+type Program struct {
+	Name string
+	// Check returns why the settings do not fit the program, or nil.
+	Check func(platform.Node) error
+}
+
+// Main runs the program and returns its exit code.
+func (p Program) Main(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet(p.Name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	file := flags.String("settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
+	check := flags.Bool("check", false, "check the settings file and exit")
+	lowest := flags.String("log-level", "info", "debug, info, warn or error")
+	if err := ff.Parse(flags, args); err != nil {
+		return ExitUsage
+	}
+	if *file == "" {
+		fmt.Fprintf(stderr, "%s: neither -settings nor %s is set\n", p.Name, platform.SettingsVariable)
+		return ExitUsage
+	}
+	node, err := p.load(*file)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", p.Name, err)
+		return ExitSettings
+	}
+	if *check {
+		return ExitOK
+	}
+	return p.run(node, *file, common.Common{Log: common.NewLog(stdout, *lowest), Metrics: tally.NoopScope})
+}
+
+func (p Program) load(file string) (platform.Node, error) {
+	node, err := platform.LoadNode(file)
+	if err != nil {
+		return node, errors.Trace(err)
+	}
+	return node, errors.Trace(p.Check(node))
+}
+
+func (p Program) run(node platform.Node, file string, c common.Common) int {
+	debug.SetGCPercent(gcPercent)
+	if node.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	go p.watchSettings(ctx, file, c)
+	c.Info("msg", "starting", "program", p.Name, "vm", node.VM, "domain", node.Domain)
+	err := kernel.Run(ctx,
+		func() platform.Node { return node },
+		func() *platform.Store { return platform.NewStore(node.Store) },
+		func() common.Common { return c },
+	)
+	if err != nil {
+		_ = level.Error(c.Log).Log("msg", "stopped", "err", errors.ErrorStack(err))
+		return ExitFailed
+	}
+	c.Info("msg", "stopped")
+	return ExitOK
+}
+
+// watchSettings checks the settings file at each SIGHUP. Addresses cannot change
+// while the process runs; a new file counts at the next start.
+func (p Program) watchSettings(ctx context.Context, file string, c common.Common) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		if _, err := p.load(file); err != nil {
+			c.Warn("msg", "settings not usable, the old ones stay", "err", err)
+			continue
+		}
+		c.Info("msg", "settings read")
+	}
+}
--- /dev/null
+++ b/pkg/orderer/orderer.go
@@ -0,0 +1,286 @@
+// Package orderer is the process beside one engine. It is the only one to give
+// the engine orders, and it grants entries the right to send requests there.
+package orderer
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/grant"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+const (
+	// activePoll and idlePoll are the times between two reports of the engine,
+	// while something is awaited of it and otherwise. A report is free on the
+	// engine's own VM; a load takes some 250 ms.
+	activePoll = 20 * time.Millisecond
+	idlePoll   = 500 * time.Millisecond
+	// downAfter is the number of missing reports after which the engine counts
+	// as down.
+	downAfter = 2
+	// lossLinger is how long the grants of a lost link count as in use: the
+	// entry may still be there, with its requests under way.
+	lossLinger = 3 * time.Second
+)
+
+// peerLiveness matches that of the entries.
+var peerLiveness = link.Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second}
+
+// Engine is the part of the engine's client that the orderer needs.
+type Engine struct {
+	Report func() (platform.EngineReport, error)
+	Send   func(platform.Order) (platform.OrderResult, error)
+}
+
+// Orderer grants seats at one engine and gives it orders.
+type Orderer struct {
+	common.Common
+	node   platform.Node
+	engine Engine
+
+	mu     sync.Mutex
+	book   *grant.Book
+	nextID grant.WantID
+	asking map[grant.WantID]chan wire.GrantReply
+	wake   chan struct{}
+
+	misses   int
+	listener net.Listener
+}
+
+// New returns the orderer of the engine on the process's VM.
+func New(c common.Common, node platform.Node) *Orderer {
+	client := platform.NewEngine(node.Engine)
+	return &Orderer{
+		Common: c.With("orderer"), node: node, engine: Engine{Report: client.Report, Send: client.Send},
+		book: grant.New(), asking: make(map[grant.WantID]chan wire.GrantReply), wake: make(chan struct{}, 1),
+	}
+}
+
+// Start listens for entries.
+func (o *Orderer) Start(context.Context) error {
+	listener, err := net.Listen("tcp4", net.JoinHostPort(o.node.IP, strconv.Itoa(o.node.PeerPort)))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	o.listener = listener
+	self := link.Identity{Role: wire.RoleAgent, VM: o.node.VM, Liveness: peerLiveness}
+	handlers := link.Handlers{link.KindEngineSetup: o.setup, link.KindGrantWant: o.want}
+	go func() {
+		if err := link.Serve(listener, self, handlers, o.Log); err != nil {
+			o.Warn("msg", "peer listener ended", "err", err)
+		}
+	}()
+	return nil
+}
+
+// Stop ends the listener. Requests under way do not pass through this process.
+func (o *Orderer) Stop(context.Context) error { return o.listener.Close() }
+
+func (o *Orderer) setup(_ context.Context, _ *link.Stream, f link.Frame) error {
+	var s wire.EngineSetup
+	if _, err := s.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	o.mu.Lock()
+	fresh := o.book.Instance() != s.Instance
+	o.book.Setup(s)
+	o.mu.Unlock()
+	if fresh {
+		o.Info("msg", "engine known", "instance", s.Instance, "service", s.Service, "configuration", s.Configuration)
+	}
+	o.signal()
+	return nil
+}
+
+// want serves one request's stream from its question until the request ends.
+func (o *Orderer) want(ctx context.Context, s *link.Stream, f link.Frame) error {
+	var w wire.GrantWant
+	if _, err := w.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	id, answer := o.ask(w)
+	defer o.withdraw(ctx, s, id)
+	var reply wire.GrantReply
+	select {
+	case reply = <-answer:
+	case <-ctx.Done():
+		return nil
+	}
+	if err := s.Send(link.KindGrantReply, &reply); err != nil {
+		return errors.Trace(err)
+	}
+	if reply.Code != wire.GrantGiven {
+		return nil
+	}
+	for {
+		f, err := s.Receive(ctx)
+		if err != nil {
+			return nil // the request has ended
+		}
+		var use wire.GrantUse
+		if _, err := use.UnmarshalMsg(f.Body); err != nil {
+			return errors.Trace(err)
+		}
+		o.mu.Lock()
+		o.book.Started(id, time.Duration(use.FirstEventMS)*time.Millisecond)
+		o.answerLocked()
+		o.mu.Unlock()
+	}
+}
+
+func (o *Orderer) ask(w wire.GrantWant) (grant.WantID, <-chan wire.GrantReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.nextID++
+	id := o.nextID
+	answer := make(chan wire.GrantReply, 1)
+	o.asking[id] = answer
+	o.book.Ask(&grant.Want{GrantWant: w, ID: id, Asked: time.Now()})
+	o.answerLocked()
+	if _, waits := o.asking[id]; waits {
+		o.signal()
+	}
+	return id, answer
+}
+
+// withdraw ends a want. One whose link was lost counts for a while longer.
+func (o *Orderer) withdraw(ctx context.Context, s *link.Stream, id grant.WantID) {
+	end := func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.book.Withdraw(id, time.Now())
+		delete(o.asking, id)
+		o.answerLocked()
+		o.signal()
+	}
+	select {
+	case <-s.Conn().Done():
+		if errors.Is(context.Cause(ctx), context.Canceled) {
+			break
+		}
+		time.AfterFunc(lossLinger, end)
+		return
+	default:
+	}
+	end()
+}
+
+// answerLocked sends out the answers that can be given now.
+func (o *Orderer) answerLocked() {
+	for _, r := range o.book.Answer(time.Now()) {
+		if answer := o.asking[r.ID]; answer != nil {
+			answer <- r.GrantReply
+			delete(o.asking, r.ID)
+		}
+	}
+}
+
+func (o *Orderer) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run watches the engine and gives it orders until ctx ends.
+func (o *Orderer) Run(ctx context.Context) {
+	for {
+		o.step()
+		o.mu.Lock()
+		idle := o.book.Idle()
+		o.mu.Unlock()
+		pause := activePoll
+		if idle {
+			pause = idlePoll
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.wake:
+		case <-time.After(pause):
+		}
+	}
+}
+
+// step reads the engine's report and gives orders until none is due.
+func (o *Orderer) step() {
+	if !o.observe() {
+		return
+	}
+	for {
+		o.mu.Lock()
+		order, due := o.book.Order()
+		o.mu.Unlock()
+		if !due || !o.order(order) {
+			return
+		}
+	}
+}
+
+func (o *Orderer) observe() bool {
+	report, err := o.engine.Report()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		o.misses++
+		if o.misses == downAfter {
+			o.Warn("msg", "engine lost", "err", err)
+			o.book.Down()
+		}
+		o.answerLocked()
+		return false
+	}
+	if o.misses >= downAfter {
+		o.Info("msg", "engine regained", "born", report.Born)
+	}
+	o.misses = 0
+	o.book.Observe(grantReport(report), time.Now())
+	o.answerLocked()
+	return true
+}
+
+func grantReport(r platform.EngineReport) grant.Report {
+	out := grant.Report{Born: r.Born, Sequence: r.Sequence, Busy: r.Busy}
+	for _, m := range r.Models {
+		out.Models = append(out.Models, m.Name)
+		for _, a := range m.Adapters {
+			out.Held = append(out.Held, ident.Weights{Model: m.Name, AdapterVersion: a})
+		}
+	}
+	for _, p := range r.Pending {
+		out.Flying = append(out.Flying, ident.Weights{Model: p.Model, AdapterVersion: p.AdapterVersion})
+	}
+	return out
+}
+
+// fence is the fencing token of all orders. One process orders an engine, for
+// as long as both live on the same VM, so that the token never changes hands.
+const fence = 1
+
+// order gives one order and reports whether it was accepted.
+func (o *Orderer) order(g grant.Order) bool {
+	result, err := o.engine.Send(platform.Order{
+		Unload: g.Unload, Model: g.Weights.Model, Adapter: g.Weights.AdapterVersion,
+		Expected: g.Sequence, Holder: o.node.VM, Fence: fence, Instance: g.Instance,
+	})
+	o.Debug("msg", "order", "unload", g.Unload, "weights", g.Weights, "sequence", g.Sequence, "result", result)
+	if err != nil || result != platform.OrderAccepted && result != platform.OrderHolds {
+		o.Info("msg", "order not accepted", "unload", g.Unload, "weights", g.Weights, "sequence", g.Sequence, "result", result, "err", err)
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.book.Carried(g, time.Now())
+	return true
+}
--- /dev/null
+++ b/pkg/orderer/plugin.go
@@ -0,0 +1,33 @@
+package orderer
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:    "orderer",
+		Provide: []any{New},
+		Start: func(o *Orderer, life *kernel.Lifecycle) {
+			ctx, cancel := context.WithCancel(context.Background())
+			life.Append(kernel.Hook{
+				Name: "engine", Start: func(context.Context) error { go o.Run(ctx); return nil },
+				Stop: func(context.Context) error { cancel(); return nil },
+			})
+			life.Append(kernel.Hook{Name: "entries", Start: o.Start, Stop: o.Stop})
+		},
+	})
+}
+
+// Check returns a NotValid error if the process has no engine beside it.
+func Check(n platform.Node) error {
+	if n.Engine == "" {
+		return errors.NotValidf("app: empty address")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/placement/versions.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"sync"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+)
+
+const versionShardCount = 16
+
+// Versions holds the newest version known of each adapter. A version never
+// gives way to an older one.
+type Versions struct {
+	shards [versionShardCount]versionShard
+}
+
+type versionShard struct {
+	mu     sync.RWMutex
+	newest map[ident.Weights]ident.Version
+}
+
+// NewVersions returns an empty table.
+func NewVersions() *Versions {
+	v := &Versions{}
+	for i := range v.shards {
+		v.shards[i].newest = make(map[ident.Weights]ident.Version)
+	}
+	return v
+}
+
+func (v *Versions) shard(w ident.Weights) *versionShard {
+	sum := uint32(0)
+	for i := range len(w.Adapter) {
+		sum = sum*31 + uint32(w.Adapter[i])
+	}
+	return &v.shards[sum%versionShardCount]
+}
+
+// Learn records a version that was announced or seen. It reports whether it was
+// news.
+func (v *Versions) Learn(w ident.Weights) bool {
+	s, key := v.shard(w), w.Unversioned()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.Version <= s.newest[key] {
+		return false
+	}
+	s.newest[key] = w.Version
+	return true
+}
+
+// Newest returns the weights at their newest known version; 0 if none is known.
+func (v *Versions) Newest(w ident.Weights) ident.Weights {
+	s, key := v.shard(w), w.Unversioned()
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	key.Version = s.newest[key]
+	return key
+}
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -217,7 +217,7 @@
 	var r ranking
 	least := uint64(0)
 	for i, node := range list.hashes {
-		d := draw(hash, node)
+		d := Draw(hash, node)
 		if d < least {
 			continue
 		}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -168,13 +168,13 @@
 
 // score is the weighted rendezvous score of a node for an adapter: the node
 // with the highest wins, and each wins in proportion to its weight.
-func score(adapter uint64, n *Node) float64 { return scoreOf(draw(adapter, n.hash), n.weight) }
+func score(adapter uint64, n *Node) float64 { return scoreOf(Draw(adapter, n.hash), n.weight) }
 
 // drawBits is the length of a draw.
 const drawBits = 53
 
-// draw is a node's uniform draw for an adapter.
-func draw(adapter, node uint64) uint64 { return mix(adapter^node) >> (64 - drawBits) }
+// Draw is a node's uniform draw for an adapter.
+func Draw(adapter, node uint64) uint64 { return mix(adapter^node) >> (64 - drawBits) }
 
 func scoreOf(draw uint64, weight float64) float64 {
 	return -weight / fastLog((float64(draw)+0.5)/(1<<drawBits))
--- /dev/null
+++ b/pkg/wire/grant_schema.go
@@ -0,0 +1,68 @@
+package wire
+
+import "github.com/hyssoproad/hyssoproad/pkg/ident"
+
+//go:generate msgp -o grant_schema_gen.go -tests=false -io=false
+
+//msgp:tuple EngineSetup ModelSetup GrantWant GrantReply GrantUse
+
+// EngineSetup tells the agent beside an engine what the engine is for. The
+// newest configuration wins.
+type EngineSetup struct {
+	Configuration uint64
+	Instance      ident.Target
+	Service       ident.Service
+	Slots         int
+	KVTokens      int
+	MB            float64
+	AdapterSlots  int
+	Models        []ModelSetup
+}
+
+// ModelSetup is a base model that an engine may hold.
+type ModelSetup struct {
+	Name      ident.Model
+	MB        float64
+	AdapterMB float64
+}
+
+// GrantWant asks for the right to send one request to the agent's engine. The
+// stream that carries it stays open while the request runs.
+type GrantWant struct {
+	Instance     ident.Target
+	Model        ident.Model
+	Adapter      ident.AdapterVersion // version 0 takes any
+	PromptTokens int
+	OutputTokens int
+	Rank         int   // urgency, 0 first
+	WaitMS       int64 // the longest wait that is of use, in ms
+	ObjectiveMS  int64 // time left to the latency objective, in ms
+	// MayGoElsewhere says that the entry knows another engine to ask: a long
+	// wait is then answered at once.
+	MayGoElsewhere bool
+}
+
+// GrantCode is the outcome of a GrantWant.
+type GrantCode uint8
+
+// The outcomes.
+const (
+	GrantGiven GrantCode = iota + 1
+	// GrantBusy says that the engine could serve the request, later.
+	GrantBusy
+	// GrantUnable says that the engine cannot serve the request.
+	GrantUnable
+)
+
+// GrantReply answers a GrantWant.
+type GrantReply struct {
+	Code    GrantCode
+	WaitMS  int64 // forecast of the wait, with GrantBusy
+	Version ident.Version
+}
+
+// GrantUse reports that the granted request's first event came, so many ms
+// after it was sent.
+type GrantUse struct {
+	FirstEventMS int64
+}
