Load adapters no faster than the weight store serves them; refuse what cannot arrive in time

Each request for an absent adapter asked three engines, and each of them began a load, so that some 60 loads shared a store that serves 8 at full speed: each took seconds.

Ruled out: the engines' places (64 each, a third used) and the entries' processor (0.03 core).

Change: a want goes elsewhere for lack of places or of prompt reading, not for a load while the store is congested; each engine's loads under way follow the times it sees (additive increase, multiplicative decrease); a want waits no longer than its caller.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -67,6 +67,9 @@
 			f.Info("msg", "history gone, listing anew", "kind", f.Kind, "revision", from)
 			listed, pause = false, 0
 		case err != nil:
+			// A store that cuts watches may have kept changes from them, and serve
+			// later watches from old history: only a list is sure.
+			listed = false
 			f.failed(err, backoff)
 			// Jitter keeps the processes of a fleet from returning together.
 			pause = backoff/2 + rand.N(backoff)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -268,7 +268,6 @@
 	instance  ident.Target
 	version   ident.Version // 0 if any will do
 	lastEvent string
-	rank      int
 }
 
 // encode appends the request as it is sent to a target.
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -13,6 +13,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 // seat finds a target that takes the request, or says why none does.
@@ -67,7 +68,7 @@
 	if soonest < 0 {
 		return nil, refusal{reason: "no engine can run it", wait: noTargetWait}
 	}
-	if wait >= x.left() {
+	if wait >= x.patience() {
 		return nil, refusal{reason: "engines busy", wait: wait}
 	}
 	s, reply := x.ask(homes[soonest], weights, false)
@@ -77,6 +78,27 @@
 	return s, refusal{}
 }
 
+const (
+	// Callers leave a stream that shows no event within abandonObjectives latency
+	// objectives, abandonPauses longest pauses or abandonTime, whichever is
+	// longest, by the platform's protocol.
+	abandonObjectives = 4
+	abandonPauses     = 8
+	abandonTime       = 2 * time.Second
+	// firstEventTime is left for the engine to make the first event.
+	firstEventTime = 250 * time.Millisecond
+)
+
+// patience is how long the request may still wait for a seat.
+func (x *exchange) patience() time.Duration {
+	left := x.left()
+	if x.route.Repeat == platform.RunAsStream {
+		abandoned := max(abandonObjectives*x.route.Objective, abandonPauses*x.route.GapObjective, abandonTime)
+		left = min(left, time.Until(x.began.Add(abandoned)))
+	}
+	return max(left-firstEventTime, 0)
+}
+
 // ask asks one target's agent.
 func (x *exchange) ask(t fleet.Target, w ident.Weights, elsewhere bool) (*seat, wire.GrantReply) {
 	unable := wire.GrantReply{Code: wire.GrantUnable}
@@ -89,7 +111,7 @@
 	stream, err := conn.Open(link.KindGrantWant, &wire.GrantWant{
 		Instance: t.Instance, Model: w.Model, Adapter: w.AdapterVersion,
 		PromptTokens: x.q.prompt, OutputTokens: x.q.output, Rank: x.route.Rank,
-		WaitMS: x.left().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: elsewhere,
+		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: elsewhere,
 	})
 	if err != nil {
 		return nil, unable
--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -64,9 +64,8 @@
 	born   int64
 	up     bool
 	models map[ident.Model]bool
-	held   map[ident.Weights]*adapter  // by unversioned weights
-	flying map[ident.Weights]time.Time // adapters ordered and not yet held, by weights
-	busy   bool                        // a model is being loaded or unloaded
+	held   map[ident.Weights]*adapter // by unversioned weights
+	busy   bool                       // a model is being loaded or unloaded
 	// sequence is the number of orders that the engine has accepted.
 	sequence uint64
 
@@ -74,6 +73,7 @@
 	running map[WantID]*running
 	usage
 	speed
+	loads
 }
 
 // usage sums up the granted requests.
@@ -84,7 +84,7 @@
 
 // New returns a book that knows nothing of its engine.
 func New() *Book {
-	b := &Book{running: make(map[WantID]*running), speed: newSpeed()}
+	b := &Book{running: make(map[WantID]*running), speed: newSpeed(), loads: newLoads()}
 	b.forget()
 	return b
 }
@@ -93,7 +93,7 @@
 func (b *Book) forget() {
 	b.models = make(map[ident.Model]bool)
 	b.held = make(map[ident.Weights]*adapter)
-	b.flying = make(map[ident.Weights]time.Time)
+	clear(b.flying)
 	b.busy = false
 	b.sequence = 0
 }
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// maxFlying is the number of adapters that may be on their way to an engine,
-	// by the platform's protocol.
-	maxFlying = 4
 	// readWindow is how much reading an engine is given ahead. More would only
 	// wait in its queue, where it cannot be reordered or sent elsewhere; less
 	// would let the engine fall idle between two reports of a first event.
@@ -39,20 +36,30 @@
 	Instance ident.Target
 }
 
+// queue is what goes before a want.
+type queue struct {
+	prompts int                    // tokens
+	loads   map[ident.Weights]bool // to begin, from the store
+}
+
 // Answer decides the wants that can be answered now.
 func (b *Book) Answer(now time.Time) []Reply {
 	sort.SliceStable(b.waiting, func(i, j int) bool { return before(b.waiting[i], b.waiting[j], now) })
 	var replies []Reply
 	var kept []*Want
-	ahead := 0 // prompt tokens of those that go first
+	ahead := queue{loads: make(map[ident.Weights]bool)}
 	for _, w := range b.waiting {
 		reply, done := b.answer(w, ahead, now)
-		if !done {
-			kept = append(kept, w)
-			ahead += w.PromptTokens
+		if done {
+			replies = append(replies, Reply{ID: w.ID, GrantReply: reply})
 			continue
 		}
-		replies = append(replies, Reply{ID: w.ID, GrantReply: reply})
+		kept = append(kept, w)
+		if _, ready := b.ready(w); ready {
+			ahead.prompts += w.PromptTokens
+		} else if !b.known[w.weights()] && b.flying[w.weights()].IsZero() {
+			ahead.loads[w.weights()] = true
+		}
 	}
 	b.waiting = kept
 	return replies
@@ -70,17 +77,23 @@
 	return a.Asked.Before(b.Asked)
 }
 
-func (b *Book) answer(w *Want, ahead int, now time.Time) (wire.GrantReply, bool) {
+func (b *Book) answer(w *Want, ahead queue, now time.Time) (wire.GrantReply, bool) {
 	if !b.up || w.Instance != "" && b.setup.Instance != "" && w.Instance != b.setup.Instance {
 		return wire.GrantReply{Code: wire.GrantUnable}, true
 	}
 	version, ready := b.ready(w)
-	if ready && ahead == 0 && b.fits(w) {
+	if ready && ahead.prompts == 0 && b.fits(w) {
 		b.grant(w, now)
 		return wire.GrantReply{Code: wire.GrantGiven, Version: version}, true
 	}
-	wait := b.forecast(w, ahead, ready)
-	if wait > elsewhereAfter && w.MayGoElsewhere || now.Add(wait).After(w.expires()) {
+	wait := b.computeWait(w, ahead.prompts)
+	elsewhere := wait > elsewhereAfter
+	if !ready {
+		arrival, stuck := b.arrival(w, len(ahead.loads), now)
+		elsewhere = elsewhere || stuck || arrival > elsewhereAfter && !b.congested()
+		wait = max(wait, arrival)
+	}
+	if elsewhere && w.MayGoElsewhere || now.Add(wait).After(w.expires()) {
 		return wire.GrantReply{Code: wire.GrantBusy, WaitMS: wait.Milliseconds()}, true
 	}
 	return wire.GrantReply{}, false
@@ -102,7 +115,7 @@
 	return a.version, true
 }
 
-// replacing reports whether another version of the adapter is on its way.
+// replacing reports whether a version of the adapter is on its way.
 func (b *Book) replacing(w ident.Weights) bool {
 	for f := range b.flying {
 		if f.Unversioned() == w.Unversioned() {
@@ -116,13 +129,13 @@
 	if len(b.running) == 0 {
 		return true
 	}
-	if b.setup.Slots > 0 && len(b.running) >= b.setup.Slots {
-		return false
-	}
-	if b.setup.KVTokens > 0 && float64(b.tokens+w.tokens()) > memoryShare*float64(b.setup.KVTokens) {
-		return false
-	}
-	return b.unstarted == 0 || b.readTime(b.unstarted+w.PromptTokens) <= readWindow
+	return !b.crowded(w) && (b.unstarted == 0 || b.readTime(b.unstarted+w.PromptTokens) <= readWindow)
+}
+
+// crowded reports whether the engine's places or memory are taken.
+func (b *Book) crowded(w *Want) bool {
+	return b.setup.Slots > 0 && len(b.running) >= b.setup.Slots ||
+		b.setup.KVTokens > 0 && float64(b.tokens+w.tokens()) > memoryShare*float64(b.setup.KVTokens)
 }
 
 func (b *Book) grant(w *Want, now time.Time) {
@@ -134,36 +147,26 @@
 	}
 }
 
-// forecast estimates how long the want will wait for its grant.
-func (b *Book) forecast(w *Want, ahead int, ready bool) time.Duration {
-	wait := b.readTime(b.unstarted+ahead+w.PromptTokens) - readWindow
-	if b.setup.Slots > 0 && len(b.running) >= b.setup.Slots ||
-		b.setup.KVTokens > 0 && float64(b.tokens+w.tokens()) > memoryShare*float64(b.setup.KVTokens) {
+// computeWait estimates how long the engine's work will keep the want waiting,
+// with so many prompt tokens to go first.
+func (b *Book) computeWait(w *Want, ahead int) time.Duration {
+	wait := max(b.readTime(b.unstarted+ahead+w.PromptTokens)-readWindow, 0)
+	if b.crowded(w) {
 		// One of the running requests ends every runTime/running.
 		wait += b.runTime * time.Duration(len(b.waiting)+1) / time.Duration(max(len(b.running), 1))
 	}
-	if !ready {
-		wait = max(wait, b.arrival(w))
-	}
-	return max(wait, 0)
+	return wait
 }
 
-// arrival estimates how long the want's weights will take.
-func (b *Book) arrival(w *Want) time.Duration {
+// arrival estimates how long the want's weights will take, with so many loads to
+// begin first. It is stuck if that depends on requests that run.
+func (b *Book) arrival(w *Want, ahead int, now time.Time) (wait time.Duration, stuck bool) {
 	if !b.models[w.Model] {
-		return b.runTime
-	}
-	if b.replacing(w.weights()) {
-		return b.loadTime
-	}
-	if a := b.held[w.weights().Unversioned()]; a != nil {
-		return b.runTime // an older version in use
-	}
-	if len(b.flying) >= maxFlying {
-		return 2 * b.loadTime
+		return b.runTime, true
 	}
-	if b.full() && b.victim().IsZero() {
-		return b.runTime
+	held := b.held[w.weights().Unversioned()]
+	if held != nil && held.uses > 0 || held == nil && !b.replacing(w.weights()) && b.full() && b.victim().IsZero() {
+		return b.runTime, true
 	}
-	return b.loadTime
+	return b.loadWait(w.weights(), ahead, now), false
 }
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -47,7 +47,7 @@
 			a = &adapter{lastUse: now}
 		}
 		if since, flew := b.flying[w]; flew {
-			b.loaded(now.Sub(since))
+			b.landed(w, now.Sub(since))
 		}
 		a.version = w.Version
 		held[key] = a
--- /dev/null
+++ b/pkg/grant/loads.go
@@ -0,0 +1,106 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+)
+
+// loads is what bringing adapters to the engine takes. The weight store serves
+// all engines: beyond a number of loads at once each takes longer in proportion,
+// so that more at once gain nothing and delay the first. No engine knows what
+// the others load; each goes by the times that it sees.
+type loads struct {
+	flying map[ident.Weights]time.Time // adapters ordered and not yet held, by weights
+	known  map[ident.Weights]bool      // adapters whose copy the engine may still have
+	cold   time.Duration               // mean time of a load from the store
+	warm   time.Duration               // mean time of a load from the engine's own copy
+	best   time.Duration               // the shortest recent load from the store
+	atOnce float64                     // loads from the store that this engine may have under way
+}
+
+const (
+	// maxFlying is the number of adapters that may be on their way to an engine,
+	// by the platform's protocol.
+	maxFlying = 4
+	// What is assumed before any load was seen.
+	firstColdLoad = 250 * time.Millisecond
+	firstWarmLoad = 25 * time.Millisecond
+	// A load that takes up to quickLoad times the shortest one shows that the
+	// store has room, one above slowLoad that it is shared too widely.
+	quickLoad = 1.4
+	slowLoad  = 2.0
+	// Additive increase, multiplicative decrease.
+	atOnceStep = 0.25
+	atOnceCut  = 0.7
+	// bestDecay lets the shortest load be forgotten when the store has changed.
+	bestDecay = 1.02
+	// maxKnown bounds the memory of adapters held before.
+	maxKnown = 512
+)
+
+func newLoads() loads {
+	return loads{
+		flying: make(map[ident.Weights]time.Time), known: make(map[ident.Weights]bool),
+		cold: firstColdLoad, warm: firstWarmLoad, best: firstColdLoad, atOnce: 2,
+	}
+}
+
+// landed records that an adapter arrived.
+func (l *loads) landed(w ident.Weights, took time.Duration) {
+	if l.known[w] {
+		l.warm = time.Duration(average(float64(l.warm), float64(took)))
+		return
+	}
+	if len(l.known) >= maxKnown {
+		clear(l.known)
+	}
+	l.known[w] = true
+	l.cold = time.Duration(average(float64(l.cold), float64(took)))
+	l.best = min(time.Duration(float64(l.best)*bestDecay), took)
+	switch ratio := float64(took) / float64(l.best); {
+	case ratio <= quickLoad:
+		l.atOnce = min(maxFlying, l.atOnce+atOnceStep)
+	case ratio > slowLoad:
+		l.atOnce = max(1, l.atOnce*atOnceCut)
+	}
+}
+
+// congested reports whether the store serves more loads than it can at full
+// speed.
+func (l *loads) congested() bool { return l.atOnce < 2 }
+
+// mayLoad reports whether another load of the weights may begin.
+func (l *loads) mayLoad(w ident.Weights) bool {
+	if len(l.flying) >= maxFlying {
+		return false
+	}
+	return l.known[w] || l.coldFlying() < int(l.atOnce)
+}
+
+func (l *loads) coldFlying() int {
+	n := 0
+	for w := range l.flying {
+		if !l.known[w] {
+			n++
+		}
+	}
+	return n
+}
+
+// loadWait estimates when the weights will be there, with so many other loads
+// from the store to begin first.
+func (l *loads) loadWait(w ident.Weights, ahead int, now time.Time) time.Duration {
+	took := l.cold
+	if l.known[w] {
+		took, ahead = l.warm, 0
+	}
+	if since, flies := l.flying[w]; flies {
+		return max(took-now.Sub(since), 0)
+	}
+	rounds := 1
+	if !l.known[w] {
+		rounds += (ahead + l.coldFlying()) / int(l.atOnce)
+	}
+	return took * time.Duration(rounds)
+}
--- a/pkg/grant/order.go
+++ b/pkg/grant/order.go
@@ -15,9 +15,6 @@
 	if model, ok := b.missingModel(); ok {
 		return b.order(false, ident.Weights{Model: model}), true
 	}
-	if len(b.flying) >= maxFlying {
-		return Order{}, false
-	}
 	for _, w := range b.waiting {
 		if o, ok := b.bring(w); ok {
 			return o, true
@@ -61,7 +58,7 @@
 
 // bring returns the next order towards holding what the want needs.
 func (b *Book) bring(w *Want) (Order, bool) {
-	if w.Adapter.IsZero() || !b.models[w.Model] || b.replacing(w.weights()) {
+	if w.Adapter.IsZero() || !b.models[w.Model] || b.replacing(w.weights()) || !b.mayLoad(w.weights()) {
 		return Order{}, false
 	}
 	if a := b.held[w.weights().Unversioned()]; a != nil {
--- a/pkg/grant/speed.go
+++ b/pkg/grant/speed.go
@@ -6,7 +6,6 @@
 type speed struct {
 	tokensPerMS float64       // of prompts
 	runTime     time.Duration // of a request
-	loadTime    time.Duration // of an adapter
 }
 
 const (
@@ -14,10 +13,9 @@
 	// a tenfold change visible.
 	averageWeight = 0.2
 	// What is assumed before anything was seen: the order of magnitude of an
-	// engine of several accelerators, and of a load at full speed.
+	// engine of several accelerators.
 	firstTokensPerMS = 15
 	firstRunTime     = 2 * time.Second
-	firstLoadTime    = 250 * time.Millisecond
 	// minTokensPerMS keeps the forecast finite for an engine that hangs.
 	minTokensPerMS = 0.5
 	// minDelay is below what a first event takes on an idle engine; shorter
@@ -26,7 +24,7 @@
 )
 
 func newSpeed() speed {
-	return speed{tokensPerMS: firstTokensPerMS, runTime: firstRunTime, loadTime: firstLoadTime}
+	return speed{tokensPerMS: firstTokensPerMS, runTime: firstRunTime}
 }
 
 // read records how long a backlog of prompt tokens took.
@@ -39,10 +37,6 @@
 	s.runTime = time.Duration(average(float64(s.runTime), float64(d)))
 }
 
-func (s *speed) loaded(d time.Duration) {
-	s.loadTime = time.Duration(average(float64(s.loadTime), float64(d)))
-}
-
 func (s *speed) readTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / s.tokensPerMS * float64(time.Millisecond))
 }
