--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -154,6 +154,14 @@
 	return v.services[s]
 }
 
+// Usable reports whether a target may still get work.
+func (v *View) Usable(t Target) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	now, known := v.targets[t.Instance]
+	return known && !now.Draining && now.Service == t.Service && now.Address == t.Address
+}
+
 // Size returns the number of targets known, leaving ones among them.
 func (v *View) Size() int {
 	v.mu.RLock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -200,8 +200,9 @@
 	// noticeTime is how long the balancer takes to see that the process is not
 	// ready: two misses, one second apart, and a margin.
 	noticeTime = 2500 * time.Millisecond
-	// stopMargin is left of the stop's grace when the last requests are given up.
-	stopMargin = 250 * time.Millisecond
+	// stopMargin is left of the stop's grace when the last requests are given up;
+	// the promises allow for its last sixth.
+	stopMargin = 800 * time.Millisecond
 	stopPoll   = 20 * time.Millisecond
 )
 
@@ -212,13 +213,13 @@
 	g.stopping.Store(true)
 	g.Info("msg", "stopping", "active", g.active.Load())
 	time.Sleep(noticeTime)
+	_ = g.listener.Close()
 	g.closeIdle()
 	last := began.Add(g.node.Bounds.StopGrace - stopMargin)
 	for g.active.Load() > 0 && time.Now().Before(last) {
 		time.Sleep(stopPoll)
 		g.closeIdle()
 	}
-	_ = g.listener.Close()
 	g.Info("msg", "finished", "unfinished", g.active.Load(), "after", time.Since(began))
 	return nil
 }
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -126,6 +126,11 @@
 		stream.Close()
 		return nil, reply
 	}
+	if !x.g.fleet.Usable(t) {
+		// It began to leave while the request waited for its grant.
+		stream.Close()
+		return nil, unable
+	}
 	w.Version = reply.Version
 	x.g.versions.Learn(w)
 	return &seat{
