--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -22,7 +22,7 @@
 	// retryFirst and retryLast bound the pause after a failed call. The last one
 	// is well below the 2 s within which a configuration is in force.
 	retryFirst = 50 * time.Millisecond
-	retryLast  = 600 * time.Millisecond
+	retryLast  = 400 * time.Millisecond
 )
 
 // Source is the part of the store's client that a follower needs.
--- a/pkg/gateway/agents.go
+++ b/pkg/gateway/agents.go
@@ -45,39 +45,51 @@
 	return a.pool.Get(ctx, agentAddress(t, a.port))
 }
 
-// tell sends the agent its engine's setup, unless it has it.
-func (a *agents) tell(ctx context.Context, t fleet.Target, c *platform.Configuration, s platform.Service) error {
+// tell returns the link to the target's agent, after it has sent the agent its
+// engine's setup, unless the agent has it.
+func (a *agents) tell(ctx context.Context, t fleet.Target, c *platform.Configuration, s platform.Service) (*link.Conn, error) {
 	conn, err := a.conn(ctx, t)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	now := told{configuration: c.Version, instance: t.Instance}
 	a.mu.Lock()
 	known := a.told[conn] == now
-	a.told[conn] = now
-	for other := range a.told {
-		select {
-		case <-other.Done():
-			delete(a.told, other)
-		default:
-		}
+	if !known {
+		a.told[conn] = now
+		a.forgetLost()
 	}
 	a.mu.Unlock()
 	if known {
-		return nil
+		return conn, nil
 	}
 	setup := setupOf(t, c, s)
 	stream, err := conn.Open(link.KindEngineSetup, &setup)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
+	}
+	// The agent ends the stream by itself.
+	go func() {
+		defer stream.Close()
+		_, _ = stream.Receive(context.Background())
+	}()
+	return conn, nil
+}
+
+// forgetLost drops the links that have ended.
+func (a *agents) forgetLost() {
+	for conn := range a.told {
+		select {
+		case <-conn.Done():
+			delete(a.told, conn)
+		default:
+		}
 	}
-	defer stream.Close()
-	return nil
 }
 
 func setupOf(t fleet.Target, c *platform.Configuration, s platform.Service) wire.EngineSetup {
 	out := wire.EngineSetup{
-		Configuration: c.Version, Instance: t.Instance, Service: s.Name,
+		Configuration: c.Version, Instance: t.Instance, Service: s.Name, HealthPath: s.HealthPath,
 		Slots: s.Engine.Slots, KVTokens: s.Engine.KVTokens, MB: s.Engine.MB, AdapterSlots: s.Engine.AdapterSlots,
 	}
 	for _, m := range s.Engine.Models {
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -66,10 +66,9 @@
 	defer cancel(nil)
 	peeked := make(chan error, 1)
 	go c.watch(cancel, peeked)
-	if !c.g.handle(ctx, c, q, began) {
-		return false
-	}
-	if c.closing {
+	// An answer that began before the stop did not announce the close; a request
+	// that crosses it was not read, and is the caller's to send again.
+	if !c.g.handle(ctx, c, q, began) || c.closing || c.g.stopping.Load() {
 		return false
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,6 +12,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -46,6 +46,8 @@
 	until   time.Time // when the caller or the route gives up
 	route   *platform.Route
 	service platform.Service
+	// configuration is the one that the request is served by.
+	configuration *platform.Configuration
 
 	sends, runs int
 	excluded    []ident.Target
@@ -59,10 +61,11 @@
 
 // handle answers one request. It reports whether the connection can go on.
 func (g *Gateway) handle(ctx context.Context, c *caller, q *request, began time.Time) bool {
-	route, configuration := g.directory.Find(string(q.head.Host()), q.path)
-	if configuration == nil {
-		return c.problem(fasthttp.StatusServiceUnavailable, "no configuration yet", g.spread(time.Second)) == nil
+	if !g.awaitSync(ctx, q.deadline) {
+		return context.Cause(ctx) != errCallerGone &&
+			c.problem(fasthttp.StatusServiceUnavailable, "no configuration yet", g.spread(syncRetryAfter)) == nil
 	}
+	route, configuration := g.directory.Find(string(q.head.Host()), q.path)
 	if route == nil {
 		return c.problem(fasthttp.StatusNotFound, "no route", 0) == nil
 	}
@@ -75,12 +78,42 @@
 	defer cancel()
 	x := &exchange{
 		g: g, c: c, q: q, ctx: ctx, began: began, until: until, route: route, lastEvent: q.lastEvent,
-		service: configuration.Services[pickService(route, q.attempt)],
+		configuration: configuration, service: configuration.Services[pickService(route, q.attempt)],
 	}
 	g.budget(x.service.Name).request()
 	return x.run()
 }
 
+const (
+	// syncShare is the share of a caller's time that a request waits for a
+	// process that has just started; what is left must do to serve it.
+	syncShare = 0.4
+	// maxSyncWait bounds the memory of waiting requests in a long outage.
+	maxSyncWait = 4 * time.Second
+	// syncRetryAfter is when the store may be back.
+	syncRetryAfter = time.Second
+)
+
+// awaitSync waits until the process knows enough to place requests. Callers
+// return only once or twice, so that refusing them at each start costs more than
+// the wait.
+func (g *Gateway) awaitSync(ctx context.Context, deadline time.Duration) bool {
+	if g.synced.ok() {
+		return true
+	}
+	wait := maxSyncWait
+	if deadline > 0 {
+		wait = min(wait, time.Duration(syncShare*float64(deadline)))
+	}
+	select {
+	case <-g.synced.done:
+		return true
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return false
+}
+
 // pickService chooses among a route's services by weight. The attempt decides,
 // so that the shares hold over all entries.
 func pickService(r *platform.Route, attempt string) ident.Service {
@@ -169,7 +202,7 @@
 	if x.runs > 0 {
 		return x.c.problem(fasthttp.StatusBadGateway, "target failed, outcome unknown", 0) == nil
 	}
-	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "forecast", why.wait, "sends", x.sends, "after", time.Since(x.began))
+	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "forecast", why.wait, "sends", x.sends, "after", time.Since(x.began))
 	return x.c.problem(fasthttp.StatusServiceUnavailable, why.reason, x.g.spread(max(why.wait, minRetryAfter))) == nil
 }
 
@@ -203,7 +236,7 @@
 	stop := context.AfterFunc(x.ctx, conn.Close)
 	defer stop()
 	buffer := bytebufferpool.Get()
-	buffer.B = x.q.encode(buffer.B, send{left: x.left(), instance: s.target.Instance, version: s.version, lastEvent: x.lastEvent})
+	buffer.B = x.q.encode(buffer.B, send{left: x.left(), instance: s.instance, version: s.version, lastEvent: x.lastEvent})
 	sent := time.Now()
 	err = conn.Send(buffer.B, x.until)
 	bytebufferpool.Put(buffer)
@@ -329,20 +362,19 @@
 	}
 }
 
-func (r refusal) String() string {
-	return r.reason + " " + strconv.FormatInt(r.wait.Milliseconds(), 10) + " ms"
-}
-
 // refusal says why no target takes a request, and when one may.
 type refusal struct {
 	reason string
+	cause  wire.GrantReason // what the soonest engine would wait for
 	wait   time.Duration
 }
 
 // seat is a target that takes a request.
 type seat struct {
-	target  fleet.Target
-	version ident.Version // of the adapter that the target holds; 0 if none
-	release func()
-	started func(time.Duration) // reports the first event
+	target fleet.Target
+	// instance is the name that the target goes by now, by its agent's word.
+	instance ident.Target
+	version  ident.Version // of the adapter that the target holds; 0 if none
+	release  func()
+	started  func(time.Duration) // reports the first event
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -39,7 +39,7 @@
 	pool      *forward.Pool
 	agents    *agents
 	loads     *loads
-	listed    atomic.Bool // the targets were listed once
+	synced    *synced
 
 	budgetMu sync.Mutex
 	budgets  map[ident.Service]*budget
@@ -75,7 +75,7 @@
 		Common: c.With("gateway"), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(),
 		pool:   forward.NewPool(),
 		agents: newAgents(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: peerLiveness}, node.PeerPort),
-		loads:  newLoads(), budgets: make(map[ident.Service]*budget), waiting: make(map[*caller]bool),
+		loads:  newLoads(), synced: newSynced(), budgets: make(map[ident.Service]*budget), waiting: make(map[*caller]bool),
 	}
 }
 
@@ -238,10 +238,8 @@
 	switch {
 	case g.stopping.Load():
 		return errors.New("stopping")
-	case g.directory.Configuration() == nil:
-		return errors.New("no configuration")
-	case !g.listed.Load():
-		return errors.New("no list of targets")
+	case !g.synced.ok():
+		return errors.New("not in sync with the store")
 	}
 	return nil
 }
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -35,7 +35,7 @@
 func (g *Gateway) plainSeat(targets []fleet.Target, attempt string) *seat {
 	t := placement.Least(targets, g.loads.of, hash(attempt))[0]
 	g.loads.begin(t.Instance)
-	return &seat{target: t, release: func() { g.loads.end(t.Instance) }, started: func(time.Duration) {}}
+	return &seat{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, started: func(time.Duration) {}}
 }
 
 // maxAsked is the number of agents that are asked for one request: more would
@@ -46,7 +46,7 @@
 func (x *exchange) grant(targets []fleet.Target) (*seat, refusal) {
 	weights := x.g.versions.Newest(x.q.weights)
 	homes := x.g.homes(targets, weights)
-	soonest, wait := -1, time.Duration(0)
+	soonest, wait, why := -1, time.Duration(0), wire.ReasonNone
 	asked := min(maxAsked, len(homes))
 	for i := 0; i < asked; i++ {
 		s, reply := x.ask(homes[i], weights, true)
@@ -59,7 +59,7 @@
 		switch {
 		case reply.Code == wire.GrantBusy:
 			if w := time.Duration(reply.WaitMS) * time.Millisecond; soonest < 0 || w < wait {
-				soonest, wait = i, w
+				soonest, wait, why = i, w, reply.Reason
 			}
 		case asked < len(homes):
 			asked++ // this one cannot be counted on
@@ -69,11 +69,11 @@
 		return nil, refusal{reason: "no engine can run it", wait: noTargetWait}
 	}
 	if wait >= x.patience() {
-		return nil, refusal{reason: "engines busy", wait: wait}
+		return nil, refusal{reason: "engines busy", cause: why, wait: wait}
 	}
 	s, reply := x.ask(homes[soonest], weights, false)
 	if s == nil {
-		return nil, refusal{reason: "engines busy", wait: max(wait, time.Duration(reply.WaitMS)*time.Millisecond)}
+		return nil, refusal{reason: "engines busy", cause: reply.Reason, wait: max(wait, time.Duration(reply.WaitMS)*time.Millisecond)}
 	}
 	return s, refusal{}
 }
@@ -102,14 +102,14 @@
 // ask asks one target's agent.
 func (x *exchange) ask(t fleet.Target, w ident.Weights, elsewhere bool) (*seat, wire.GrantReply) {
 	unable := wire.GrantReply{Code: wire.GrantUnable}
-	conn, err := x.g.agents.conn(x.ctx, t)
+	conn, err := x.g.agents.tell(x.ctx, t, x.configuration, x.service)
 	if err != nil {
 		x.g.Debug("msg", "agent not reached", "target", t.Instance, "err", err)
 		return nil, unable
 	}
 	objective := time.Until(x.began.Add(x.route.Objective))
 	stream, err := conn.Open(link.KindGrantWant, &wire.GrantWant{
-		Instance: t.Instance, Model: w.Model, Adapter: w.AdapterVersion,
+		Model: w.Model, Adapter: w.AdapterVersion,
 		PromptTokens: x.q.prompt, OutputTokens: x.q.output, Rank: x.route.Rank,
 		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: elsewhere,
 	})
@@ -137,7 +137,7 @@
 		x.g.versions.Learn(w)
 	}
 	return &seat{
-		target: t, version: reply.Version, release: stream.Close,
+		target: t, instance: reply.Instance, version: reply.Version, release: stream.Close,
 		started: func(d time.Duration) {
 			// A lost report only blurs the agent's forecast.
 			_ = stream.Send(link.KindGrantUse, &wire.GrantUse{FirstEventMS: d.Milliseconds()})
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
@@ -30,8 +31,12 @@
 				for _, o := range list {
 					g.configure(o)
 				}
+				g.learned(platform.KindConfiguration)
 			},
-			Changed: changed(g.configure, nil),
+			Changed: changed(func(o platform.Object) {
+				g.configure(o)
+				g.learned(platform.KindConfiguration)
+			}, nil),
 		},
 		{
 			Common: g.Common, Source: source, Kind: platform.KindTargets, Pause: targetsPause,
@@ -45,12 +50,65 @@
 				for _, o := range list {
 					g.announce(o)
 				}
+				g.learned(platform.KindVersions)
 			},
 			Changed: changed(g.announce, nil),
 		},
 	}
 }
 
+// synced collects which kinds were listed once.
+type synced struct {
+	mu   sync.Mutex
+	kind map[platform.Kind]bool
+	done chan struct{} // closed when all were
+}
+
+func newSynced() *synced {
+	return &synced{kind: make(map[platform.Kind]bool), done: make(chan struct{})}
+}
+
+// syncedKinds are the kinds without which a request cannot be placed.
+var syncedKinds = []platform.Kind{platform.KindConfiguration, platform.KindTargets, platform.KindVersions}
+
+// listed records a kind and reports whether it was the last.
+func (s *synced) listed(k platform.Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kind[k] = true
+	for _, k := range syncedKinds {
+		if !s.kind[k] {
+			return false
+		}
+	}
+	select {
+	case <-s.done:
+		return false
+	default:
+		close(s.done)
+		return true
+	}
+}
+
+func (s *synced) ok() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// learned notes that a kind was listed.
+func (g *Gateway) learned(k platform.Kind) {
+	if g.directory.Configuration() == nil && k == platform.KindConfiguration {
+		return // the operator has not written one yet
+	}
+	if g.synced.listed(k) {
+		g.Info("msg", "in sync with the store", "targets", g.fleet.Size())
+	}
+}
+
 // changed returns a handler that passes each change to put or removed.
 func changed(put, removed func(platform.Object)) func([]platform.Event) {
 	return func(events []platform.Event) {
@@ -87,7 +145,7 @@
 		}
 	}
 	g.fleet.Replace(targets, time.Now())
-	g.listed.Store(true)
+	g.learned(platform.KindTargets)
 }
 
 func (g *Gateway) putTarget(o platform.Object) {
@@ -151,7 +209,7 @@
 			continue
 		}
 		for _, t := range g.fleet.Of(s.Name) {
-			if err := g.agents.tell(ctx, t, c, s); err != nil {
+			if _, err := g.agents.tell(ctx, t, c, s); err != nil {
 				g.Debug("msg", "agent not told", "target", t.Instance, "err", err)
 			}
 		}
--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -63,12 +63,16 @@
 
 // Book is what one agent knows of its engine and of those who want to use it.
 type Book struct {
-	setup  wire.EngineSetup
-	born   int64
-	up     bool
-	models map[ident.Model]bool
-	held   map[ident.Weights]*adapter // by unversioned weights
-	busy   bool                       // a model is being loaded or unloaded
+	setup wire.EngineSetup
+	// instance is the engine's own name, as entries or the engine itself told it
+	// last; empty if it is not known.
+	instance ident.Target
+	named    int64 // the start of the engine that told its name
+	born     int64
+	up       bool
+	models   map[ident.Model]bool
+	held     map[ident.Weights]*adapter // by unversioned weights
+	busy     bool                       // a model is being loaded or unloaded
 	// sequence is the number of orders that the engine has accepted.
 	sequence uint64
 
@@ -103,13 +107,25 @@
 
 // Setup puts a newer description of the engine in force.
 func (b *Book) Setup(s wire.EngineSetup) {
+	if b.instance == "" || s.Instance != b.setup.Instance {
+		b.instance = s.Instance
+	}
 	if s.Configuration >= b.setup.Configuration || s.Instance != b.setup.Instance {
 		b.setup = s
 	}
 }
 
+// Unidentified returns the path at which the engine tells its name, if it has
+// started since it last did.
+func (b *Book) Unidentified() (path string, ok bool) {
+	return b.setup.HealthPath, b.up && b.setup.HealthPath != "" && b.named != b.born
+}
+
+// Identify records the name by which the engine itself goes since its start.
+func (b *Book) Identify(instance ident.Target, born int64) { b.instance, b.named = instance, born }
+
 // Instance returns the engine's own name, empty while it is not known.
-func (b *Book) Instance() ident.Target { return b.setup.Instance }
+func (b *Book) Instance() ident.Target { return b.instance }
 
 // Idle reports whether nothing is waited for, so that the engine need not be
 // asked often.
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -78,23 +78,28 @@
 }
 
 func (b *Book) answer(w *Want, ahead queue, now time.Time) (wire.GrantReply, bool) {
-	if !b.up || w.Instance != "" && b.setup.Instance != "" && w.Instance != b.setup.Instance {
-		return wire.GrantReply{Code: wire.GrantUnable}, true
+	if !b.up {
+		return wire.GrantReply{Code: wire.GrantUnable, Reason: wire.ReasonEngineDown}, true
+	}
+	if b.instance == "" {
+		return wire.GrantReply{Code: wire.GrantBusy}, now.After(w.expires())
 	}
 	version, ready := b.ready(w)
 	if ready && ahead.prompts == 0 && b.fits(w) {
 		b.grant(w, now)
-		return wire.GrantReply{Code: wire.GrantGiven, Version: version}, true
+		return wire.GrantReply{Code: wire.GrantGiven, Version: version, Instance: b.instance}, true
 	}
-	wait := b.computeWait(w, ahead.prompts)
+	wait, reason := b.computeWait(w, ahead.prompts)
 	elsewhere := wait > elsewhereAfter
 	if !ready {
-		arrival, stuck := b.arrival(w, len(ahead.loads), now)
-		elsewhere = elsewhere || stuck || arrival > w.objective(now) && !b.congested()
-		wait = max(wait, arrival)
+		arrival, why := b.arrival(w, len(ahead.loads), now)
+		elsewhere = elsewhere || why != wire.ReasonLoading || arrival > w.objective(now) && !b.congested()
+		if arrival >= wait {
+			wait, reason = arrival, why
+		}
 	}
 	if elsewhere && w.MayGoElsewhere || now.Add(wait).After(w.expires()) {
-		return wire.GrantReply{Code: wire.GrantBusy, WaitMS: wait.Milliseconds()}, true
+		return wire.GrantReply{Code: wire.GrantBusy, Reason: reason, WaitMS: wait.Milliseconds()}, true
 	}
 	return wire.GrantReply{}, false
 }
@@ -145,24 +150,26 @@
 
 // computeWait estimates how long the engine's work will keep the want waiting,
 // with so many prompt tokens to go first.
-func (b *Book) computeWait(w *Want, ahead int) time.Duration {
+func (b *Book) computeWait(w *Want, ahead int) (time.Duration, wire.GrantReason) {
 	wait := max(b.readTime(b.unstarted+ahead+w.PromptTokens)-readWindow, 0)
-	if b.crowded(w) {
-		// One of the running requests ends every runTime/running.
-		wait += b.runTime * time.Duration(len(b.waiting)+1) / time.Duration(max(len(b.running), 1))
+	if !b.crowded(w) {
+		return wait, wire.ReasonReading
 	}
-	return wait
+	// One of the running requests ends every runTime/running.
+	return wait + b.runTime*time.Duration(len(b.waiting)+1)/time.Duration(max(len(b.running), 1)), wire.ReasonPlaces
 }
 
 // arrival estimates how long the want's weights will take, with so many loads to
-// begin first. It is stuck if that depends on requests that run.
-func (b *Book) arrival(w *Want, ahead int, now time.Time) (wait time.Duration, stuck bool) {
-	if !b.models[w.Model] {
-		return b.runTime, true
-	}
+// begin first. Unless they are being loaded, that depends on requests that run.
+func (b *Book) arrival(w *Want, ahead int, now time.Time) (time.Duration, wire.GrantReason) {
 	held := b.held[w.weights().Unversioned()]
-	if held != nil && held.uses > 0 || held == nil && !b.replacing(w.weights()) && b.full() && b.victim().IsZero() {
-		return b.runTime, true
+	switch {
+	case !b.models[w.Model]:
+		return b.runTime, wire.ReasonModelAbsent
+	case held != nil && held.uses > 0:
+		return b.runTime, wire.ReasonOldVersion
+	case held == nil && !b.replacing(w.weights()) && b.full() && b.victim().IsZero():
+		return b.runTime, wire.ReasonAdaptersUsed
 	}
-	return b.loadWait(w.weights(), ahead, now), false
+	return b.loadWait(w.weights(), ahead, now), wire.ReasonLoading
 }
--- a/pkg/grant/order.go
+++ b/pkg/grant/order.go
@@ -9,7 +9,7 @@
 
 // Order returns the next order to give, if any. At most one may be under way.
 func (b *Book) Order() (Order, bool) {
-	if !b.up || b.setup.Instance == "" || b.busy {
+	if !b.up || b.instance == "" || b.busy {
 		return Order{}, false
 	}
 	if model, ok := b.missingModel(); ok {
@@ -24,7 +24,7 @@
 }
 
 func (b *Book) order(unload bool, w ident.Weights) Order {
-	return Order{Unload: unload, Weights: w, Sequence: b.sequence, Instance: b.setup.Instance}
+	return Order{Unload: unload, Weights: w, Sequence: b.sequence, Instance: b.instance}
 }
 
 // missingModel returns the base model that an engine without one should load:
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -25,6 +25,8 @@
 	// engine's own VM; a load takes some 250 ms.
 	activePoll = 20 * time.Millisecond
 	idlePoll   = 500 * time.Millisecond
+	// identifyPause spaces health checks, which are priced.
+	identifyPause = 300 * time.Millisecond
 	// downAfter is the number of missing reports after which the engine counts
 	// as down.
 	downAfter = 2
@@ -40,6 +42,8 @@
 type Engine struct {
 	Report func() (platform.EngineReport, error)
 	Send   func(platform.Order) (platform.OrderResult, error)
+	// Identity returns the engine's own name, by its health check.
+	Identity func(path string) (ident.Target, error)
 }
 
 // Orderer grants seats at one engine and gives it orders.
@@ -54,15 +58,17 @@
 	asking map[grant.WantID]chan wire.GrantReply
 	wake   chan struct{}
 
-	misses   int
-	listener net.Listener
+	misses     int
+	born       int64     // when the engine started, in ms of Unix time
+	identifyAt time.Time // when the engine may be asked for its name again
+	listener   net.Listener
 }
 
 // New returns the orderer of the engine on the process's VM.
 func New(c common.Common, node platform.Node) *Orderer {
 	client := platform.NewEngine(node.Engine)
 	return &Orderer{
-		Common: c.With("orderer"), node: node, engine: Engine{Report: client.Report, Send: client.Send},
+		Common: c.With("orderer"), node: node, engine: Engine{Report: client.Report, Send: client.Send, Identity: client.Identity},
 		book: grant.New(), asking: make(map[grant.WantID]chan wire.GrantReply), wake: make(chan struct{}, 1),
 	}
 }
@@ -218,6 +224,7 @@
 	if !o.observe() {
 		return
 	}
+	o.identify()
 	for {
 		o.mu.Lock()
 		order, due := o.book.Order()
@@ -244,12 +251,34 @@
 	if o.misses >= downAfter {
 		o.Info("msg", "engine regained", "born", report.Born)
 	}
-	o.misses = 0
+	o.misses, o.born = 0, report.Born
 	o.book.Observe(grantReport(report), time.Now())
 	o.answerLocked()
 	return true
 }
 
+// identify asks an engine that has restarted for its name. Entries learn it from
+// the store only later.
+func (o *Orderer) identify() {
+	o.mu.Lock()
+	path, due := o.book.Unidentified()
+	born := o.born
+	o.mu.Unlock()
+	if !due || time.Now().Before(o.identifyAt) {
+		return
+	}
+	o.identifyAt = time.Now().Add(identifyPause)
+	instance, err := o.engine.Identity(path)
+	if err != nil {
+		o.Info("msg", "engine not identified", "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.book.Identify(instance, born)
+	o.Info("msg", "engine identified", "instance", instance, "born", born)
+}
+
 func grantReport(r platform.EngineReport) grant.Report {
 	out := grant.Report{Born: r.Born, Sequence: r.Sequence, Busy: r.Busy}
 	for _, m := range r.Models {
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -12,6 +12,7 @@
 	Configuration uint64
 	Instance      ident.Target
 	Service       ident.Service
+	HealthPath    string
 	Slots         int
 	KVTokens      int
 	MB            float64
@@ -29,7 +30,6 @@
 // GrantWant asks for the right to send one request to the agent's engine. The
 // stream that carries it stays open while the request runs.
 type GrantWant struct {
-	Instance     ident.Target
 	Model        ident.Model
 	Adapter      ident.AdapterVersion // version 0 takes any
 	PromptTokens int
@@ -54,11 +54,29 @@
 	GrantUnable
 )
 
+// GrantReason says what a request would wait for.
+type GrantReason uint8
+
+// The reasons for a wait.
+const (
+	ReasonNone         GrantReason = iota
+	ReasonEngineDown               // the engine does not answer, or is another one
+	ReasonModelAbsent              // the engine does not hold the base model
+	ReasonReading                  // prompts that are read first
+	ReasonPlaces                   // the engine's places or memory are taken
+	ReasonLoading                  // the adapter is brought
+	ReasonAdaptersUsed             // all adapters held are in use
+	ReasonOldVersion               // an older version of the adapter is in use
+)
+
 // GrantReply answers a GrantWant.
 type GrantReply struct {
 	Code    GrantCode
+	Reason  GrantReason
 	WaitMS  int64 // forecast of the wait, with GrantBusy
 	Version ident.Version
+	// Instance is the engine's present name, with GrantGiven.
+	Instance ident.Target
 }
 
 // GrantUse reports that the granted request's first event came, so many ms
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -9,8 +9,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EngineSetup) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint64(o, z.Configuration)
 	o, err = z.Instance.MarshalMsg(o)
 	if err != nil {
@@ -22,6 +22,7 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
+	o = msgp.AppendString(o, z.HealthPath)
 	o = msgp.AppendInt(o, z.Slots)
 	o = msgp.AppendInt(o, z.KVTokens)
 	o = msgp.AppendFloat64(o, z.MB)
@@ -49,8 +50,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Configuration, bts, err = msgp.ReadUint64Bytes(bts)
@@ -68,6 +69,11 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
+	z.HealthPath, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "HealthPath")
+		return
+	}
 	z.Slots, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Slots")
@@ -132,7 +138,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EngineSetup) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + z.Instance.Msgsize() + z.Service.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.Float64Size + msgp.IntSize + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + z.Instance.Msgsize() + z.Service.Msgsize() + msgp.StringPrefixSize + len(z.HealthPath) + msgp.IntSize + msgp.IntSize + msgp.Float64Size + msgp.IntSize + msgp.ArrayHeaderSize
 	for za0001 := range z.Models {
 		s += 1 + z.Models[za0001].Name.Msgsize() + msgp.Float64Size + msgp.Float64Size
 	}
@@ -167,18 +173,52 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z GrantReason) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GrantReason) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = GrantReason(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z GrantReason) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *GrantReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint8(o, uint8(z.Code))
+	o = msgp.AppendUint8(o, uint8(z.Reason))
 	o = msgp.AppendInt64(o, z.WaitMS)
 	o, err = z.Version.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	o, err = z.Instance.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
 	return
 }
 
@@ -190,8 +230,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	{
@@ -203,6 +243,15 @@
 		}
 		z.Code = GrantCode(zb0002)
 	}
+	{
+		var zb0003 uint8
+		zb0003, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Reason")
+			return
+		}
+		z.Reason = GrantReason(zb0003)
+	}
 	z.WaitMS, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "WaitMS")
@@ -213,13 +262,18 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	bts, err = z.Instance.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GrantReply) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Int64Size + z.Version.Msgsize()
+	s = 1 + msgp.Uint8Size + msgp.Uint8Size + msgp.Int64Size + z.Version.Msgsize() + z.Instance.Msgsize()
 	return
 }
 
@@ -262,13 +316,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GrantWant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
-	o, err = z.Instance.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
+	// array header, size 8
+	o = append(o, 0x98)
 	o, err = z.Model.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Model")
@@ -296,13 +345,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
-		return
-	}
-	bts, err = z.Instance.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	bts, err = z.Model.UnmarshalMsg(bts)
@@ -351,7 +395,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GrantWant) Msgsize() (s int) {
-	s = 1 + z.Instance.Msgsize() + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize
+	s = 1 + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize
 	return
 }
 
