Loads from the store are paced below one at once while it is shared too widely

Change: an engine pauses between loads when they take over 1.5 times the shortest; loads first for those that can still meet their objective; an engine that is asked as a spare does not load while the store is congested.

--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -47,9 +47,9 @@
 	weights := x.g.versions.Newest(x.q.weights)
 	homes := x.g.homes(targets, weights)
 	soonest, wait, why := -1, time.Duration(0), wire.ReasonNone
-	asked := min(maxAsked, len(homes))
+	asked, spare := min(maxAsked, len(homes)), false
 	for i := 0; i < asked; i++ {
-		s, reply := x.ask(homes[i], weights, true)
+		s, reply := x.ask(homes[i], weights, asking{elsewhere: true, spare: spare})
 		if s != nil {
 			return s, refusal{}
 		}
@@ -58,6 +58,7 @@
 		}
 		switch {
 		case reply.Code == wire.GrantBusy:
+			spare = spare || reply.Reason == wire.ReasonReading || reply.Reason == wire.ReasonPlaces || reply.Reason == wire.ReasonLoading
 			if w := time.Duration(reply.WaitMS) * time.Millisecond; soonest < 0 || w < wait {
 				soonest, wait, why = i, w, reply.Reason
 			}
@@ -71,7 +72,7 @@
 	if wait >= x.patience() {
 		return nil, refusal{reason: "engines busy", cause: why, wait: wait}
 	}
-	s, reply := x.ask(homes[soonest], weights, false)
+	s, reply := x.ask(homes[soonest], weights, asking{})
 	if s == nil {
 		return nil, refusal{reason: "engines busy", cause: reply.Reason, wait: max(wait, time.Duration(reply.WaitMS)*time.Millisecond)}
 	}
@@ -99,8 +100,14 @@
 	return max(left-firstEventTime, 0)
 }
 
+// asking says how an agent is asked.
+type asking struct {
+	elsewhere bool // another agent can be asked
+	spare     bool // another engine holds the adapter or is to hold it
+}
+
 // ask asks one target's agent.
-func (x *exchange) ask(t fleet.Target, w ident.Weights, elsewhere bool) (*seat, wire.GrantReply) {
+func (x *exchange) ask(t fleet.Target, w ident.Weights, how asking) (*seat, wire.GrantReply) {
 	unable := wire.GrantReply{Code: wire.GrantUnable}
 	conn, err := x.g.agents.tell(x.ctx, t, x.configuration, x.service)
 	if err != nil {
@@ -111,7 +118,7 @@
 	stream, err := conn.Open(link.KindGrantWant, &wire.GrantWant{
 		Model: w.Model, Adapter: w.AdapterVersion,
 		PromptTokens: x.q.prompt, OutputTokens: x.q.output, Rank: x.route.Rank,
-		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: elsewhere,
+		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: how.elsewhere, Spare: how.spare,
 	})
 	if err != nil {
 		return nil, unable
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -28,6 +28,8 @@
 // another target can go on after the last.
 func (x *exchange) stream(s *seat, a *forward.Answer, sent time.Time) outcome {
 	first := true
+	timing := streamTiming{granted: sent.Sub(x.began)}
+	last := sent
 	pending := make([]byte, 0, streamBufferBytes)
 	for {
 		if err := a.SetReadDeadline(x.pauseEnd()); err != nil {
@@ -44,8 +46,12 @@
 		if whole > 0 {
 			if first {
 				s.started(time.Since(sent))
+				timing.first = time.Since(sent)
 				first = false
+			} else {
+				timing.pause = max(timing.pause, time.Since(last))
 			}
+			last = time.Now()
 			if !x.passEvents(a, pending[:whole]) {
 				a.Close()
 				x.c.closing = true
@@ -55,7 +61,8 @@
 		}
 		switch {
 		case err == io.EOF:
-			return x.endStream(s, a)
+			timing.whole = time.Since(x.began)
+			return x.endStream(s, a, timing)
 		case err != nil || len(pending) > maxEventBytes:
 			a.Close()
 			if x.ctx.Err() == nil {
@@ -66,7 +73,17 @@
 	}
 }
 
-func (x *exchange) endStream(s *seat, a *forward.Answer) outcome {
+// streamTiming is where a stream's time went.
+type streamTiming struct {
+	granted time.Duration // from the request to its send
+	first   time.Duration // from the send to the first event
+	pause   time.Duration // the longest between two events
+	whole   time.Duration
+}
+
+func (x *exchange) endStream(s *seat, a *forward.Answer, t streamTiming) outcome {
+	x.g.Debug("msg", "stream served", "request", x.q.attempt, "weights", x.q.weights, "target", s.target.Instance,
+		"granted", t.granted, "first", t.first, "pause", t.pause, "whole", t.whole, "objective", x.route.Objective)
 	x.g.pool.Finish(a)
 	x.g.succeeded(s.target)
 	if !x.streaming {
--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -43,9 +43,6 @@
 	return time.Duration(w.ObjectiveMS)*time.Millisecond - now.Sub(w.Asked)
 }
 
-// late reports whether the request's objective has passed.
-func (w *Want) late(now time.Time) bool { return w.objective(now) <= 0 }
-
 // running is a granted request.
 type running struct {
 	*Want
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -44,7 +44,7 @@
 
 // Answer decides the wants that can be answered now.
 func (b *Book) Answer(now time.Time) []Reply {
-	sort.SliceStable(b.waiting, func(i, j int) bool { return before(b.waiting[i], b.waiting[j], now) })
+	b.sort(now)
 	var replies []Reply
 	var kept []*Want
 	ahead := queue{loads: make(map[ident.Weights]bool)}
@@ -65,16 +65,28 @@
 	return replies
 }
 
-// before orders wants: first those that can still meet their objective, then
-// by urgency, then by age.
-func before(a, b *Want, now time.Time) bool {
-	if la, lb := a.late(now), b.late(now); la != lb {
-		return lb
-	}
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
+// sort orders the wants: first those that can still meet their objective, then
+// by urgency, then by age. A load that would come too late for the objective
+// would only make the next one late as well.
+func (b *Book) sort(now time.Time) {
+	late := make(map[WantID]bool, len(b.waiting))
+	for _, w := range b.waiting {
+		needs := b.readTime(w.PromptTokens)
+		if _, ready := b.ready(w); !ready {
+			needs += b.loadWait(w.weights(), 0, now)
+		}
+		late[w.ID] = w.objective(now) < needs
 	}
-	return a.Asked.Before(b.Asked)
+	sort.SliceStable(b.waiting, func(i, j int) bool {
+		x, y := b.waiting[i], b.waiting[j]
+		if late[x.ID] != late[y.ID] {
+			return late[y.ID]
+		}
+		if x.Rank != y.Rank {
+			return x.Rank < y.Rank
+		}
+		return x.Asked.Before(y.Asked)
+	})
 }
 
 func (b *Book) answer(w *Want, ahead queue, now time.Time) (wire.GrantReply, bool) {
@@ -93,7 +105,8 @@
 	elsewhere := wait > elsewhereAfter
 	if !ready {
 		arrival, why := b.arrival(w, len(ahead.loads), now)
-		elsewhere = elsewhere || why != wire.ReasonLoading || arrival > w.objective(now) && !b.congested()
+		elsewhere = elsewhere || why != wire.ReasonLoading || arrival > w.objective(now) && !b.congested() ||
+			w.Spare && b.congested() && !b.replacing(w.weights()) && !b.hasCopy(w.weights())
 		if arrival >= wait {
 			wait, reason = arrival, why
 		}
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -48,7 +48,7 @@
 			a = &adapter{lastUse: now}
 		}
 		if f, flew := b.flying[key]; flew && (f.version == 0 || f.version == w.Version) {
-			b.arrived(w, f, now.Sub(f.since))
+			b.arrived(w, f, now)
 		}
 		a.version = w.Version
 		held[key] = a
--- a/pkg/grant/loads.go
+++ b/pkg/grant/loads.go
@@ -16,7 +16,10 @@
 	cold   time.Duration                   // mean time of a load from the store
 	warm   time.Duration                   // mean time of a load from the engine's own copy
 	best   time.Duration                   // the shortest recent load from the store
-	atOnce float64                         // loads from the store that this engine may have under way
+	// atOnce is the mean number of loads from the store that this engine may have
+	// under way. Below one it pauses between two loads.
+	atOnce float64
+	pause  time.Time // until when no load from the store begins
 }
 
 // flight is an adapter on its way.
@@ -35,11 +38,15 @@
 	firstWarmLoad = 25 * time.Millisecond
 	// A load that takes up to quickLoad times the shortest one shows that the
 	// store has room, one above slowLoad that it is shared too widely.
-	quickLoad = 1.4
-	slowLoad  = 2.0
+	quickLoad = 1.25
+	slowLoad  = 1.5
 	// Additive increase, multiplicative decrease.
-	atOnceStep = 0.25
-	atOnceCut  = 0.7
+	firstAtOnce = 2.0
+	leastAtOnce = 0.2
+	atOnceStep  = 0.25
+	atOnceCut   = 0.75
+	// roomyAtOnce is what an engine has when the store is not shared too widely.
+	roomyAtOnce = 2.0
 	// bestDecay lets the shortest load be forgotten when the store has changed.
 	bestDecay = 1.02
 	// maxKnown bounds the memory of adapters held before.
@@ -49,12 +56,13 @@
 func newLoads() loads {
 	return loads{
 		flying: make(map[ident.Weights]flight), known: make(map[ident.Weights]ident.Version),
-		cold: firstColdLoad, warm: firstWarmLoad, best: firstColdLoad, atOnce: 2,
+		cold: firstColdLoad, warm: firstWarmLoad, best: firstColdLoad, atOnce: firstAtOnce,
 	}
 }
 
 // arrived records that an adapter, now held at its version, arrived.
-func (l *loads) arrived(w ident.Weights, f flight, took time.Duration) {
+func (l *loads) arrived(w ident.Weights, f flight, now time.Time) {
+	took := now.Sub(f.since)
 	if len(l.known) >= maxKnown {
 		clear(l.known)
 	}
@@ -69,13 +77,16 @@
 	case ratio <= quickLoad:
 		l.atOnce = min(maxFlying, l.atOnce+atOnceStep)
 	case ratio > slowLoad:
-		l.atOnce = max(1, l.atOnce*atOnceCut)
+		l.atOnce = max(leastAtOnce, l.atOnce*atOnceCut)
+	}
+	if l.atOnce < 1 {
+		l.pause = now.Add(time.Duration(float64(took) * (1/l.atOnce - 1)))
 	}
 }
 
 // congested reports whether the store serves more loads than it can at full
 // speed.
-func (l *loads) congested() bool { return l.atOnce < 2 }
+func (l *loads) congested() bool { return l.atOnce < roomyAtOnce }
 
 // hasCopy reports whether the engine may have a copy of its own of the weights.
 func (l *loads) hasCopy(w ident.Weights) bool {
@@ -84,11 +95,11 @@
 }
 
 // mayLoad reports whether another load of the weights may begin.
-func (l *loads) mayLoad(w ident.Weights) bool {
+func (l *loads) mayLoad(w ident.Weights, now time.Time) bool {
 	if len(l.flying) >= maxFlying {
 		return false
 	}
-	return l.hasCopy(w) || l.coldFlying() < int(l.atOnce)
+	return l.hasCopy(w) || !now.Before(l.pause) && l.coldFlying() < max(int(l.atOnce), 1)
 }
 
 func (l *loads) coldFlying() int {
@@ -114,5 +125,9 @@
 	if l.hasCopy(w) {
 		return l.warm
 	}
-	return l.cold * time.Duration(1+(ahead+l.coldFlying())/int(l.atOnce))
+	wait := l.cold
+	if ahead+l.coldFlying() > 0 {
+		wait += time.Duration(float64(l.cold) * float64(ahead+l.coldFlying()) / l.atOnce)
+	}
+	return wait + max(l.pause.Sub(now), 0)
 }
--- a/pkg/grant/order.go
+++ b/pkg/grant/order.go
@@ -8,7 +8,7 @@
 )
 
 // Order returns the next order to give, if any. At most one may be under way.
-func (b *Book) Order() (Order, bool) {
+func (b *Book) Order(now time.Time) (Order, bool) {
 	if !b.up || b.instance == "" || b.busy {
 		return Order{}, false
 	}
@@ -16,7 +16,7 @@
 		return b.order(false, ident.Weights{Model: model}), true
 	}
 	for _, w := range b.waiting {
-		if o, ok := b.bring(w); ok {
+		if o, ok := b.bring(w, now); ok {
 			return o, true
 		}
 	}
@@ -57,8 +57,8 @@
 }
 
 // bring returns the next order towards holding what the want needs.
-func (b *Book) bring(w *Want) (Order, bool) {
-	if w.Adapter.IsZero() || !b.models[w.Model] || b.replacing(w.weights()) || !b.mayLoad(w.weights()) {
+func (b *Book) bring(w *Want, now time.Time) (Order, bool) {
+	if w.Adapter.IsZero() || !b.models[w.Model] || b.replacing(w.weights()) || !b.mayLoad(w.weights(), now) {
 		return Order{}, false
 	}
 	if a := b.held[w.weights().Unversioned()]; a != nil {
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -227,7 +227,7 @@
 	o.identify()
 	for {
 		o.mu.Lock()
-		order, due := o.book.Order()
+		order, due := o.book.Order(time.Now())
 		o.mu.Unlock()
 		if !due || !o.order(order) {
 			return
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -40,6 +40,9 @@
 	// MayGoElsewhere says that the entry knows another engine to ask: a long
 	// wait is then answered at once.
 	MayGoElsewhere bool
+	// Spare says that another engine holds the adapter or is to hold it: while the
+	// weight store is congested it is not worth a second load.
+	Spare bool
 }
 
 // GrantCode is the outcome of a GrantWant.
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -316,8 +316,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GrantWant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o, err = z.Model.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Model")
@@ -334,6 +334,7 @@
 	o = msgp.AppendInt64(o, z.WaitMS)
 	o = msgp.AppendInt64(o, z.ObjectiveMS)
 	o = msgp.AppendBool(o, z.MayGoElsewhere)
+	o = msgp.AppendBool(o, z.Spare)
 	return
 }
 
@@ -345,8 +346,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	bts, err = z.Model.UnmarshalMsg(bts)
@@ -389,13 +390,18 @@
 		err = msgp.WrapError(err, "MayGoElsewhere")
 		return
 	}
+	z.Spare, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Spare")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GrantWant) Msgsize() (s int) {
-	s = 1 + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize
+	s = 1 + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
