A hang-up signal no longer ends a stopping process; the retry budget is shared by the entries there are

The handler was dropped when the stop began, which brought the signal's default back.

Change: the handler stays; agents tell entries how many are linked to them. TestHangUpWhileStopping fails without the first.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -175,7 +175,7 @@
 	if x.sends >= maxSends || x.left() < minLeft {
 		return false
 	}
-	return x.g.budget(x.service.Name).take(x.g.entries())
+	return x.g.budget(x.service.Name).take(x.g.sharers.Count())
 }
 
 // minLeft is the time below which another send cannot end well.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -43,6 +43,7 @@
 
 	budgetMu sync.Mutex
 	budgets  map[ident.Service]*budget
+	sharers  retry.Sharers
 
 	listener net.Listener
 	stopping atomic.Bool
@@ -91,9 +92,6 @@
 	return b
 }
 
-// entries is the number of entries that share a budget.
-func (g *Gateway) entries() int { return 6 }
-
 func (g *Gateway) limits() platform.Limits {
 	if c := g.directory.Configuration(); c != nil {
 		return c.Limits
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -129,6 +129,7 @@
 		x.g.Debug("msg", "no grant", "target", t.Instance, "err", err)
 		return nil, unable
 	}
+	x.g.sharers.Saw(reply.Entries, time.Now())
 	if reply.Code != wire.GrantGiven {
 		stream.Close()
 		return nil, reply
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -87,7 +87,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	go p.watchSettings(ctx, file, c)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go p.watchSettings(hup, file, c)
 	c.Info("msg", "starting", "program", p.Name, "vm", node.VM, "domain", node.Domain)
 	err := kernel.Run(ctx,
 		func() platform.Node { return node },
@@ -102,18 +104,11 @@
 	return ExitOK
 }
 
-// watchSettings checks the settings file at each SIGHUP. Addresses cannot change
-// while the process runs; a new file counts at the next start.
-func (p Program) watchSettings(ctx context.Context, file string, c common.Common) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
+// watchSettings checks the settings file at each SIGHUP, to the process's end:
+// one that came while the process stops would otherwise kill it. Addresses cannot
+// change while the process runs; a new file counts at the next start.
+func (p Program) watchSettings(hup <-chan os.Signal, file string, c common.Common) {
+	for range hup {
 		if _, err := p.load(file); err != nil {
 			c.Warn("msg", "settings not usable, the old ones stay", "err", err)
 			continue
--- /dev/null
+++ b/pkg/node/node_test.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+const settingsText = `{"node-name": "vm-1", "ip": "127.0.0.1", "inner-ports": [7380, 7395], "platform": {"address": "127.0.0.1:1"}}`
+
+func writeSettings(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+func accept(platform.Node) error { return nil }
+
+func TestBadSettingsNameTheFault(t *testing.T) {
+	for _, test := range []struct{ name, text, want string }{
+		{"no JSON", "{", "unexpected end of JSON"},
+		{"wrong type", `{"node-name": 7}`, "node-name"},
+		{"no name", `{"ip": "127.0.0.1"}`, "node-name: empty name"},
+		{"no address", `{"node-name": "vm-1", "ip": "nowhere"}`, `ip: "nowhere"`},
+		{"no port", `{"node-name": "vm-1", "ip": "127.0.0.1"}`, "inner-ports"},
+		{"bad address", `{"node-name": "vm-1", "ip": "127.0.0.1", "inner-ports": [1], "app": "x"}`, `app: "x"`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var out bytes.Buffer
+			code := Program{Name: "program", Check: accept}.Main([]string{"-settings", writeSettings(t, test.text)}, &out, &out)
+			require.Equal(t, ExitSettings, code)
+			require.Contains(t, out.String(), test.want)
+		})
+	}
+}
+
+// A SIGHUP while the process stops must not end it before its requests.
+func TestHangUpWhileStopping(t *testing.T) {
+	stopped := make(chan struct{})
+	kernel.Register(kernel.Plugin{Name: "slow", Start: func(life *kernel.Lifecycle) {
+		life.Append(kernel.Hook{
+			Name: "slow",
+			Start: func(context.Context) error {
+				return syscall.Kill(os.Getpid(), syscall.SIGTERM)
+			},
+			Stop: func(context.Context) error {
+				defer close(stopped)
+				for range 20 {
+					if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+						return err
+					}
+					time.Sleep(time.Millisecond)
+				}
+				return nil
+			},
+		})
+	}})
+	var out bytes.Buffer
+	require.Equal(t, ExitOK, Program{Name: "program", Check: accept}.Main([]string{"-settings", writeSettings(t, settingsText)}, &out, &out))
+	<-stopped
+}
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -58,6 +58,8 @@
 	asking map[grant.WantID]chan wire.GrantReply
 	wake   chan struct{}
 
+	entries entries
+
 	misses     int
 	born       int64     // when the engine started, in ms of Unix time
 	identifyAt time.Time // when the engine may be asked for its name again
@@ -93,11 +95,12 @@
 // Stop ends the listener. Requests under way do not pass through this process.
 func (o *Orderer) Stop(context.Context) error { return o.listener.Close() }
 
-func (o *Orderer) setup(_ context.Context, _ *link.Stream, f link.Frame) error {
+func (o *Orderer) setup(_ context.Context, stream *link.Stream, f link.Frame) error {
 	var s wire.EngineSetup
 	if _, err := s.UnmarshalMsg(f.Body); err != nil {
 		return errors.Trace(err)
 	}
+	o.entries.seen(stream.Conn())
 	o.mu.Lock()
 	fresh := o.book.Instance() != s.Instance
 	o.book.Setup(s)
@@ -123,6 +126,7 @@
 	case <-ctx.Done():
 		return nil
 	}
+	reply.Entries = o.entries.seen(s.Conn())
 	if err := s.Send(link.KindGrantReply, &reply); err != nil {
 		return errors.Trace(err)
 	}
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -80,6 +80,8 @@
 	Version ident.Version
 	// Instance is the engine's present name, with GrantGiven.
 	Instance ident.Target
+	// Entries is the number of entries that have a link to the agent.
+	Entries int
 }
 
 // GrantUse reports that the granted request's first event came, so many ms
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -204,8 +204,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GrantReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint8(o, uint8(z.Code))
 	o = msgp.AppendUint8(o, uint8(z.Reason))
 	o = msgp.AppendInt64(o, z.WaitMS)
@@ -219,6 +219,7 @@
 		err = msgp.WrapError(err, "Instance")
 		return
 	}
+	o = msgp.AppendInt(o, z.Entries)
 	return
 }
 
@@ -230,8 +231,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	{
@@ -267,13 +268,18 @@
 		err = msgp.WrapError(err, "Instance")
 		return
 	}
+	z.Entries, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Entries")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GrantReply) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint8Size + msgp.Int64Size + z.Version.Msgsize() + z.Instance.Msgsize()
+	s = 1 + msgp.Uint8Size + msgp.Uint8Size + msgp.Int64Size + z.Version.Msgsize() + z.Instance.Msgsize() + msgp.IntSize
 	return
 }
 
