Tests of the gateway's promises and of the grants in virtual time

Found by them: the forecast for a full engine counted all that wait, also those behind (5 requests at 4 places were refused 3.5 s); a read whose deadline strikes just before the request's own was taken for a failure of the target, and answered 502 in place of 504.

--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -171,3 +171,15 @@
 		p.kept[address] = kept
 	}
 }
+
+// Close closes the kept connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.kept {
+		for _, c := range list {
+			c.Close()
+		}
+		delete(p.kept, address)
+	}
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -144,7 +144,7 @@
 		x.sends++
 		o := x.try(seat)
 		seat.release()
-		if x.ctx.Err() != nil && o != outcomeDelivered {
+		if x.over() && o != outcomeDelivered {
 			return x.timedOut(o)
 		}
 		if o == outcomeDelivered {
@@ -183,6 +183,10 @@
 
 func (x *exchange) left() time.Duration { return time.Until(x.until) }
 
+// over reports whether the request's time is over or its caller has gone. The
+// deadline of a read may strike just before that of the context.
+func (x *exchange) over() bool { return x.ctx.Err() != nil || x.left() <= 0 }
+
 // broken reports whether the caller's connection is of no more use.
 func (x *exchange) broken() bool { return context.Cause(x.ctx) == errCallerGone }
 
@@ -248,7 +252,7 @@
 	a, err := conn.Receive(x.q.method, x.q.attempt, x.answerBy(sent))
 	if err != nil {
 		conn.Close()
-		if x.ctx.Err() == nil {
+		if !x.over() {
 			x.g.failed(s.target, "answer", err)
 		}
 		return outcomeUnknown
--- /dev/null
+++ b/pkg/gateway/gateway_test.go
@@ -0,0 +1,307 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/fleet"
+)
+
+func body(t *testing.T, res *http.Response) string {
+	t.Helper()
+	b, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	return string(b)
+}
+
+func TestRequestsAreForwardedUnchanged(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.script(answer(200, "whole", "X-Own: kept\r\nConnection: keep-alive\r\n"))
+		res := h.send("POST /unsafe/x?q=1%20 HTTP/1.1\r\nhost: host.example\r\nX-Attempt-Id: a-1\r\nx-OWN: Value\r\nX-Hold: h\r\nX-Request-Urgency: 0\r\n" +
+			"Connection: x-hop\r\nX-Hop: 1\r\nX-Deadline-Ms: 700\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+		require.Equal(t, 200, res.StatusCode)
+		require.Equal(t, "stamp", res.Header.Get("X-Server-Stamp"))
+		require.Equal(t, "kept", res.Header.Get("X-Own"))
+		require.Equal(t, "whole", body(t, res))
+		calls := h.sent()
+		require.Len(t, calls, 1)
+		require.Equal(t, "/unsafe/x?q=1%20", calls[0].RequestURI)
+		require.Equal(t, "abc", string(calls[0].Body))
+		require.Equal(t, "Value", calls[0].Header.Get("X-Own"))
+		require.Equal(t, "700", calls[0].Header.Get("X-Deadline-Ms"))
+		require.NotEmpty(t, calls[0].Header.Get("X-Expect-Instance"))
+		for _, name := range []string{"X-Hold", "X-Request-Urgency", "X-Hop", "Connection"} {
+			require.Empty(t, calls[0].Header.Values(name), name)
+		}
+	})
+}
+
+// Each of these is answered or closed, and none reaches an engine.
+func TestMalformedRequestsReachNoEngine(t *testing.T) {
+	head := "POST /safe/x HTTP/1.1\r\nHost: host.example\r\n"
+	for _, test := range []struct {
+		name, raw string
+		status    int
+	}{
+		{"no request line", "hello\r\n\r\n", 400},
+		{"method with a space", "PO ST /safe/x HTTP/1.1\r\nHost: host.example\r\n\r\n", 400},
+		{"no host", "GET /safe/x HTTP/1.1\r\n\r\n", 400},
+		{"two hosts", "GET /safe/x HTTP/1.1\r\nHost: host.example\r\nHost: other.example\r\n\r\n", 400},
+		{"absolute target", "GET http://host.example/safe/x HTTP/1.1\r\nHost: host.example\r\n\r\n", 400},
+		{"no colon", head + "broken\r\n\r\n", 400},
+		{"space before the colon", head + "Content-Length : 3\r\n\r\nabc", 400},
+		{"folded header", head + "X-A: 1\r\n b\r\n\r\n", 400},
+		{"both lengths", head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+		{"a list of lengths", head + "Content-Length: 3, 3\r\n\r\nabc", 400},
+		{"a signed length", head + "Content-Length: +3\r\n\r\nabc", 400},
+		{"a negative length", head + "Content-Length: -3\r\n\r\n", 400},
+		{"an empty length", head + "Content-Length:\r\n\r\n", 400},
+		{"unknown transfer encoding", head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400},
+		{"two transfer encodings", head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"chunked in HTTP/1.0", "POST /safe/x HTTP/1.0\r\nHost: host.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"bad chunk size", head + "Transfer-Encoding: chunked\r\n\r\nxyz\r\nabc\r\n0\r\n\r\n", 400},
+		{"chunk longer than its size", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n", 400},
+		{"bad trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\nnonsense\r\n\r\n", 400},
+		{"body too large", head + "Content-Length: 99999999\r\n\r\n", 413},
+		{"header too large", head + "X-A: " + strings.Repeat("a", 20<<10) + "\r\n\r\n", 431},
+		{"null in a value", head + "X-A: a\x00b\r\n\r\n", 400},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testHarness(t, func(t *testing.T, h *harness) {
+				res := h.send(test.raw)
+				require.Equal(t, test.status, res.StatusCode)
+				require.True(t, res.Close, "the rest of the connection cannot be trusted")
+				require.Empty(t, h.sent())
+			})
+		})
+	}
+}
+
+// A GET's body is read as its own, and not as a next request.
+func TestBodyOfGetIsNoRequest(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		smuggled := "GET /unsafe/smuggled HTTP/1.1\r\nHost: host.example\r\n\r\n"
+		h.script(answer(200, "one"), answer(200, "two"))
+		res := h.send(rawRequest("GET", "/safe/x", fmt.Sprintf("Content-Length: %d\r\n", len(smuggled))) + smuggled)
+		require.Equal(t, "one", body(t, res))
+		synctest.Wait()
+		require.Len(t, h.sent(), 1)
+		require.Equal(t, smuggled, string(h.sent()[0].Body))
+	})
+}
+
+func TestWhatIsRepeated(t *testing.T) {
+	notExecuted := answer(503, "full", "X-Not-Executed: 1\r\n")
+	for _, test := range []struct {
+		name, path string
+		replies    []reply
+		status     int
+		sends      int
+	}{
+		{"a safe request that failed", "/safe/x", []reply{answer(500, "no"), answer(200, "yes")}, 200, 2},
+		{"a safe request that failed twice", "/safe/x", []reply{answer(500, "no"), answer(500, "no")}, 500, 2},
+		{"a safe request without an answer", "/safe/x", []reply{raw(""), answer(200, "yes")}, 200, 2},
+		{"a safe request with a broken answer", "/safe/x", []reply{raw("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 9\r\n\r\nabc"), answer(200, "yes")}, 200, 2},
+		{"a success without a signature", "/safe/x", []reply{raw("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"), answer(200, "yes")}, 200, 2},
+		{"bytes that are no answer", "/safe/x", []reply{raw("nonsense\r\n\r\n"), answer(200, "yes")}, 200, 2},
+		{"an unsafe request that failed", "/unsafe/x", []reply{answer(500, "no")}, 500, 1},
+		{"an unsafe request without an answer", "/unsafe/x", []reply{raw("")}, 502, 1},
+		{"an unsafe request that was not run", "/unsafe/x", []reply{notExecuted, answer(200, "yes")}, 200, 2},
+		{"an unsafe request that nobody runs", "/unsafe/x", []reply{notExecuted, notExecuted}, 503, 2},
+		{"a misdirected request", "/unsafe/x", []reply{answer(421, ""), answer(200, "yes")}, 200, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testHarness(t, func(t *testing.T, h *harness) {
+				h.script(test.replies...)
+				res := h.send(rawRequest("POST", test.path, "Content-Length: 0\r\n"))
+				require.Equal(t, test.status, res.StatusCode)
+				calls := h.sent()
+				require.Len(t, calls, test.sends)
+				if test.sends > 1 {
+					require.NotEqual(t, calls[0].Address, calls[1].Address)
+				}
+			})
+		})
+	}
+}
+
+// An answer to an earlier request comes first; the right one follows.
+func TestCrossedAnswerIsPassedOver(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.script(func(w net.Conn, call engineCall) bool {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong")
+			return answer(200, "right")(w, call)
+		}, answer(200, "next"))
+		require.Equal(t, "right", body(t, h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))))
+		synctest.Wait()
+		require.Len(t, h.closed, 1, "the connection is of no more use")
+	})
+}
+
+// The timeout of the operator's route ends a request whose caller would wait.
+func TestRouteTimeoutEndsRequest(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.script(func(net.Conn, engineCall) bool { time.Sleep(time.Minute); return false })
+		c := testConfiguration(2)
+		c.Routes[1].Timeout = 300 * time.Millisecond
+		h.directory.Use(c)
+		began := time.Now()
+		res := h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+		require.Equal(t, 504, res.StatusCode)
+		require.Equal(t, 300*time.Millisecond, time.Since(began))
+		require.Equal(t, "300", h.sent()[0].Header.Get("X-Deadline-Ms"))
+	})
+}
+
+func TestCallerThatLeavesFreesItsEngine(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.script(func(w net.Conn, _ engineCall) bool {
+			_, _ = w.Read(make([]byte, 1)) // until the connection ends
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.closed["left"] = time.Now()
+			return false
+		})
+		c := h.connect()
+		_, err := io.WriteString(c, rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Len(t, h.sent(), 1)
+		left := time.Now()
+		require.NoError(t, c.Close())
+		synctest.Wait()
+		require.Equal(t, left, h.closed["left"])
+	})
+}
+
+func TestStreamGoesOnElsewhereAfterItsLastWholeEvent(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		half := events(1, 3) + "id: 4\nda"
+		h.script(raw(streamHead+chunk(half)), func(w net.Conn, call engineCall) bool {
+			require.Equal(t, "3", call.Header.Get("Last-Event-Id"))
+			_, err := io.WriteString(w, strings.Replace(streamHead, "stamp", "other", 1)+chunk(events(4, 5))+"0\r\n\r\n")
+			return err == nil
+		})
+		res := h.send(rawRequest("POST", "/stream/x", "Content-Length: 0\r\n"))
+		require.Equal(t, "stamp", res.Header.Get("X-Server-Stamp"), "the head is the first target's")
+		require.Equal(t, events(1, 5), body(t, res))
+	})
+}
+
+func TestBrokenStreamIsNeverWhole(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.script(raw(streamHead + chunk(events(1, 3))))
+		c := h.connect()
+		go func() { _, _ = io.WriteString(c, rawRequest("POST", "/once-stream/x", "Content-Length: 0\r\n")) }()
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		_, err = io.ReadAll(res.Body)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		require.Len(t, h.sent(), 1)
+	})
+}
+
+// An engine that says nothing is left for another, if the request may run there.
+func TestMuteEngineIsLeft(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		mute := func(w net.Conn, _ engineCall) bool { _, _ = w.Read(make([]byte, 1)); return false }
+		h.script(mute, answer(200, "yes"))
+		began := time.Now()
+		res := h.send(rawRequest("GET", "/safe/x"))
+		require.Equal(t, 200, res.StatusCode)
+		require.Less(t, time.Since(began), 500*time.Millisecond)
+	})
+}
+
+func TestRequestWaitsForAProcessThatJustStarted(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.synced = newSynced()
+		h.script(answer(200, "yes"))
+		time.AfterFunc(300*time.Millisecond, func() {
+			for _, k := range syncedKinds {
+				h.learned(k)
+			}
+		})
+		require.Equal(t, 200, h.send(rawRequest("GET", "/safe/x")).StatusCode)
+		h.synced = newSynced()
+		res := h.send(rawRequest("GET", "/safe/x"))
+		require.Equal(t, 503, res.StatusCode)
+		require.NotEmpty(t, res.Header.Get("Retry-After"))
+		require.Len(t, h.sent(), 1)
+	})
+}
+
+func TestLeavingTargetGetsNoWork(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.fleet.Put(fleet.Target{Instance: "p-1", Service: plainService, Address: "10.0.0.1:1", Draining: true})
+		for range 8 {
+			h.script(answer(200, "yes"))
+			require.Equal(t, 200, h.send(rawRequest("GET", "/safe/x")).StatusCode)
+		}
+		for _, call := range h.sent() {
+			require.Equal(t, "10.0.0.2:1", call.Address)
+		}
+		h.fleet.Remove("p-2", time.Now())
+		res := h.send(rawRequest("GET", "/safe/x"))
+		require.Equal(t, 503, res.StatusCode)
+	})
+}
+
+// A stop finishes the request under way and closes the connection after it.
+func TestStopCutsNothing(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		near, far := net.Pipe()
+		h.conns = append(h.conns, near)
+		l := &oneListener{conn: far, done: make(chan struct{})}
+		h.listener = l
+		go h.accept(l)
+		h.script(func(w net.Conn, call engineCall) bool {
+			time.Sleep(4 * time.Second)
+			return answer(200, "yes")(w, call)
+		})
+		go func() {
+			_, _ = io.WriteString(near, strings.Replace(rawRequest("GET", "/unsafe/x"), "1000", "9000", 1))
+		}()
+		time.Sleep(time.Second)
+		stopped := make(chan struct{})
+		go func() { require.NoError(t, h.Stop(t.Context())); close(stopped) }()
+		res, err := http.ReadResponse(bufio.NewReader(near), nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, res.StatusCode)
+		require.True(t, res.Close)
+		require.Error(t, h.Ready())
+		<-stopped
+	})
+}
+
+// oneListener accepts one connection.
+type oneListener struct {
+	conn net.Conn
+	done chan struct{}
+}
+
+// Accept returns the connection, and then waits for the end.
+func (l *oneListener) Accept() (net.Conn, error) {
+	if c := l.conn; c != nil {
+		l.conn = nil
+		return c, nil
+	}
+	<-l.done
+	return nil, net.ErrClosed
+}
+
+// Close ends the listener.
+func (l *oneListener) Close() error { close(l.done); return nil }
+
+// Addr returns no address.
+func (l *oneListener) Addr() net.Addr { return nil }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -65,7 +65,7 @@
 			return x.endStream(s, a, timing)
 		case err != nil || len(pending) > maxEventBytes:
 			a.Close()
-			if x.ctx.Err() == nil {
+			if !x.over() {
 				x.g.failed(s.target, "stream", err)
 			}
 			return outcomeUnknown
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -38,6 +38,7 @@
 
 // queue is what goes before a want.
 type queue struct {
+	wants   int
 	prompts int                    // tokens
 	loads   map[ident.Weights]bool // to begin, from the store
 }
@@ -55,6 +56,7 @@
 			continue
 		}
 		kept = append(kept, w)
+		ahead.wants++
 		if _, ready := b.ready(w); ready {
 			ahead.prompts += w.PromptTokens
 		} else if !b.hasCopy(w.weights()) && !b.replacing(w.weights()) {
@@ -101,7 +103,7 @@
 		b.grant(w, now)
 		return wire.GrantReply{Code: wire.GrantGiven, Version: version, Instance: b.instance}, true
 	}
-	wait, reason := b.computeWait(w, ahead.prompts)
+	wait, reason := b.computeWait(w, ahead)
 	elsewhere := wait > elsewhereAfter
 	if !ready {
 		arrival, why := b.arrival(w, len(ahead.loads), now)
@@ -161,15 +163,14 @@
 	}
 }
 
-// computeWait estimates how long the engine's work will keep the want waiting,
-// with so many prompt tokens to go first.
-func (b *Book) computeWait(w *Want, ahead int) (time.Duration, wire.GrantReason) {
-	wait := max(b.readTime(b.unstarted+ahead+w.PromptTokens)-readWindow, 0)
+// computeWait estimates how long the engine's work will keep the want waiting.
+func (b *Book) computeWait(w *Want, ahead queue) (time.Duration, wire.GrantReason) {
+	wait := max(b.readTime(b.unstarted+ahead.prompts+w.PromptTokens)-readWindow, 0)
 	if !b.crowded(w) {
 		return wait, wire.ReasonReading
 	}
 	// One of the running requests ends every runTime/running.
-	return wait + b.runTime*time.Duration(len(b.waiting)+1)/time.Duration(max(len(b.running), 1)), wire.ReasonPlaces
+	return wait + b.runTime*time.Duration(ahead.wants+1)/time.Duration(max(len(b.running), 1)), wire.ReasonPlaces
 }
 
 // arrival estimates how long the want's weights will take, with so many loads to
--- /dev/null
+++ b/pkg/grant/main_test.go
@@ -0,0 +1,9 @@
+package grant
+
+import (
+	"testing"
+
+	"github.com/hyssoproad/hyssoproad/pkg/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
--- a/pkg/order/main_test.go
+++ b/pkg/order/main_test.go
@@ -1,17 +1,9 @@
 package order
 
 import (
-	"flag"
-	"os"
 	"testing"
-)
 
-// rapidSeed makes every run draw the same; -rapid.seed overrides it.
-const rapidSeed = "1"
+	"github.com/hyssoproad/hyssoproad/pkg/testseed"
+)
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", rapidSeed); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Main(m) }
