--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/fleet"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+)
+
+func targets(n int) []fleet.Target {
+	out := make([]fleet.Target, n)
+	for i := range out {
+		out[i] = fleet.Target{Instance: ident.Target(fmt.Sprintf("i-%d", i)), Address: fmt.Sprintf("10.0.0.%d:80", i)}
+	}
+	return out
+}
+
+func weights(adapter int, v ident.Version) ident.Weights {
+	return ident.Weights{Model: "m", AdapterVersion: ident.AdapterVersion{Adapter: ident.Adapter(fmt.Sprintf("a%d", adapter)), Version: v}}
+}
+
+// Every entry sends an adapter's requests to the same engines, and the loss of
+// an engine moves only the adapters that it was the home of.
+func TestHomesMoveOnlyWithTheirEngine(t *testing.T) {
+	all := targets(12)
+	moved := 0
+	for a := range 500 {
+		w := weights(a, 1)
+		homes := Homes(all, w)
+		require.Equal(t, homes[0], Homes(append([]fleet.Target{all[11]}, all[:11]...), w)[0], "in any order")
+		less := Homes(all[1:], w)
+		if homes[0].Instance == all[0].Instance {
+			moved++
+			require.Equal(t, homes[1], less[0])
+			continue
+		}
+		require.Equal(t, homes[0], less[0])
+	}
+	require.InDelta(t, 500/12, moved, 25)
+}
+
+// An engine that restarts under another name keeps its adapters' copies.
+func TestHomesOutliveARestart(t *testing.T) {
+	all := targets(12)
+	renamed := append([]fleet.Target(nil), all...)
+	for i := range renamed {
+		renamed[i].Instance += "-again"
+	}
+	for a := range 100 {
+		require.Equal(t, Homes(all, weights(a, 1))[0].Address, Homes(renamed, weights(a, 1))[0].Address)
+	}
+}
+
+// A new version is brought on engines of its own while the old one still runs.
+func TestNewVersionHasHomesOfItsOwn(t *testing.T) {
+	all := targets(12)
+	same := 0
+	for a := range 500 {
+		if Homes(all, weights(a, 1))[0] == Homes(all, weights(a, 2))[0] {
+			same++
+		}
+	}
+	require.Less(t, same, 500/6)
+}
+
+func TestLeastPrefersIdleTargets(t *testing.T) {
+	all := targets(4)
+	load := map[ident.Target]float64{"i-0": 1, "i-1": 0.5, "i-2": 0, "i-3": 0}
+	first := map[ident.Target]bool{}
+	for tie := range uint64(32) {
+		order := Least(all, func(t fleet.Target) float64 { return load[t.Instance] }, tie)
+		require.Equal(t, ident.Target("i-0"), order[3].Instance)
+		require.Equal(t, ident.Target("i-1"), order[2].Instance)
+		first[order[0].Instance] = true
+	}
+	require.Len(t, first, 2, "ties are spread")
+}
+
+func TestVersionsNeverRevert(t *testing.T) {
+	v := NewVersions()
+	require.True(t, v.Learn(weights(1, 3)))
+	require.False(t, v.Learn(weights(1, 2)))
+	require.Equal(t, ident.Version(3), v.Newest(weights(1, 0)).Version)
+	require.Zero(t, v.Newest(weights(2, 0)).Version)
+}
--- /dev/null
+++ b/pkg/retry/budget_test.go
@@ -0,0 +1,81 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hyssoproad/hyssoproad/pkg/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var limits = Limits{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+
+// All targets fail at once, and entries come and go: in no window do all of them
+// together repeat more than the whole budget allows.
+func TestSharesStayWithinTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 8).Draw(t, "entries")
+		budgets := make([]*Budget, entries)
+		for i := range budgets {
+			budgets[i] = New(limits)
+		}
+		var requests, repeats []time.Time
+		now := time.Unix(1_000_000, 0)
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+			b.Request(now)
+			requests = append(requests, now)
+			for range rapid.IntRange(0, 3).Draw(t, "failures") {
+				if b.Take(entries, now) {
+					repeats = append(repeats, now)
+				}
+			}
+		}
+		for _, from := range repeats {
+			inWindow := func(times []time.Time, from time.Time) int {
+				n := 0
+				for _, at := range times {
+					if !at.Before(from) && at.Before(from.Add(limits.Window)) {
+						n++
+					}
+				}
+				return n
+			}
+			// Requests count in this window or the one before it.
+			most := max(inWindow(requests, from), inWindow(requests, from.Add(-limits.Window)), inWindow(requests, from.Add(-limits.Window/2)))
+			require.LessOrEqual(t, float64(inWindow(repeats, from)), limits.Ratio*float64(most)+float64(limits.Slack))
+		}
+	})
+}
+
+func TestBudgetComesBack(t *testing.T) {
+	b := New(Limits{Ratio: 0, Slack: 10, Window: 10 * time.Second})
+	now := time.Unix(1_000_000, 0)
+	taken := 0
+	for b.Take(1, now) {
+		taken++
+	}
+	require.Equal(t, 8, taken, "the share less its margin")
+	require.False(t, b.Take(1, now.Add(9*time.Second)))
+	require.True(t, b.Take(1, now.Add(11*time.Second)))
+}
+
+func TestSharers(t *testing.T) {
+	var s Sharers
+	now := time.Unix(1_000_000, 0)
+	require.Equal(t, unknownSharers, s.Count(), "until an agent has said")
+	s.Saw(1, now)
+	require.Equal(t, leastSharers, s.Count())
+	s.Saw(22, now)
+	s.Saw(20, now.Add(time.Second))
+	require.Equal(t, 22, s.Count())
+	s.Saw(5, now.Add(sharersPeriod))
+	s.Saw(5, now.Add(2*sharersPeriod))
+	s.Saw(5, now.Add(3*sharersPeriod))
+	require.Equal(t, 5, s.Count())
+}
