A popular adapter's requests go to a replica that holds it once its home has 100 ms to read

Cause: the most popular adapter brings more prompts than one engine reads; its requests waited up to 0.4 s at their first home before the second was asked. Loads of 25 ms from an engine's own copy, after the agent's restart, were taken for the store's best time, so that all later loads looked slow.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -44,9 +44,8 @@
 // Receive reads the head of the answer to the request with the given method and
 // attempt id. It returns ErrSpoiled if there is none that belongs to it.
 func (c *Conn) Receive(method, attempt string, deadline time.Time) (*Answer, error) {
-	if err := c.nc.SetReadDeadline(deadline); err != nil {
-		return nil, errors.Trace(err)
-	}
+	// What came before the connection ended can still be read; its end shows there.
+	_ = c.nc.SetReadDeadline(deadline)
 	a := &Answer{c: c, method: method}
 	a.Header.DisableNormalizing()
 	a.Header.SetNoDefaultContentType(true)
@@ -123,8 +122,9 @@
 	return ""
 }
 
-// SetReadDeadline bounds the next reads of the body.
-func (a *Answer) SetReadDeadline(t time.Time) error { return a.c.nc.SetReadDeadline(t) }
+// SetReadDeadline bounds the next reads of the body. A connection that has ended
+// shows in them.
+func (a *Answer) SetReadDeadline(t time.Time) { _ = a.c.nc.SetReadDeadline(t) }
 
 // Close drops the answer's connection.
 func (a *Answer) Close() { a.c.Close() }
--- /dev/null
+++ b/pkg/forward/exchange_test.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// receive reads the answer that a target writes before it closes the connection.
+func receive(t *testing.T, text string) (*Answer, error) {
+	t.Helper()
+	near, far := net.Pipe()
+	go func() {
+		_, _ = io.WriteString(far, text)
+		_ = far.Close()
+	}()
+	c := &Conn{nc: near, r: bufio.NewReaderSize(near, readBufferBytes)}
+	return c.Receive("POST", "a-1", time.Now().Add(time.Minute))
+}
+
+const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\n"
+
+func TestBodiesThatBreakOffAreNotWhole(t *testing.T) {
+	for _, test := range []struct {
+		name, text, body string
+		whole            bool
+	}{
+		{"a length", head + "Content-Length: 3\r\n\r\nabc", "abc", true},
+		{"short of its length", head + "Content-Length: 4\r\n\r\nabc", "abc", false},
+		{"no body", head + "Content-Length: 0\r\n\r\n", "", true},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "abc", true},
+		{"chunks with a trailer", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-T: 1\r\n\r\n", "abc", true},
+		{"no last chunk", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "abc", false},
+		{"no chunk", head + "Transfer-Encoding: chunked\r\n\r\n", "", false},
+		{"half a chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabc", "abc", false},
+		{"no end after the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", "abc", false},
+		{"ends with its connection", head + "\r\nabc", "abc", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for range 200 {
+				a, err := receive(t, test.text)
+				require.NoError(t, err)
+				body, err := io.ReadAll(a)
+				require.Equal(t, test.body, string(body))
+				require.Equal(t, test.whole, err == nil, "%v", err)
+				require.Equal(t, test.whole, a.ended)
+			}
+		})
+	}
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -344,9 +344,7 @@
 const maxAnswerBytes = 16 << 20
 
 func (x *exchange) readWhole(a *forward.Answer) ([]byte, error) {
-	if err := a.SetReadDeadline(x.until); err != nil {
-		return nil, errors.Trace(err)
-	}
+	a.SetReadDeadline(x.until)
 	body := make([]byte, 0, max(a.Length(), 512))
 	for {
 		if len(body) == cap(body) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -36,6 +36,7 @@
 	directory *directory.Directory
 	fleet     *fleet.View
 	versions  *placement.Versions
+	replicas  *placement.Replicas
 	pool      *forward.Pool
 	agents    *agents
 	loads     *loads
@@ -73,7 +74,7 @@
 // New returns a gateway that knows no configuration.
 func New(c common.Common, node platform.Node) *Gateway {
 	return &Gateway{
-		Common: c.With("gateway"), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(),
+		Common: c.With("gateway"), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(), replicas: placement.NewReplicas(),
 		pool:   forward.NewPool(),
 		agents: newAgents(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: peerLiveness}, node.PeerPort),
 		loads:  newLoads(), synced: newSynced(), budgets: make(map[ident.Service]*budget), waiting: make(map[*caller]bool),
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -49,7 +49,9 @@
 	soonest, wait, why := -1, time.Duration(0), wire.ReasonNone
 	asked, spare := min(maxAsked, len(homes)), false
 	for i := 0; i < asked; i++ {
-		s, reply := x.ask(homes[i], weights, asking{elsewhere: true, spare: spare})
+		s, reply := x.ask(homes[i], weights, asking{
+			elsewhere: true, spare: spare, replicated: i+1 < len(homes) && x.g.replicas.Holds(weights, homes[i+1].Address, time.Now()),
+		})
 		if s != nil {
 			return s, refusal{}
 		}
@@ -102,8 +104,9 @@
 
 // asking says how an agent is asked.
 type asking struct {
-	elsewhere bool // another agent can be asked
-	spare     bool // another engine holds the adapter or is to hold it
+	elsewhere  bool // another agent can be asked
+	spare      bool // another engine holds the adapter or is to hold it
+	replicated bool // the next engine holds it already
 }
 
 // ask asks one target's agent.
@@ -118,7 +121,7 @@
 	stream, err := conn.Open(link.KindGrantWant, &wire.GrantWant{
 		Model: w.Model, Adapter: w.AdapterVersion,
 		PromptTokens: x.q.prompt, OutputTokens: x.q.output, Rank: x.route.Rank,
-		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: how.elsewhere, Spare: how.spare,
+		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: how.elsewhere, Spare: how.spare, Replicated: how.replicated,
 	})
 	if err != nil {
 		return nil, unable
@@ -134,6 +137,7 @@
 		stream.Close()
 		return nil, reply
 	}
+	x.g.replicas.Saw(w, t.Address, time.Now())
 	if !x.g.fleet.Usable(t) {
 		// It began to leave while the request waited for its grant.
 		stream.Close()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -32,10 +32,7 @@
 	last := sent
 	pending := make([]byte, 0, streamBufferBytes)
 	for {
-		if err := a.SetReadDeadline(x.pauseEnd()); err != nil {
-			a.Close()
-			return outcomeUnknown
-		}
+		a.SetReadDeadline(x.pauseEnd())
 		pending = grow(pending)
 		n, err := a.Read(pending[len(pending):cap(pending)])
 		pending = pending[:len(pending)+n]
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -16,6 +16,9 @@
 	// elsewhereAfter is the forecast wait above which another engine is asked:
 	// somewhat more than bringing the adapter there.
 	elsewhereAfter = 400 * time.Millisecond
+	// replicaAfter is the same where the other engine holds the adapter already:
+	// a popular adapter's requests would otherwise all wait at its first home.
+	replicaAfter = 100 * time.Millisecond
 	// memoryShare is the part of an engine's memory that granted requests may
 	// need at most. Requests share prompts and end early, so that their sum
 	// overstates what they need.
@@ -99,12 +102,13 @@
 		return wire.GrantReply{Code: wire.GrantBusy}, now.After(w.expires())
 	}
 	version, ready := b.ready(w)
-	if ready && ahead.prompts == 0 && b.fits(w) {
+	crossed := w.Replicated && w.MayGoElsewhere && b.readTime(b.unstarted+ahead.prompts) > replicaAfter
+	if ready && ahead.prompts == 0 && !crossed && b.fits(w) {
 		b.grant(w, now)
 		return wire.GrantReply{Code: wire.GrantGiven, Version: version, Instance: b.instance}, true
 	}
 	wait, reason := b.computeWait(w, ahead)
-	elsewhere := wait > elsewhereAfter
+	elsewhere := wait > elsewhereAfter || crossed
 	if !ready {
 		arrival, why := b.arrival(w, len(ahead.loads), now)
 		elsewhere = elsewhere || why != wire.ReasonLoading || arrival > w.objective(now) && !b.congested() ||
@@ -114,6 +118,10 @@
 		}
 	}
 	if elsewhere && w.MayGoElsewhere || now.Add(wait).After(w.expires()) {
+		if crossed {
+			// Between two engines that hold the adapter, the backlog decides.
+			wait = max(wait, b.readTime(b.unstarted+ahead.prompts))
+		}
 		return wire.GrantReply{Code: wire.GrantBusy, Reason: reason, WaitMS: wait.Milliseconds()}, true
 	}
 	return wire.GrantReply{}, false
--- a/pkg/grant/loads.go
+++ b/pkg/grant/loads.go
@@ -41,12 +41,16 @@
 	quickLoad = 1.25
 	slowLoad  = 1.5
 	// Additive increase, multiplicative decrease.
-	firstAtOnce = 2.0
+	firstAtOnce = 1.0
 	leastAtOnce = 0.2
 	atOnceStep  = 0.25
 	atOnceCut   = 0.75
 	// roomyAtOnce is what an engine has when the store is not shared too widely.
-	roomyAtOnce = 2.0
+	roomyAtOnce = 1.0
+	// A load this many times faster than one from the store came from a copy that
+	// the engine kept from before this process started; copies load ten times as
+	// fast, by the platform's protocol.
+	ownCopySpeed = 3
 	// bestDecay lets the shortest load be forgotten when the store has changed.
 	bestDecay = 1.02
 	// maxKnown bounds the memory of adapters held before.
@@ -67,7 +71,7 @@
 		clear(l.known)
 	}
 	l.known[w.Unversioned()] = w.Version
-	if f.warm {
+	if f.warm || took < l.best/ownCopySpeed {
 		l.warm = time.Duration(average(float64(l.warm), float64(took)))
 		return
 	}
--- a/pkg/placement/versions.go
+++ b/pkg/placement/versions.go
@@ -28,12 +28,14 @@
 	return v
 }
 
-func (v *Versions) shard(w ident.Weights) *versionShard {
+func (v *Versions) shard(w ident.Weights) *versionShard { return &v.shards[shardOf(w)] }
+
+func shardOf(w ident.Weights) uint32 {
 	sum := uint32(0)
 	for i := range len(w.Adapter) {
 		sum = sum*31 + uint32(w.Adapter[i])
 	}
-	return &v.shards[sum%versionShardCount]
+	return sum % versionShardCount
 }
 
 // Learn records a version that was announced or seen. It reports whether it was
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -40,6 +40,8 @@
 	// MayGoElsewhere says that the entry knows another engine to ask: a long
 	// wait is then answered at once.
 	MayGoElsewhere bool
+	// Replicated says that the other engine holds the adapter already.
+	Replicated bool
 	// Spare says that another engine holds the adapter or is to hold it: while the
 	// weight store is congested it is not worth a second load.
 	Spare bool
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -322,8 +322,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GrantWant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o, err = z.Model.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Model")
@@ -340,6 +340,7 @@
 	o = msgp.AppendInt64(o, z.WaitMS)
 	o = msgp.AppendInt64(o, z.ObjectiveMS)
 	o = msgp.AppendBool(o, z.MayGoElsewhere)
+	o = msgp.AppendBool(o, z.Replicated)
 	o = msgp.AppendBool(o, z.Spare)
 	return
 }
@@ -352,8 +353,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	bts, err = z.Model.UnmarshalMsg(bts)
@@ -396,6 +397,11 @@
 		err = msgp.WrapError(err, "MayGoElsewhere")
 		return
 	}
+	z.Replicated, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Replicated")
+		return
+	}
 	z.Spare, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Spare")
@@ -407,7 +413,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GrantWant) Msgsize() (s int) {
-	s = 1 + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize
+	s = 1 + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
