--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -29,6 +29,8 @@
 	r  *bufio.Reader
 	// out holds the bytes of the answer that were not yet written.
 	out []byte
+	// served says that the connection has carried a request.
+	served bool
 	// begun says that bytes of the present answer were written.
 	begun bool
 	// closing says that the connection ends after the present answer.
@@ -72,6 +74,7 @@
 		return false
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	c.served = true
 	c.g.idle(c, true)
 	return <-peeked == nil
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -81,9 +81,36 @@
 		configuration: configuration, service: configuration.Services[pickService(route, q.attempt)],
 	}
 	g.budget(x.service.Name).request()
+	if stopAt := g.stopAt.Load(); stopAt != nil && time.Now().Add(x.length()).After(*stopAt) {
+		return c.problem(fasthttp.StatusServiceUnavailable, "stopping", g.spread(stopRetryAfter)) == nil
+	}
 	return x.run()
 }
 
+const (
+	// stopRetryAfter sends a caller to another entry, or back to this one after
+	// its restart.
+	stopRetryAfter = 500 * time.Millisecond
+	// plainObjectives is the number of latency objectives within which plain
+	// requests have ended, but for rare ones.
+	plainObjectives = 5
+	// streamMargin lengthens the forecast of a stream that a stopping process
+	// takes: its engine may be slower than most, and a cut cannot be mended.
+	streamMargin = 2.0
+)
+
+// length forecasts how long the request will take.
+func (x *exchange) length() time.Duration {
+	if x.route.Repeat == platform.RunAsStream {
+		events := x.q.output
+		if x.service.Engine != nil {
+			events /= x.service.Engine.EventTokens
+		}
+		return 2*x.route.Objective + time.Duration(streamMargin*float64(x.g.pace.of(events)))
+	}
+	return min(x.left(), plainObjectives*x.route.Objective)
+}
+
 const (
 	// syncShare is the share of a caller's time that a request waits for a
 	// process that has just started; what is left must do to serve it.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,9 +48,13 @@
 
 	listener net.Listener
 	stopping atomic.Bool
-	active   atomic.Int64
-	connMu   sync.Mutex
-	waiting  map[*caller]bool // connections between two requests
+	// stopAt is when requests under way are given up, once the balancer has had
+	// time to notice the stop.
+	stopAt  atomic.Pointer[time.Time]
+	pace    pace
+	active  atomic.Int64
+	connMu  sync.Mutex
+	waiting map[*caller]bool // connections between two requests
 }
 
 // budget is a retry budget under its lock.
@@ -205,30 +209,34 @@
 	stopPoll   = 20 * time.Millisecond
 )
 
-// Stop finishes the requests under way. New ones are served until the balancer
-// has noticed that the process is leaving.
+// Stop finishes the requests under way. New ones that can end in time are served
+// to the end: where all entries of a failure domain stop at once, the balancer
+// has nobody else to send them to.
 func (g *Gateway) Stop(context.Context) error {
 	began := time.Now()
+	last := began.Add(g.node.Bounds.StopGrace - stopMargin)
 	g.stopping.Store(true)
 	g.Info("msg", "stopping", "active", g.active.Load())
 	time.Sleep(noticeTime)
-	_ = g.listener.Close()
-	g.closeIdle()
-	last := began.Add(g.node.Bounds.StopGrace - stopMargin)
+	g.stopAt.Store(&last)
 	for g.active.Load() > 0 && time.Now().Before(last) {
-		time.Sleep(stopPoll)
 		g.closeIdle()
+		time.Sleep(stopPoll)
 	}
+	_ = g.listener.Close()
+	g.closeIdle()
 	g.Info("msg", "finished", "unfinished", g.active.Load(), "after", time.Since(began))
 	return nil
 }
 
-// closeIdle ends the connections that wait for a request.
+// closeIdle ends the connections that wait for another request.
 func (g *Gateway) closeIdle() {
 	g.connMu.Lock()
 	defer g.connMu.Unlock()
 	for c := range g.waiting {
-		_ = c.nc.SetReadDeadline(time.Now())
+		if c.served {
+			_ = c.nc.SetReadDeadline(time.Now())
+		}
 	}
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -284,6 +284,23 @@
 	})
 }
 
+// A stream that would be cut at the end of the stop is refused; a short request
+// is served.
+func TestStoppingProcessTakesWhatCanEnd(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		last := time.Now().Add(2 * time.Second)
+		h.stopAt.Store(&last)
+		h.stopping.Store(true)
+		h.script(answer(200, "yes"))
+		require.Equal(t, 200, h.send(rawRequest("GET", "/safe/x")).StatusCode)
+		res := h.send(rawRequest("POST", "/stream/x", "Content-Length: 0\r\nX-Token-Count: 100,400\r\n"))
+		require.Equal(t, 503, res.StatusCode)
+		require.NotEmpty(t, res.Header.Get("Retry-After"))
+		require.True(t, res.Close)
+		require.Len(t, h.sent(), 1)
+	})
+}
+
 // oneListener accepts one connection.
 type oneListener struct {
 	conn net.Conn
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -49,6 +49,7 @@
 				timing.pause = max(timing.pause, time.Since(last))
 			}
 			last = time.Now()
+			timing.events += bytes.Count(pending[:whole], eventEnd)
 			if !x.passEvents(a, pending[:whole]) {
 				a.Close()
 				x.c.closing = true
@@ -76,6 +77,7 @@
 	first   time.Duration // from the send to the first event
 	pause   time.Duration // the longest between two events
 	whole   time.Duration
+	events  int
 }
 
 func (x *exchange) endStream(s *seat, a *forward.Answer, t streamTiming) outcome {
@@ -83,6 +85,7 @@
 		"granted", t.granted, "first", t.first, "pause", t.pause, "whole", t.whole, "objective", x.route.Objective)
 	x.g.pool.Finish(a)
 	x.g.succeeded(s.target)
+	x.g.pace.saw(t.events, t.whole-t.granted-t.first)
 	if !x.streaming {
 		x.c.beginStream(a)
 	}
