One client of the platform's store in the whole tree

The product's object API is a seam over platform.Store, and its stand-in speaks the platform's words: kinds, revisions, 409, 410, pages, watches of a kind, lost answers. The list of VMs is a kind of it. Values are held to 3/4 of 1 MB, since they travel as base64.

make run and make test as before; the store's tests run over HTTP against the stand-in.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -18,8 +18,8 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/order"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
 	"github.com/hyssoproad/hyssoproad/pkg/queue"
 	"github.com/hyssoproad/hyssoproad/pkg/rollout"
 	"github.com/hyssoproad/hyssoproad/pkg/settings"
@@ -71,7 +71,7 @@
 
 // Parts are an agent's connections to the world. Tests replace them.
 type Parts struct {
-	Objects platform.Objects
+	Objects objects.Objects
 	Engine  *target.Engine  // of an engine's agent
 	Service *target.Service // of a plain service's agent
 	Listen  func() (net.Listener, error)
@@ -79,7 +79,7 @@
 }
 
 // NewParts returns the parts that the settings name.
-func NewParts(s settings.Agent, client *platform.Client) Parts {
+func NewParts(s settings.Agent, client *objects.Client) Parts {
 	p := Parts{
 		Objects: client.Objects(),
 		Listen:  func() (net.Listener, error) { return net.Listen("tcp", s.Link) },
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -19,7 +19,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/pkg/monitor"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/settings"
 )
 
@@ -82,7 +82,7 @@
 	defer stop()
 	provide := append([]any{
 		func() settings.Process { return p },
-		func() *platform.Client { return platform.NewClient(p.Platform) },
+		func() *objects.Client { return objects.NewClient(p.Platform) },
 		func(m monitor.Metrics) common.Common { return common.Common{Log: logger, Metrics: m.Scope} },
 	}, d.Provide...)
 	_ = level.Info(logger).Log("msg", "starting", "program", d.Name, "vm", p.VM, "version", monitor.Version())
--- a/pkg/bench/deployment.go
+++ b/pkg/bench/deployment.go
@@ -14,7 +14,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/catalog"
 	"github.com/hyssoproad/hyssoproad/pkg/declaration"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/settings"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
@@ -113,7 +113,7 @@
 // StandInSettings are the settings of the stand-ins' program.
 type StandInSettings struct {
 	Platform string            `json:"platform"` // listen address
-	VMs      []platform.VMInfo `json:"vms"`
+	VMs      []objects.VMInfo  `json:"vms"`
 	VMLag    settings.Duration `json:"vm-lag"`
 	Store    StandInStore      `json:"store"`
 	Targets  []settings.Target `json:"targets"`
@@ -144,13 +144,13 @@
 		Targets: d.Targets(),
 	}
 	for i := range d.Entries {
-		s.VMs = append(s.VMs, platform.VMInfo{VM: entryVM(i), Domain: domain(i), State: platform.VMLive, Entry: d.EntryLink(i)})
+		s.VMs = append(s.VMs, objects.VMInfo{VM: entryVM(i), Domain: domain(i), State: objects.VMLive, Entry: d.EntryLink(i)})
 	}
 	for i, t := range s.Targets {
 		if d.Proxied {
 			s.Proxies = append(s.Proxies, ProxySettings{Name: string(t.Name), Listen: d.address(proxyPort + i), To: d.address(agentPort + portStride*i)})
 		}
-		s.VMs = append(s.VMs, platform.VMInfo{VM: targetVM(i), Domain: domain(i), State: platform.VMLive, Targets: []string{string(t.Name)}})
+		s.VMs = append(s.VMs, objects.VMInfo{VM: targetVM(i), Domain: domain(i), State: objects.VMLive, Targets: []string{string(t.Name)}})
 	}
 	return s
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -12,7 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -28,7 +28,7 @@
 
 // Lease is one candidate's view of a lease.
 type Lease struct {
-	objects platform.Objects
+	objects objects.Objects
 	key     string
 	self    wire.LeaseObject
 
@@ -36,11 +36,11 @@
 	seen    wire.LeaseObject
 	seenAt  time.Time // when this beat of the holder was first seen
 	until   time.Time // end of the own tenure
-	version platform.ObjectVersion
+	version objects.ObjectVersion
 }
 
 // New returns a candidate for the lease of a name.
-func New(objects platform.Objects, name string, vm ident.VM, address string) *Lease {
+func New(objects objects.Objects, name string, vm ident.VM, address string) *Lease {
 	return &Lease{objects: objects, key: "leases/" + name, self: wire.LeaseObject{Holder: vm, Address: address}}
 }
 
@@ -59,7 +59,7 @@
 	return l.write(ctx, current, version, started)
 }
 
-func (l *Lease) read(ctx context.Context) (wire.LeaseObject, platform.ObjectVersion, error) {
+func (l *Lease) read(ctx context.Context) (wire.LeaseObject, objects.ObjectVersion, error) {
 	var current wire.LeaseObject
 	object, err := l.objects.Get(ctx, l.key)
 	if errors.Is(err, errors.NotFound) {
@@ -72,7 +72,7 @@
 	return current, object.Version, errors.Trace(err)
 }
 
-func (l *Lease) observe(current wire.LeaseObject, version platform.ObjectVersion, now time.Time) {
+func (l *Lease) observe(current wire.LeaseObject, version objects.ObjectVersion, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if version != l.version || l.seenAt.IsZero() {
@@ -88,7 +88,7 @@
 	return vacant || own || now.Sub(l.seenAt) >= TTL
 }
 
-func (l *Lease) write(ctx context.Context, current wire.LeaseObject, version platform.ObjectVersion, started time.Time) error {
+func (l *Lease) write(ctx context.Context, current wire.LeaseObject, version objects.ObjectVersion, started time.Time) error {
 	next := l.self
 	next.Term = current.Term
 	next.Beat = current.Beat + 1
--- a/pkg/ledger/bucket.go
+++ b/pkg/ledger/bucket.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -44,7 +44,7 @@
 
 	// Owned by the one commit under way.
 	loaded  bool
-	version platform.ObjectVersion
+	version objects.ObjectVersion
 	content wire.LedgerBucket
 }
 
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -16,7 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -64,7 +64,7 @@
 // a partition's claims to one owner only saves updates.
 type Ledger struct {
 	settings Settings
-	objects  platform.Objects
+	objects  objects.Objects
 	limiter  *rate.Limiter
 	writes   atomic.Int64
 
@@ -73,7 +73,7 @@
 }
 
 // New returns a ledger.
-func New(objects platform.Objects, settings Settings) *Ledger {
+func New(objects objects.Objects, settings Settings) *Ledger {
 	settings = settings.Defaults()
 	return &Ledger{
 		settings: settings, objects: objects,
@@ -226,7 +226,7 @@
 }
 
 func ignoreConflict(err error) error {
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objects.ErrConflict) {
 		return nil
 	}
 	return errors.Trace(err)
--- /dev/null
+++ b/pkg/objects/client.go
@@ -0,0 +1,185 @@
+package objects
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// kindVMs is the kind under which the platform lists its VMs.
+const kindVMs platform.Kind = "vms"
+
+// rootKind is the kind of the objects whose keys have no directory.
+const rootKind = "root"
+
+// Client is the object API over the platform's metadata store.
+type Client struct {
+	store *platform.Store
+}
+
+// NewClient returns a client of the platform at base, such as
+// http://10.0.0.1:7000.
+func NewClient(base string) *Client {
+	return &Client{store: platform.NewStore(strings.TrimPrefix(base, "http://"))}
+}
+
+// Objects returns the object API behind the client.
+func (c *Client) Objects() Objects {
+	return Objects{Get: c.get, Put: c.put, Delete: c.remove, List: c.list, Watch: c.watch}
+}
+
+// Split returns the kind and name under which a key's object lies: the key's
+// directory, with dots for slashes, and its last part.
+func Split(key string) (platform.Kind, string) {
+	i := strings.LastIndexByte(key, '/')
+	if i < 0 {
+		return rootKind, key
+	}
+	return platform.Kind(strings.ReplaceAll(key[:i], "/", ".")), key[i+1:]
+}
+
+// Join is the inverse of Split.
+func Join(kind platform.Kind, name string) string {
+	if kind == rootKind {
+		return name
+	}
+	return strings.ReplaceAll(string(kind), ".", "/") + "/" + name
+}
+
+// seamError maps the store's errors to those of the object API.
+func seamError(err error, key string) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrAbsent):
+		return errors.NotFoundf("object %s", key)
+	case errors.Is(err, platform.ErrConflict):
+		return errors.Annotatef(ErrConflict, "object %s", key)
+	}
+	return errors.WithType(errors.Annotatef(err, "object %s", key), ErrUnavailable)
+}
+
+func decode(key string, o platform.Object) (Object, error) {
+	out := Object{Key: key, Version: ObjectVersion(o.Revision)}
+	return out, errors.Annotatef(json.Unmarshal(o.Spec, &out.Value), "object %s", key)
+}
+
+func (c *Client) get(_ context.Context, key string) (Object, error) {
+	kind, name := Split(key)
+	o, err := c.store.Get(kind, name)
+	if err != nil {
+		return Object{}, seamError(err, key)
+	}
+	return decode(key, o)
+}
+
+func (c *Client) put(_ context.Context, key string, value []byte, version ObjectVersion) (ObjectVersion, error) {
+	if len(value) > MaxValueBytes {
+		return 0, errors.NotValidf("value of %d bytes for %s", len(value), key)
+	}
+	spec, err := json.Marshal(value)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	kind, name := Split(key)
+	revision, err := c.store.Put(kind, name, spec, platform.Revision(version))
+	return ObjectVersion(revision), seamError(err, key)
+}
+
+func (c *Client) remove(_ context.Context, key string, version ObjectVersion) error {
+	kind, name := Split(key)
+	return seamError(c.store.Delete(kind, name, platform.Revision(version)), key)
+}
+
+func (c *Client) list(_ context.Context, prefix string) ([]string, error) {
+	kind, _ := Split(prefix)
+	list, _, err := c.store.List(kind)
+	if err != nil {
+		return nil, seamError(err, prefix)
+	}
+	var keys []string
+	for _, o := range list {
+		if key := Join(kind, o.Name); strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys, nil
+}
+
+// watch waits for an object above a version. Watches are of whole kinds; those
+// of other objects are passed over.
+func (c *Client) watch(ctx context.Context, key string, version ObjectVersion, wait time.Duration) (Object, error) {
+	kind, name := Split(key)
+	from := platform.Revision(version)
+	for end := time.Now().Add(wait); ; {
+		if from == 0 {
+			list, as, err := c.store.List(kind)
+			if err != nil {
+				return Object{}, seamError(err, key)
+			}
+			for _, o := range list {
+				if o.Name == name && ObjectVersion(o.Revision) > version {
+					return decode(key, o)
+				}
+			}
+			from = as
+		}
+		left := time.Until(end)
+		if left <= 0 || ctx.Err() != nil {
+			return Object{}, errors.Timeoutf("watch of %s", key)
+		}
+		events, next, err := c.store.Watch(kind, from, left)
+		if errors.Is(err, platform.ErrHistoryGone) {
+			from = 0
+			continue
+		}
+		if err != nil {
+			return Object{}, seamError(err, key)
+		}
+		for i := len(events) - 1; i >= 0; i-- {
+			if o := events[i].Object; o.Name == name && !events[i].Removed && ObjectVersion(o.Revision) > version {
+				return decode(key, o)
+			}
+		}
+		from = next
+	}
+}
+
+// VMState is what the platform says of a VM.
+type VMState string
+
+// The states of a VM.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VMInfo is one row of the platform's list of VMs, which lags.
+type VMInfo struct {
+	VM      ident.VM     `json:"vm"`
+	Domain  ident.Domain `json:"domain"`
+	State   VMState      `json:"state"`
+	Entry   string       `json:"entry,omitempty"` // link address, on entry VMs
+	Targets []string     `json:"targets,omitempty"`
+}
+
+// VMs returns the platform's list of VMs.
+func (c *Client) VMs(context.Context) ([]VMInfo, error) {
+	list, _, err := c.store.List(kindVMs)
+	if err != nil {
+		return nil, seamError(err, string(kindVMs))
+	}
+	vms := make([]VMInfo, len(list))
+	for i, o := range list {
+		if err := json.Unmarshal(o.Spec, &vms[i]); err != nil {
+			return nil, errors.Annotatef(err, "VM %s", o.Name)
+		}
+	}
+	return vms, nil
+}
--- a/pkg/platform/objects.go
+++ b/pkg/objects/objects.go
@@ -1,6 +1,6 @@
-// Package platform is the client side of what the platform provides: the
+// Package objects is the client side of what the platform provides: the
 // object API and the list of VMs.
-package platform
+package objects
 
 import (
 	"context"
@@ -9,8 +9,9 @@
 	"github.com/juju/errors"
 )
 
-// MaxValueBytes is the largest value that the object API takes.
-const MaxValueBytes = 1 << 20
+// MaxValueBytes is the largest value that the object API takes: the store holds
+// 1 MB, of which base64 takes a quarter and the object's own fields some bytes.
+const MaxValueBytes = 3<<18 - 4096
 
 // ErrConflict is returned when an object's version is not the expected one.
 // The update did not take effect.
--- a/pkg/order/fence.go
+++ b/pkg/order/fence.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -28,7 +28,7 @@
 // Fence issues an agent's fencing number and tells whether it is still the
 // highest.
 type Fence struct {
-	objects platform.Objects
+	objects objects.Objects
 	key     string
 	// Highest returns the highest incarnation that home entries confirmed
 	// recently, or false when none did. It stands in for the object API
@@ -42,7 +42,7 @@
 }
 
 // NewFence returns a fence for a target.
-func NewFence(objects platform.Objects, target ident.Target) *Fence {
+func NewFence(objects objects.Objects, target ident.Target) *Fence {
 	return &Fence{
 		objects: objects,
 		key:     "incarnations/" + string(target),
@@ -88,7 +88,7 @@
 	return next.Number, nil
 }
 
-func (f *Fence) read(ctx context.Context) (wire.IncarnationObject, platform.ObjectVersion, error) {
+func (f *Fence) read(ctx context.Context) (wire.IncarnationObject, objects.ObjectVersion, error) {
 	var current wire.IncarnationObject
 	object, err := f.objects.Get(ctx, f.key)
 	if errors.Is(err, errors.NotFound) {
--- a/pkg/peer/membership.go
+++ b/pkg/peer/membership.go
@@ -9,7 +9,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/member"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -42,11 +42,11 @@
 	leaving := make(map[ident.Target]bool)
 	for _, vm := range vms {
 		listed[vm.VM] = true
-		if vm.Entry != "" && vm.State == platform.VMLive {
+		if vm.Entry != "" && vm.State == objects.VMLive {
 			p.Registry.ProposeEntry(wire.EntryInfo{VM: vm.VM, Domain: vm.Domain, Address: vm.Entry})
 		}
 		for _, t := range vm.Targets {
-			leaving[ident.Target(t)] = vm.State == platform.VMLeaving
+			leaving[ident.Target(t)] = vm.State == objects.VMLeaving
 		}
 	}
 	p.Registry.SetLeaving(leaving)
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -19,7 +19,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ledger"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/member"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/rollout"
 	"github.com/hyssoproad/hyssoproad/pkg/route"
 	"github.com/hyssoproad/hyssoproad/pkg/settings"
@@ -63,14 +63,14 @@
 
 // Parts are a peer's connections to the world. Tests replace them.
 type Parts struct {
-	Objects platform.Objects
-	VMs     func(context.Context) ([]platform.VMInfo, error)
+	Objects objects.Objects
+	VMs     func(context.Context) ([]objects.VMInfo, error)
 	Listen  func() (net.Listener, error)
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // NewParts returns the parts that the settings name.
-func NewParts(s settings.Entry, client *platform.Client) Parts {
+func NewParts(s settings.Entry, client *objects.Client) Parts {
 	return Parts{
 		Objects: client.Objects(),
 		VMs:     client.VMs,
--- a/pkg/rollout/append.go
+++ b/pkg/rollout/append.go
@@ -9,7 +9,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/catalog"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -96,7 +96,7 @@
 	return record, nil
 }
 
-func (l *Log) writeHead(ctx context.Context, head wire.ConfigHead, version platform.ObjectVersion) error {
+func (l *Log) writeHead(ctx context.Context, head wire.ConfigHead, version objects.ObjectVersion) error {
 	value, err := head.MarshalMsg(nil)
 	if err != nil {
 		return errors.Trace(err)
--- a/pkg/rollout/log.go
+++ b/pkg/rollout/log.go
@@ -11,7 +11,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/catalog"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -35,7 +35,7 @@
 // Log is one process's view of the configuration log. It is safe for
 // concurrent use.
 type Log struct {
-	objects platform.Objects
+	objects objects.Objects
 	catalog *catalog.Catalog
 	// Applied is called with each new revision in force.
 	Applied func(ident.Revision)
@@ -45,11 +45,11 @@
 	recentBytes int
 	fresh       time.Time // start of the newest successful read of the head
 	highest     ident.Revision
-	version     platform.ObjectVersion
+	version     objects.ObjectVersion
 }
 
 // New returns a log that applies to c.
-func New(objects platform.Objects, c *catalog.Catalog) *Log {
+func New(objects objects.Objects, c *catalog.Catalog) *Log {
 	return &Log{objects: objects, catalog: c, Applied: func(ident.Revision) {}}
 }
 
@@ -102,7 +102,7 @@
 	return l.take(ctx, object, asked)
 }
 
-func (l *Log) seenVersion() platform.ObjectVersion {
+func (l *Log) seenVersion() objects.ObjectVersion {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.version
@@ -116,7 +116,7 @@
 	}
 }
 
-func (l *Log) read(ctx context.Context) (wire.ConfigHead, platform.ObjectVersion, error) {
+func (l *Log) read(ctx context.Context) (wire.ConfigHead, objects.ObjectVersion, error) {
 	asked := time.Now()
 	object, err := l.objects.Get(ctx, headKey)
 	if errors.Is(err, errors.NotFound) {
@@ -133,7 +133,7 @@
 	return head, object.Version, l.take(ctx, object, asked)
 }
 
-func (l *Log) take(ctx context.Context, object platform.Object, asked time.Time) error {
+func (l *Log) take(ctx context.Context, object objects.Object, asked time.Time) error {
 	var head wire.ConfigHead
 	if _, err := head.UnmarshalMsg(object.Value); err != nil {
 		return errors.Trace(err)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/catalog"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/standin"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
@@ -71,19 +71,19 @@
 
 func TestOutageLeavesTheCommandUnsettledAndRepeatable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		objects := standin.NewObjects(1)
-		log := newLog(objects)
-		client := objects.Client()
-		log.objects.Put = func(ctx context.Context, key string, value []byte, v platform.ObjectVersion) (platform.ObjectVersion, error) {
+		store := standin.NewObjects(1)
+		log := newLog(store)
+		client := store.Client()
+		log.objects.Put = func(ctx context.Context, key string, value []byte, v objects.ObjectVersion) (objects.ObjectVersion, error) {
 			_, _ = client.Put(ctx, key, value, v)
-			objects.SetFaults(standin.ObjectFaults{Outage: true})
-			return 0, platform.ErrUnavailable
+			store.SetFaults(standin.ObjectFaults{Outage: true})
+			return 0, objects.ErrUnavailable
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
 		_, err := log.Append(ctx, proposal("1", "m", 0))
 		require.ErrorIs(t, err, ErrUnsettled)
-		objects.SetFaults(standin.ObjectFaults{})
+		store.SetFaults(standin.ObjectFaults{})
 		r, err := log.Append(context.Background(), proposal("1", "m", 0))
 		require.NoError(t, err)
 		require.Equal(t, ident.Revision(1), r.Revision)
--- a/pkg/standin/objects.go
+++ b/pkg/standin/objects.go
@@ -13,7 +13,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 )
 
 // ObjectFaults are the faults of the object API.
@@ -38,18 +38,46 @@
 // Objects is an object API in memory.
 type Objects struct {
 	mu      sync.Mutex
-	objects map[string]platform.Object
-	last    platform.ObjectVersion
+	objects map[string]objects.Object
+	last    objects.ObjectVersion
 	faults  ObjectFaults
 	calls   ObjectCalls
 	changed chan struct{}
-	random  *rand.Rand
+	// history holds the newest changes; those up to forgotten are gone.
+	history   []change
+	forgotten objects.ObjectVersion
+	random    *rand.Rand
+}
+
+// change is one change that watches report.
+type change struct {
+	object  objects.Object
+	removed bool
+}
+
+// maxHistory is the number of changes that are remembered.
+const maxHistory = 4096
+
+func (o *Objects) remember(c change) {
+	if len(o.history) >= maxHistory {
+		o.forgotten = o.history[0].object.Version
+		o.history = append([]change(nil), o.history[1:]...)
+	}
+	o.history = append(o.history, c)
+}
+
+// Forget drops the history, as the platform's store may at any time.
+func (o *Objects) Forget() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history, o.forgotten = nil, o.last
+	o.notify()
 }
 
 // NewObjects returns an empty object API whose faults strike by seed.
 func NewObjects(seed uint64) *Objects {
 	return &Objects{
-		objects: make(map[string]platform.Object),
+		objects: make(map[string]objects.Object),
 		changed: make(chan struct{}),
 		random:  rand.New(rand.NewPCG(seed, 1)),
 	}
@@ -70,8 +98,8 @@
 }
 
 // Client returns the object API as processes use it.
-func (o *Objects) Client() platform.Objects {
-	return platform.Objects{Get: o.Get, Put: o.Put, Delete: o.Delete, List: o.List, Watch: o.Watch}
+func (o *Objects) Client() objects.Objects {
+	return objects.Objects{Get: o.Get, Put: o.Put, Delete: o.Delete, List: o.List, Watch: o.Watch}
 }
 
 // fate is what befalls one call.
@@ -97,57 +125,58 @@
 		select {
 		case <-time.After(f.delay):
 		case <-ctx.Done():
-			return errors.Annotate(platform.ErrUnavailable, "call timed out")
+			return errors.Annotate(objects.ErrUnavailable, "call timed out")
 		}
 	}
 	if f.outage {
-		return errors.Annotate(platform.ErrUnavailable, "outage")
+		return errors.Annotate(objects.ErrUnavailable, "outage")
 	}
 	return nil
 }
 
 // Get returns an object.
-func (o *Objects) Get(ctx context.Context, key string) (platform.Object, error) {
+func (o *Objects) Get(ctx context.Context, key string) (objects.Object, error) {
 	if err := o.fate(&o.calls.Reads).begin(ctx); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	object, ok := o.objects[key]
 	if !ok {
-		return platform.Object{}, errors.NotFoundf("object %s", key)
+		return objects.Object{}, errors.NotFoundf("object %s", key)
 	}
 	return object, nil
 }
 
 // Put updates an object whose version is still the given one.
-func (o *Objects) Put(ctx context.Context, key string, value []byte, version platform.ObjectVersion) (platform.ObjectVersion, error) {
+func (o *Objects) Put(ctx context.Context, key string, value []byte, version objects.ObjectVersion) (objects.ObjectVersion, error) {
 	f := o.fate(&o.calls.Writes)
 	if err := f.begin(ctx); err != nil {
 		return 0, err
 	}
 	if f.dropped {
-		return 0, errors.Annotate(platform.ErrUnavailable, "update dropped")
+		return 0, errors.Annotate(objects.ErrUnavailable, "update dropped")
 	}
 	written, err := o.put(key, value, version)
 	if f.lost {
-		return 0, errors.Annotate(platform.ErrUnavailable, "answer lost")
+		return 0, errors.Annotate(objects.ErrUnavailable, "answer lost")
 	}
 	return written, err
 }
 
-func (o *Objects) put(key string, value []byte, version platform.ObjectVersion) (platform.ObjectVersion, error) {
+func (o *Objects) put(key string, value []byte, version objects.ObjectVersion) (objects.ObjectVersion, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > objects.MaxValueBytes {
 		return 0, errors.NotValidf("value of %d bytes", len(value))
 	}
 	if o.objects[key].Version != version {
-		return 0, errors.Annotatef(platform.ErrConflict, "object %s", key)
+		return 0, errors.Annotatef(objects.ErrConflict, "object %s", key)
 	}
 	o.last++
 	o.calls.Bytes += int64(len(value))
-	o.objects[key] = platform.Object{Key: key, Value: append([]byte(nil), value...), Version: o.last}
+	o.objects[key] = objects.Object{Key: key, Value: append([]byte(nil), value...), Version: o.last}
+	o.remember(change{object: o.objects[key]})
 	o.notify()
 	return o.last, nil
 }
@@ -158,20 +187,22 @@
 }
 
 // Delete removes an object whose version is still the given one.
-func (o *Objects) Delete(ctx context.Context, key string, version platform.ObjectVersion) error {
+func (o *Objects) Delete(ctx context.Context, key string, version objects.ObjectVersion) error {
 	f := o.fate(&o.calls.Writes)
 	if err := f.begin(ctx); err != nil {
 		return err
 	}
 	if f.dropped {
-		return errors.Annotate(platform.ErrUnavailable, "update dropped")
+		return errors.Annotate(objects.ErrUnavailable, "update dropped")
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.objects[key].Version != version {
-		return errors.Annotatef(platform.ErrConflict, "object %s", key)
+		return errors.Annotatef(objects.ErrConflict, "object %s", key)
 	}
 	delete(o.objects, key)
+	o.last++
+	o.remember(change{object: objects.Object{Key: key, Version: o.last}, removed: true})
 	o.notify()
 	return nil
 }
@@ -194,9 +225,9 @@
 }
 
 // Watch waits for an object above a version.
-func (o *Objects) Watch(ctx context.Context, key string, version platform.ObjectVersion, wait time.Duration) (platform.Object, error) {
+func (o *Objects) Watch(ctx context.Context, key string, version objects.ObjectVersion, wait time.Duration) (objects.Object, error) {
 	if err := o.fate(&o.calls.Watches).begin(ctx); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	timeout := time.After(wait)
 	for {
@@ -205,16 +236,16 @@
 		o.mu.Unlock()
 		switch {
 		case outage:
-			return platform.Object{}, errors.Annotate(platform.ErrUnavailable, "outage")
+			return objects.Object{}, errors.Annotate(objects.ErrUnavailable, "outage")
 		case object.Version > version:
 			return object, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return platform.Object{}, errors.Timeoutf("watch of %s", key)
+			return objects.Object{}, errors.Timeoutf("watch of %s", key)
 		case <-ctx.Done():
-			return platform.Object{}, errors.Annotate(platform.ErrUnavailable, "watch cancelled")
+			return objects.Object{}, errors.Annotate(objects.ErrUnavailable, "watch cancelled")
 		}
 	}
 }
--- /dev/null
+++ b/pkg/standin/store_test.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// serveObjects serves a store on loopback and returns the client's side of it.
+func serveObjects(t *testing.T) (*Objects, *platform.Store, objects.Objects) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	o, r := NewObjects(1), router.New()
+	o.Register(r)
+	server := &fasthttp.Server{Handler: r.Handler}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { require.NoError(t, listener.Close()) })
+	address := listener.Addr().String()
+	return o, platform.NewStore(address), objects.NewClient("http://" + address).Objects()
+}
+
+func TestConditionalWrites(t *testing.T) {
+	_, store, _ := serveObjects(t)
+	_, err := store.Get("k", "n")
+	require.ErrorIs(t, err, platform.ErrAbsent)
+	_, err = store.Put("k", "n", []byte(`"YQ=="`), 7)
+	require.ErrorIs(t, err, platform.ErrConflict, "what does not exist is not replaced")
+	first, err := store.Put("k", "n", []byte(`"YQ=="`), 0)
+	require.NoError(t, err)
+	_, err = store.Put("k", "n", []byte(`"Yg=="`), 0)
+	require.ErrorIs(t, err, platform.ErrConflict, "what exists is not created")
+	second, err := store.Put("k", "n", []byte(`"Yg=="`), first)
+	require.NoError(t, err)
+	require.Greater(t, second, first)
+	require.ErrorIs(t, store.Delete("k", "n", first), platform.ErrConflict)
+	require.NoError(t, store.Delete("k", "n", second))
+}
+
+func TestWatchReportsChangesAndForgottenHistory(t *testing.T) {
+	o, store, _ := serveObjects(t)
+	first, err := store.Put("k", "a", []byte(`"YQ=="`), 0)
+	require.NoError(t, err)
+	second, err := store.Put("k", "b", []byte(`"Yg=="`), 0)
+	require.NoError(t, err)
+	require.NoError(t, store.Delete("k", "a", first))
+	events, next, err := store.Watch("k", first, time.Second)
+	require.NoError(t, err)
+	require.Len(t, events, 2)
+	require.Equal(t, "b", events[0].Object.Name)
+	require.Equal(t, "a", events[1].Object.Name)
+	require.True(t, events[1].Removed)
+	require.Greater(t, next, second)
+	events, _, err = store.Watch("k", next, time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, events)
+	o.Forget()
+	_, _, err = store.Watch("k", first, time.Second)
+	require.ErrorIs(t, err, platform.ErrHistoryGone)
+}
+
+func TestListsComeInPages(t *testing.T) {
+	_, store, seam := serveObjects(t)
+	const count = maxPageItems + 3
+	for i := range count {
+		_, err := seam.Put(context.Background(), "dir/"+string(rune('a'+i/26/26%26))+string(rune('a'+i/26%26))+string(rune('a'+i%26)), []byte("v"), 0)
+		require.NoError(t, err)
+	}
+	list, revision, err := store.List("dir")
+	require.NoError(t, err)
+	require.Len(t, list, count)
+	require.Equal(t, platform.Revision(count), revision)
+}
+
+// An answer is lost after the write took effect: reading settles it.
+func TestLostAnswerIsSettledByReading(t *testing.T) {
+	o, _, seam := serveObjects(t)
+	o.SetFaults(ObjectFaults{LoseAnswers: 1})
+	_, err := seam.Put(context.Background(), "dir/a", []byte("mine"), 0)
+	require.ErrorIs(t, err, objects.ErrUnavailable)
+	o.SetFaults(ObjectFaults{})
+	got, err := seam.Get(context.Background(), "dir/a")
+	require.NoError(t, err)
+	require.Equal(t, "mine", string(got.Value))
+	o.SetFaults(ObjectFaults{Outage: true})
+	_, err = seam.Get(context.Background(), "dir/a")
+	require.ErrorIs(t, err, objects.ErrUnavailable)
+}
+
+func TestObjectWatch(t *testing.T) {
+	_, _, seam := serveObjects(t)
+	ctx := context.Background()
+	first, err := seam.Put(ctx, "dir/a", []byte("1"), 0)
+	require.NoError(t, err)
+	got, err := seam.Watch(ctx, "dir/a", 0, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "1", string(got.Value))
+	_, err = seam.Put(ctx, "dir/b", []byte("other"), 0)
+	require.NoError(t, err)
+	_, err = seam.Watch(ctx, "dir/a", first, time.Millisecond)
+	require.True(t, errors.Is(err, errors.Timeout), "%v", err)
+	second, err := seam.Put(ctx, "dir/a", []byte("2"), first)
+	require.NoError(t, err)
+	got, err = seam.Watch(ctx, "dir/a", first, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, second, got.Version)
+	keys, err := seam.List(ctx, "dir/")
+	require.NoError(t, err)
+	require.Equal(t, []string{"dir/a", "dir/b"}, keys)
+}
--- a/pkg/standin/vms.go
+++ b/pkg/standin/vms.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 )
 
 // VMs is the platform's list of VMs. A change shows after the lag.
@@ -16,20 +16,20 @@
 	lag time.Duration
 
 	mu    sync.Mutex
-	shown map[ident.VM]platform.VMInfo
+	shown map[ident.VM]objects.VMInfo
 	order []ident.VM
 }
 
 // NewVMs returns a list with its first rows.
-func NewVMs(rows []platform.VMInfo, lag time.Duration) *VMs {
-	v := &VMs{lag: lag, shown: make(map[ident.VM]platform.VMInfo)}
+func NewVMs(rows []objects.VMInfo, lag time.Duration) *VMs {
+	v := &VMs{lag: lag, shown: make(map[ident.VM]objects.VMInfo)}
 	for _, row := range rows {
 		v.show(row)
 	}
 	return v
 }
 
-func (v *VMs) show(row platform.VMInfo) {
+func (v *VMs) show(row objects.VMInfo) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if _, known := v.shown[row.VM]; !known {
@@ -39,26 +39,40 @@
 }
 
 // Set changes a row after the lag.
-func (v *VMs) Set(row platform.VMInfo) {
+func (v *VMs) Set(row objects.VMInfo) {
 	time.AfterFunc(v.lag, func() { v.show(row) })
 }
 
 // Rows returns the list as it shows now.
-func (v *VMs) Rows() []platform.VMInfo {
+func (v *VMs) Rows() []objects.VMInfo {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := make([]platform.VMInfo, 0, len(v.order))
+	out := make([]objects.VMInfo, 0, len(v.order))
 	for _, vm := range v.order {
 		out = append(out, v.shown[vm])
 	}
 	return out
 }
 
-// Register serves the list.
+// Register serves the list as objects of a kind.
 func (v *VMs) Register(r *router.Router) {
-	r.GET("/vms", func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, v.Rows()) })
-	r.POST("/vms", func(ctx *fasthttp.RequestCtx) {
-		var row platform.VMInfo
+	r.GET("/objects/vms", func(ctx *fasthttp.RequestCtx) {
+		type item struct {
+			Metadata struct {
+				Name ident.VM `json:"name"`
+			} `json:"metadata"`
+			Spec objects.VMInfo `json:"spec"`
+		}
+		items := []item{}
+		for _, row := range v.Rows() {
+			i := item{Spec: row}
+			i.Metadata.Name = row.VM
+			items = append(items, i)
+		}
+		writeJSON(ctx, map[string]any{"items": items, "more": false, "as-of": 1})
+	})
+	r.POST("/objects/vms", func(ctx *fasthttp.RequestCtx) {
+		var row objects.VMInfo
 		if readJSON(ctx, &row) {
 			v.Set(row)
 		}
--- a/pkg/system/stop_test.go
+++ b/pkg/system/stop_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/rollout"
 	"github.com/hyssoproad/hyssoproad/pkg/standin"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
@@ -107,7 +107,7 @@
 func TestLeavingVMGetsNoNewWork(t *testing.T) {
 	underLoad(t, func(w *world) {
 		w.leavingMu.Lock()
-		w.leaving = []platform.VMInfo{{VM: "leaving", State: platform.VMLeaving, Targets: []string{string(w.targets[0].Name)}}}
+		w.leaving = []objects.VMInfo{{VM: "leaving", State: objects.VMLeaving, Targets: []string{string(w.targets[0].Name)}}}
 		w.leavingMu.Unlock()
 		time.Sleep(drainGrace)
 		before := w.engines[0].Record().Started
--- a/pkg/system/world_test.go
+++ b/pkg/system/world_test.go
@@ -23,8 +23,8 @@
 	"github.com/hyssoproad/hyssoproad/pkg/dispatch"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/peer"
-	"github.com/hyssoproad/hyssoproad/pkg/platform"
 	"github.com/hyssoproad/hyssoproad/pkg/rollout"
 	"github.com/hyssoproad/hyssoproad/pkg/settings"
 	"github.com/hyssoproad/hyssoproad/pkg/standin"
@@ -135,7 +135,7 @@
 	agents    []*process
 	oracle    *oracle
 	leavingMu sync.Mutex
-	leaving   []platform.VMInfo // of the platform's list
+	leaving   []objects.VMInfo // of the platform's list
 }
 
 func newWorld(t *testing.T, variant broken, seed uint64) *world {
@@ -215,31 +215,31 @@
 	}
 }
 
-func (w *world) objectsOf(p *process, l *life) platform.Objects {
+func (w *world) objectsOf(p *process, l *life) objects.Objects {
 	gate, c := w.gated(p, l), w.objects.Client()
-	return platform.Objects{
-		Get: func(ctx context.Context, key string) (platform.Object, error) {
+	return objects.Objects{
+		Get: func(ctx context.Context, key string) (objects.Object, error) {
 			if err := gate(); err != nil {
-				return platform.Object{}, err
+				return objects.Object{}, err
 			}
 			return c.Get(ctx, key)
 		},
-		Put: func(ctx context.Context, key string, value []byte, v platform.ObjectVersion) (platform.ObjectVersion, error) {
+		Put: func(ctx context.Context, key string, value []byte, v objects.ObjectVersion) (objects.ObjectVersion, error) {
 			if err := gate(); err != nil {
 				return 0, err
 			}
 			return c.Put(ctx, key, value, v)
 		},
-		Delete: func(ctx context.Context, key string, v platform.ObjectVersion) error {
+		Delete: func(ctx context.Context, key string, v objects.ObjectVersion) error {
 			if err := gate(); err != nil {
 				return err
 			}
 			return c.Delete(ctx, key, v)
 		},
 		List: c.List,
-		Watch: func(ctx context.Context, key string, v platform.ObjectVersion, wait time.Duration) (platform.Object, error) {
+		Watch: func(ctx context.Context, key string, v objects.ObjectVersion, wait time.Duration) (objects.Object, error) {
 			if err := gate(); err != nil {
-				return platform.Object{}, err
+				return objects.Object{}, err
 			}
 			return c.Watch(ctx, key, v, wait)
 		},
@@ -278,7 +278,7 @@
 	l := newLife()
 	parts := peer.Parts{
 		Objects: w.objectsOf(p, l), Dial: w.dialer(p, l),
-		VMs:    func(context.Context) ([]platform.VMInfo, error) { return w.vms(), nil },
+		VMs:    func(context.Context) ([]objects.VMInfo, error) { return w.vms(), nil },
 		Listen: w.listener(p, l),
 	}
 	var err error
@@ -297,12 +297,12 @@
 	require.True(w.t, l.startup.err == nil || isClosed(l.dead), "%v", l.startup.err)
 }
 
-func (w *world) vms() []platform.VMInfo {
+func (w *world) vms() []objects.VMInfo {
 	w.leavingMu.Lock()
-	out := append([]platform.VMInfo(nil), w.leaving...)
+	out := append([]objects.VMInfo(nil), w.leaving...)
 	w.leavingMu.Unlock()
 	for i, address := range w.links() {
-		out = append(out, platform.VMInfo{VM: ident.VM(address), Domain: w.domain(i), State: platform.VMLive, Entry: address})
+		out = append(out, objects.VMInfo{VM: ident.VM(address), Domain: w.domain(i), State: objects.VMLive, Entry: address})
 	}
 	return out
 }
