Targets that fail alone are passed over

Cause: nothing kept requests from a target that fails or swallows part of them while its health check is good; at-most-once requests are lost there.

Change: a moving failure rate against that of the service's others; never more than a third is passed over; the time grows until requests show recovery.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/outlier"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
 	"github.com/hyssoproad/hyssoproad/pkg/retry"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
@@ -42,9 +43,10 @@
 	loads     *loads
 	synced    *synced
 
-	budgetMu sync.Mutex
-	budgets  map[ident.Service]*budget
-	sharers  retry.Sharers
+	budgetMu  sync.Mutex
+	budgets   map[ident.Service]*budget
+	detectors map[ident.Service]*outlier.Detector
+	sharers   retry.Sharers
 
 	listener net.Listener
 	stopping atomic.Bool
@@ -81,7 +83,7 @@
 		Common: c.With("gateway"), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(), replicas: placement.NewReplicas(),
 		pool:   forward.NewPool(),
 		agents: newAgents(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: peerLiveness}, node.PeerPort),
-		loads:  newLoads(), synced: newSynced(), budgets: make(map[ident.Service]*budget), waiting: make(map[*caller]bool),
+		loads:  newLoads(), synced: newSynced(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector), waiting: make(map[*caller]bool),
 	}
 }
 
@@ -108,19 +110,40 @@
 // together.
 func (g *Gateway) spread(d time.Duration) time.Duration { return d + rand.N(d/2+1) }
 
-// usable returns the service's targets that are not excluded.
+// usable returns the service's targets that are neither excluded nor passed over,
+// or else those that are not excluded.
 func (g *Gateway) usable(s ident.Service, excluded []ident.Target) []fleet.Target {
 	all := g.fleet.Of(s)
-	if len(excluded) == 0 {
+	detector, now := g.detector(s), time.Now()
+	passing := detector.Any(now)
+	if len(excluded) == 0 && !passing {
 		return all
 	}
-	out := make([]fleet.Target, 0, len(all))
+	var sound, rest []fleet.Target
 	for _, t := range all {
-		if !among(t.Instance, excluded) {
-			out = append(out, t)
+		switch {
+		case among(t.Instance, excluded):
+		case passing && detector.Passed(t.Instance, now):
+			rest = append(rest, t)
+		default:
+			sound = append(sound, t)
 		}
 	}
-	return out
+	if len(sound) > 0 {
+		return sound
+	}
+	return rest
+}
+
+func (g *Gateway) detector(s ident.Service) *outlier.Detector {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	d := g.detectors[s]
+	if d == nil {
+		d = outlier.New()
+		g.detectors[s] = d
+	}
+	return d
 }
 
 func among(t ident.Target, list []ident.Target) bool {
@@ -141,10 +164,13 @@
 }
 
 func (g *Gateway) failed(t fleet.Target, step string, err error) {
-	g.Info("msg", "target failed", "target", t.Instance, "service", t.Service, "step", step, "err", err)
+	passed := g.detector(t.Service).Saw(t.Instance, true, time.Now())
+	g.Info("msg", "target failed", "target", t.Instance, "service", t.Service, "step", step, "err", err, "passed-over", passed)
 }
 
-func (g *Gateway) succeeded(fleet.Target) {}
+func (g *Gateway) succeeded(t fleet.Target) {
+	g.detector(t.Service).Saw(t.Instance, false, time.Now())
+}
 
 func (g *Gateway) turnedAway(s *seat, a *forward.Answer) {
 	g.Info("msg", "target turned request away", "target", s.target.Instance, "status", a.Status, "version", s.version)
--- /dev/null
+++ b/pkg/outlier/outlier_test.go
@@ -0,0 +1,75 @@
+package outlier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var start = time.Unix(1_000_000, 0)
+
+func feed(d *Detector, t ident.Target, failed bool, n int) bool {
+	passed := false
+	for range n {
+		passed = d.Saw(t, failed, start) || passed
+	}
+	return passed
+}
+
+func TestTargetThatFailsAloneIsPassedOver(t *testing.T) {
+	d := New()
+	feed(d, "a", false, 10)
+	feed(d, "b", false, 10)
+	require.True(t, feed(d, "c", true, 5))
+	require.True(t, d.Passed("c", start))
+	require.False(t, d.Passed("a", start))
+	require.False(t, d.Passed("c", start.Add(firstEjection)))
+}
+
+// A caller's own mistakes, or a broken release, fail everywhere alike.
+func TestCommonFailuresEjectNobody(t *testing.T) {
+	d := New()
+	for range 50 {
+		for _, target := range []ident.Target{"a", "b", "c"} {
+			d.Saw(target, true, start)
+		}
+	}
+	require.False(t, d.Any(start))
+}
+
+func TestEjectionsGrowUntilRecovery(t *testing.T) {
+	d := New()
+	feed(d, "a", false, 10)
+	feed(d, "b", false, 10)
+	now := start
+	feed(d, "c", true, 5)
+	for _, want := range []time.Duration{2 * time.Second, 4 * time.Second, maxEjection, maxEjection} {
+		now = now.Add(time.Minute / 2)
+		d.Saw("a", false, now)
+		d.Saw("b", false, now)
+		require.True(t, d.Saw("c", true, now))
+		require.True(t, d.Passed("c", now.Add(want-1)))
+		require.False(t, d.Passed("c", now.Add(want)))
+	}
+}
+
+func TestNeverMoreThanAThird(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New()
+		targets := rapid.IntRange(1, 12).Draw(t, "targets")
+		now := start
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			target := ident.Target(rune('a' + rapid.IntRange(0, targets-1).Draw(t, "target")))
+			d.Saw(target, rapid.Bool().Draw(t, "failed"), now)
+			require.LessOrEqual(t, d.ejected(now), targets/maxShare)
+		}
+	})
+}
