The wait for a base model counts from the begin of its load

Cause: after a loss of power requests were refused with the mean run time as the forecast, where the model needs 1.6 s or 2.1 s less what has passed.

--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -70,6 +70,8 @@
 	models   map[ident.Model]bool
 	held     map[ident.Weights]*adapter // by unversioned weights
 	busy     bool                       // a model is being loaded or unloaded
+	// busySince is when the order that the engine is busy with was given.
+	busySince time.Time
 	// sequence is the number of orders that the engine has accepted.
 	sequence uint64
 
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -187,7 +187,7 @@
 	held := b.held[w.weights().Unversioned()]
 	switch {
 	case !b.models[w.Model]:
-		return b.runTime, wire.ReasonModelAbsent
+		return b.modelWait(w.Model, now), wire.ReasonModelAbsent
 	case held != nil && held.uses > 0:
 		return b.runTime, wire.ReasonOldVersion
 	case held == nil && !b.replacing(w.weights()) && b.full() && b.victim().IsZero():
@@ -195,3 +195,17 @@
 	}
 	return b.loadWait(w.weights(), ahead, now), wire.ReasonLoading
 }
+
+// modelWait estimates when a base model that is absent will be there.
+func (b *Book) modelWait(name ident.Model, now time.Time) time.Duration {
+	m, ok := b.model(name)
+	if !ok {
+		return b.runTime
+	}
+	wait := time.Duration(m.LoadMS) * time.Millisecond
+	if b.busy {
+		// Several loads at once take longer; one that is overdue ends soon.
+		wait = max(wait-now.Sub(b.busySince), wait/4)
+	}
+	return wait
+}
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -21,6 +21,9 @@
 	if b.up && (r.Born != b.born || r.Sequence < b.sequence) {
 		b.forget()
 	}
+	if r.Busy && !b.busy {
+		b.busySince = now
+	}
 	b.up, b.born, b.sequence, b.busy = true, r.Born, r.Sequence, r.Busy
 	b.models = make(map[ident.Model]bool, len(r.Models))
 	for _, m := range r.Models {
@@ -81,7 +84,7 @@
 	b.sequence++
 	switch {
 	case o.Weights.IsZero():
-		b.busy = true
+		b.busy, b.busySince = true, now
 	case o.Unload:
 		delete(b.held, o.Weights.Unversioned())
 	default:
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -25,6 +25,7 @@
 	Name      ident.Model
 	MB        float64
 	AdapterMB float64
+	LoadMS    int64 // the longest that a load takes, in ms
 }
 
 // GrantWant asks for the right to send one request to the agent's engine. The
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -29,15 +29,11 @@
 	o = msgp.AppendInt(o, z.AdapterSlots)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
 	for za0001 := range z.Models {
-		// array header, size 3
-		o = append(o, 0x93)
-		o, err = z.Models[za0001].Name.MarshalMsg(o)
+		o, err = z.Models[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001, "Name")
+			err = msgp.WrapError(err, "Models", za0001)
 			return
 		}
-		o = msgp.AppendFloat64(o, z.Models[za0001].MB)
-		o = msgp.AppendFloat64(o, z.Models[za0001].AdapterMB)
 	}
 	return
 }
@@ -106,31 +102,11 @@
 		z.Models = make([]ModelSetup, zb0002)
 	}
 	for za0001 := range z.Models {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Models[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Models", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		bts, err = z.Models[za0001].Name.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001, "Name")
-			return
-		}
-		z.Models[za0001].MB, bts, err = msgp.ReadFloat64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001, "MB")
-			return
-		}
-		z.Models[za0001].AdapterMB, bts, err = msgp.ReadFloat64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001, "AdapterMB")
-			return
-		}
 	}
 	o = bts
 	return
@@ -140,7 +116,7 @@
 func (z *EngineSetup) Msgsize() (s int) {
 	s = 1 + msgp.Uint64Size + z.Instance.Msgsize() + z.Service.Msgsize() + msgp.StringPrefixSize + len(z.HealthPath) + msgp.IntSize + msgp.IntSize + msgp.Float64Size + msgp.IntSize + msgp.ArrayHeaderSize
 	for za0001 := range z.Models {
-		s += 1 + z.Models[za0001].Name.Msgsize() + msgp.Float64Size + msgp.Float64Size
+		s += z.Models[za0001].Msgsize()
 	}
 	return
 }
@@ -420,8 +396,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ModelSetup) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o, err = z.Name.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Name")
@@ -429,6 +405,7 @@
 	}
 	o = msgp.AppendFloat64(o, z.MB)
 	o = msgp.AppendFloat64(o, z.AdapterMB)
+	o = msgp.AppendInt64(o, z.LoadMS)
 	return
 }
 
@@ -440,8 +417,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	bts, err = z.Name.UnmarshalMsg(bts)
@@ -459,12 +436,17 @@
 		err = msgp.WrapError(err, "AdapterMB")
 		return
 	}
+	z.LoadMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LoadMS")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ModelSetup) Msgsize() (s int) {
-	s = 1 + z.Name.Msgsize() + msgp.Float64Size + msgp.Float64Size
+	s = 1 + z.Name.Msgsize() + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size
 	return
 }
