--- a/pkg/gateway/agents.go
+++ b/pkg/gateway/agents.go
@@ -93,7 +93,10 @@
 		Slots: s.Engine.Slots, KVTokens: s.Engine.KVTokens, MB: s.Engine.MB, AdapterSlots: s.Engine.AdapterSlots,
 	}
 	for _, m := range s.Engine.Models {
-		out.Models = append(out.Models, wire.ModelSetup{Name: m.Name, MB: m.MB, AdapterMB: m.AdapterMB, LoadMS: max(m.LoadTime, m.DiskTime).Milliseconds()})
+		out.Models = append(out.Models, wire.ModelSetup{
+			Name: m.Name, MB: m.MB, AdapterMB: m.AdapterMB,
+			LoadMS: m.LoadTime.Milliseconds(), DiskMS: m.DiskTime.Milliseconds(), WarmMS: m.WarmTime.Milliseconds(),
+		})
 	}
 	return out
 }
--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -68,8 +68,10 @@
 	born     int64
 	up       bool
 	models   map[ident.Model]bool
-	held     map[ident.Weights]*adapter // by unversioned weights
-	busy     bool                       // a model is being loaded or unloaded
+	// onDisk and inMemory are the models of whose weights the engine has copies.
+	onDisk, inMemory []ident.Model
+	held             map[ident.Weights]*adapter // by unversioned weights
+	busy             bool                       // a model is being loaded or unloaded
 	// busySince is when the order that the engine is busy with was given.
 	busySince time.Time
 	// sequence is the number of orders that the engine has accepted.
--- a/pkg/grant/book_test.go
+++ b/pkg/grant/book_test.go
@@ -178,6 +178,29 @@
 	require.False(t, ok, "one order at a time")
 }
 
+// After a restart the model comes from the engine's own disk: requests that can
+// wait for it do, and the others are told how long.
+func TestWaitForTheBaseModel(t *testing.T) {
+	b := New()
+	s := setup(4)
+	s.Models[0].LoadMS, s.Models[0].DiskMS = 60_000, 2_000
+	b.Setup(s)
+	b.Observe(Report{Born: 1, OnDisk: []ident.Model{model}}, start)
+	o, ok := b.Order(start)
+	require.True(t, ok)
+	b.Carried(o, start)
+	impatient := want(1, 1, start)
+	impatient.WaitMS = 1_000
+	b.Ask(impatient)
+	b.Ask(want(2, 1, start))
+	replies := b.Answer(start)
+	require.Len(t, replies, 1)
+	require.Equal(t, wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonModelAbsent, WaitMS: 2_000}, replies[0].GrantReply)
+	later := start.Add(1500 * time.Millisecond)
+	b.Ask(&Want{ID: 3, Asked: later, GrantWant: impatient.GrantWant})
+	require.Empty(t, b.Answer(later))
+}
+
 func TestRestartedEngineIsAskedForItsName(t *testing.T) {
 	b := New()
 	s := setup(4)
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -203,6 +204,12 @@
 		return b.runTime
 	}
 	wait := time.Duration(m.LoadMS) * time.Millisecond
+	switch {
+	case slices.Contains(b.inMemory, name):
+		wait = time.Duration(m.WarmMS) * time.Millisecond
+	case slices.Contains(b.onDisk, name):
+		wait = time.Duration(m.DiskMS) * time.Millisecond
+	}
 	if b.busy {
 		// Several loads at once take longer; one that is overdue ends soon.
 		wait = max(wait-now.Sub(b.busySince), wait/4)
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -14,6 +14,8 @@
 	Models   []ident.Model
 	Held     []ident.Weights // adapters
 	Flying   []ident.Weights // adapters on their way
+	// OnDisk and InMemory are the models of whose weights the engine has copies.
+	OnDisk, InMemory []ident.Model
 }
 
 // Observe puts the engine's newest report in force.
@@ -29,6 +31,7 @@
 	for _, m := range r.Models {
 		b.models[m] = true
 	}
+	b.onDisk, b.inMemory = r.OnDisk, r.InMemory
 	b.observeHeld(r.Held, now)
 	flying := make(map[ident.Weights]flight, len(r.Flying))
 	for _, w := range r.Flying {
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -25,7 +25,9 @@
 	Name      ident.Model
 	MB        float64
 	AdapterMB float64
-	LoadMS    int64 // the longest that a load takes, in ms
+	// LoadMS is what a load from the weight store takes, in ms; DiskMS and WarmMS
+	// one from the engine's own disk and memory.
+	LoadMS, DiskMS, WarmMS int64
 }
 
 // GrantWant asks for the right to send one request to the agent's engine. The
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -396,8 +396,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ModelSetup) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 6
+	o = append(o, 0x96)
 	o, err = z.Name.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Name")
@@ -406,6 +406,8 @@
 	o = msgp.AppendFloat64(o, z.MB)
 	o = msgp.AppendFloat64(o, z.AdapterMB)
 	o = msgp.AppendInt64(o, z.LoadMS)
+	o = msgp.AppendInt64(o, z.DiskMS)
+	o = msgp.AppendInt64(o, z.WarmMS)
 	return
 }
 
@@ -417,8 +419,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	bts, err = z.Name.UnmarshalMsg(bts)
@@ -441,12 +443,22 @@
 		err = msgp.WrapError(err, "LoadMS")
 		return
 	}
+	z.DiskMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DiskMS")
+		return
+	}
+	z.WarmMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WarmMS")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ModelSetup) Msgsize() (s int) {
-	s = 1 + z.Name.Msgsize() + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size
+	s = 1 + z.Name.Msgsize() + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
