--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,15 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build run test race lint fuzz bench bench-decisions check overhead chaos rollout tokens capacity settings-reference clean
+.PHONY: build deploy run test race lint fuzz bench bench-decisions check overhead chaos rollout tokens capacity settings-reference clean
 
 build:
 	go build -o build/ $(addprefix ./cmd/,$(PROGRAMS))
 
+# What the users' platform builds, as deploy/system.toml says.
+deploy:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
 run: build
 	ONCE=$(ONCE) scripts/run.sh
 
@@ -35,7 +39,7 @@
 
 # The cost of a decision.
 bench-decisions:
-	go test ./pkg/route ./pkg/queue -run XXX -bench . -benchtime 200ms
+	go test ./pkg/route ./pkg/queue ./pkg/gateway ./pkg/grant -run XXX -bench . -benchtime 200ms
 
 # 1,000 requests at 200 in flight over 300 adapters, with chunks late and crossed.
 check: build
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -17,6 +17,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/exposition"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/pkg/monitor"
 	"github.com/hyssoproad/hyssoproad/pkg/objects"
@@ -83,7 +84,7 @@
 	provide := append([]any{
 		func() settings.Process { return p },
 		func() *objects.Client { return objects.NewClient(p.Platform) },
-		func(m monitor.Metrics) common.Common { return common.Common{Log: logger, Metrics: m.Scope} },
+		func(m exposition.Metrics) common.Common { return common.Common{Log: logger, Metrics: m.Scope} },
 	}, d.Provide...)
 	_ = level.Info(logger).Log("msg", "starting", "program", d.Name, "vm", p.VM, "version", monitor.Version())
 	if err := kernel.Run(ctx, provide...); err != nil {
--- /dev/null
+++ b/pkg/gateway/bench_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/fleet"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// benchGateway is a gateway before one target on loopback, and a connection of a
+// caller to it.
+func benchGateway(b *testing.B, handler http.HandlerFunc) (net.Conn, *bufio.Reader) {
+	b.Helper()
+	target, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = http.Serve(target, handler) }()
+	g := New(common.Discard(), platform.Node{VM: "vm-1", Callers: "127.0.0.1:0", Bounds: platform.Bounds{RetryWindow: time.Second}})
+	g.directory.Use(testConfiguration(1))
+	address := target.Addr().String()
+	g.fleet.Replace([]fleet.Target{
+		{Instance: "p-1", Service: plainService, Address: address}, {Instance: "s-1", Service: streamService, Address: address + "0"},
+	}, time.Now())
+	g.fleet.Put(fleet.Target{Instance: "s-1", Service: streamService, Address: address})
+	for _, k := range syncedKinds {
+		g.learned(k)
+	}
+	if err := g.Start(b.Context()); err != nil {
+		b.Fatal(err)
+	}
+	c, err := net.Dial("tcp4", g.listener.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = c.Close(); _ = g.listener.Close(); _ = target.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func exchangeOnce(b *testing.B, c net.Conn, r *bufio.Reader, raw string) {
+	if _, err := io.WriteString(c, raw); err != nil {
+		b.Fatal(err)
+	}
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != 200 {
+		b.Fatal(res.StatusCode, err)
+	}
+}
+
+// BenchmarkPlainRequest is one request through the gateway, the target's and the
+// caller's side included.
+func BenchmarkPlainRequest(b *testing.B) {
+	body := make([]byte, 800)
+	c, r := benchGateway(b, func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set(platform.HeaderAttempt, q.Header.Get(platform.HeaderAttempt))
+		w.Header().Set(platform.HeaderSignature, "s")
+		_, _ = w.Write(body)
+	})
+	raw := rawRequest("GET", "/safe/x")
+	b.ReportAllocs()
+	for b.Loop() {
+		exchangeOnce(b, c, r, raw)
+	}
+}
+
+// BenchmarkStreamEvent is one event of a stream through the gateway.
+func BenchmarkStreamEvent(b *testing.B) {
+	const perStream = 500
+	c, r := benchGateway(b, func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set(platform.HeaderAttempt, q.Header.Get(platform.HeaderAttempt))
+		w.Header().Set(platform.HeaderSignature, "s")
+		flush := http.NewResponseController(w)
+		for i := range perStream {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: abcdefghijklmnopqrstuvwxyz\n\n", i)
+			_ = flush.Flush()
+		}
+	})
+	raw := rawRequest("POST", "/once-stream/x", "Content-Length: 0\r\n")
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if i%perStream == 0 {
+			exchangeOnce(b, c, r, raw)
+		}
+	}
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -80,6 +80,7 @@
 		g: g, c: c, q: q, ctx: ctx, began: began, until: until, route: route, lastEvent: q.lastEvent,
 		configuration: configuration, service: configuration.Services[pickService(route, q.attempt)],
 	}
+	g.meters.requests.Inc(1)
 	g.budget(x.service.Name).request()
 	if stopAt := g.stopAt.Load(); stopAt != nil && time.Now().Add(x.length()).After(*stopAt) {
 		return c.problem(fasthttp.StatusServiceUnavailable, "stopping", g.spread(stopRetryAfter)) == nil
@@ -171,6 +172,7 @@
 		x.sends++
 		o := x.try(seat)
 		seat.release()
+		x.g.meters.outcomes[o].Inc(1)
 		if x.over() && o != outcomeDelivered {
 			return x.timedOut(o)
 		}
@@ -202,7 +204,12 @@
 	if x.sends >= maxSends || x.left() < minLeft {
 		return false
 	}
-	return x.g.budget(x.service.Name).take(x.g.sharers.Count())
+	if !x.g.budget(x.service.Name).take(x.g.sharers.Count()) {
+		x.g.Info("msg", "retry budget spent", "request", x.q.attempt, "service", x.service.Name, "outcome", o)
+		return false
+	}
+	x.g.meters.repeats.Inc(1)
+	return true
 }
 
 // minLeft is the time below which another send cannot end well.
@@ -223,6 +230,7 @@
 		return false
 	}
 	if x.streaming {
+		x.g.meters.brokenOff.Inc(1)
 		// The body stays unfinished, so that it cannot be taken for whole.
 		x.g.Info("msg", "stream broken off", "request", x.q.attempt, "last-event", x.lastEvent)
 		return false
@@ -233,6 +241,7 @@
 	if x.runs > 0 {
 		return x.c.problem(fasthttp.StatusBadGateway, "target failed, outcome unknown", 0) == nil
 	}
+	x.g.meters.refused.Inc(1)
 	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "forecast", why.wait, "sends", x.sends, "after", time.Since(x.began))
 	return x.c.problem(fasthttp.StatusServiceUnavailable, why.reason, x.g.spread(max(why.wait, minRetryAfter))) == nil
 }
@@ -245,6 +254,7 @@
 	if x.broken() || x.streaming {
 		return false
 	}
+	x.g.meters.timedOut.Inc(1)
 	x.g.Info("msg", "timed out", "request", x.q.attempt, "service", x.service.Name, "outcome", o, "sends", x.sends)
 	if x.runs > 0 || o == outcomeUnknown {
 		return x.c.problem(fasthttp.StatusGatewayTimeout, "timed out, outcome unknown", 0) == nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -33,6 +33,7 @@
 // Gateway is the process's service to callers.
 type Gateway struct {
 	common.Common
+	meters    meters
 	node      platform.Node
 	directory *directory.Directory
 	fleet     *fleet.View
@@ -79,8 +80,9 @@
 
 // New returns a gateway that knows no configuration.
 func New(c common.Common, node platform.Node) *Gateway {
+	c = c.With("gateway")
 	return &Gateway{
-		Common: c.With("gateway"), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(), replicas: placement.NewReplicas(),
+		Common: c, meters: newMeters(c.Metrics), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(), replicas: placement.NewReplicas(),
 		pool:   forward.NewPool(),
 		agents: newAgents(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: peerLiveness}, node.PeerPort),
 		loads:  newLoads(), synced: newSynced(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector), waiting: make(map[*caller]bool),
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -44,6 +44,8 @@
 			if first {
 				s.started(time.Since(sent))
 				timing.first = time.Since(sent)
+				x.g.meters.grantWait.RecordDuration(timing.granted)
+				x.g.meters.firstEvent.RecordDuration(timing.first)
 				first = false
 			} else {
 				timing.pause = max(timing.pause, time.Since(last))
--- a/pkg/monitor/monitor.go
+++ b/pkg/monitor/monitor.go
@@ -8,16 +8,14 @@
 	"net/http"
 	_ "net/http/pprof" // profiles on the status listener
 	"runtime/debug"
-	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/juju/errors"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/exposition"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/settings"
@@ -26,30 +24,11 @@
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name:    "monitor",
-		Provide: []any{NewMetrics, New},
+		Provide: []any{exposition.New, New},
 		Start:   func(*Monitor) {},
 	})
 }
 
-const reportInterval = time.Second
-
-// Metrics is the process's root scope and its exposition.
-type Metrics struct {
-	Scope    tally.Scope
-	reporter prometheus.Reporter
-}
-
-// NewMetrics returns the root scope.
-func NewMetrics(life *kernel.Lifecycle) Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "hyssoproad", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		OmitCardinalityMetrics: true,
-	}, reportInterval)
-	life.Append(kernel.Hook{Name: "metrics", Stop: func(context.Context) error { return closer.Close() }})
-	return Metrics{Scope: scope, reporter: reporter}
-}
-
 // Monitor is the status listener.
 type Monitor struct {
 	common.Common
@@ -57,7 +36,7 @@
 }
 
 // New returns a monitor that listens on the status address.
-func New(c common.Common, p settings.Process, m Metrics, life *kernel.Lifecycle) *Monitor {
+func New(c common.Common, p settings.Process, m exposition.Metrics, life *kernel.Lifecycle) *Monitor {
 	r := router.New()
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
 	r.GET("/readyz", func(ctx *fasthttp.RequestCtx) {
@@ -68,7 +47,7 @@
 		ctx.SetBodyString("ready\n")
 	})
 	r.GET("/version", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(Version() + "\n") })
-	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(m.reporter.HTTPHandler()))
+	r.GET("/metrics", m.Handler())
 	r.GET("/traffic", func(ctx *fasthttp.RequestCtx) { writeTraffic(ctx) })
 	r.GET("/debug/pprof/{profile:*}", fasthttpadaptor.NewFastHTTPHandler(http.DefaultServeMux))
 	mon := &Monitor{Common: c.With("monitor"), server: &fasthttp.Server{Handler: r.Handler, Name: "hyssoproad"}}
--- /dev/null
+++ b/pkg/node/metrics.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"context"
+	"net"
+	"strconv"
+
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/exposition"
+	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// metricsPort and metricsPath are where the deploy file says that the metrics
+// are.
+const (
+	metricsPort = 9464
+	metricsPath = "/metrics"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "metrics", Start: serveMetrics})
+}
+
+// serveMetrics answers requests for the process's metrics.
+func serveMetrics(n platform.Node, c common.Common, m exposition.Metrics, life *kernel.Lifecycle) {
+	r := router.New()
+	r.GET(metricsPath, m.Handler())
+	server := &fasthttp.Server{Handler: r.Handler, Name: "hyssoproad"}
+	life.Append(kernel.Hook{
+		Name: "metrics listener",
+		Start: func(context.Context) error {
+			listener, err := net.Listen("tcp4", net.JoinHostPort(n.IP, strconv.Itoa(metricsPort)))
+			if err != nil {
+				return errors.Trace(err)
+			}
+			go func() {
+				if err := server.Serve(listener); err != nil {
+					c.Warn("msg", "metrics listener ended", "err", err)
+				}
+			}()
+			return nil
+		},
+		Stop: func(context.Context) error { return server.Shutdown() },
+	})
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -13,12 +13,14 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/exposition"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -69,7 +71,7 @@
 	if *check {
 		return ExitOK
 	}
-	return p.run(node, *file, common.Common{Log: common.NewLog(stdout, *lowest), Metrics: tally.NoopScope})
+	return p.run(node, *file, common.NewLog(stdout, *lowest))
 }
 
 func (p Program) load(file string) (platform.Node, error) {
@@ -80,7 +82,8 @@
 	return node, errors.Trace(p.Check(node))
 }
 
-func (p Program) run(node platform.Node, file string, c common.Common) int {
+func (p Program) run(node platform.Node, file string, logger log.Logger) int {
+	c := common.Common{Log: logger, Metrics: tally.NoopScope}
 	debug.SetGCPercent(gcPercent)
 	if node.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
@@ -94,7 +97,8 @@
 	err := kernel.Run(ctx,
 		func() platform.Node { return node },
 		func() *platform.Store { return platform.NewStore(node.Store) },
-		func() common.Common { return c },
+		exposition.New,
+		func(m exposition.Metrics) common.Common { return common.Common{Log: logger, Metrics: m.Scope} },
 	)
 	if err != nil {
 		_ = level.Error(c.Log).Log("msg", "stopped", "err", errors.ErrorStack(err))
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -49,6 +49,7 @@
 // Orderer grants seats at one engine and gives it orders.
 type Orderer struct {
 	common.Common
+	meters meters
 	node   platform.Node
 	engine Engine
 
@@ -69,8 +70,9 @@
 // New returns the orderer of the engine on the process's VM.
 func New(c common.Common, node platform.Node) *Orderer {
 	client := platform.NewEngine(node.Engine)
+	c = c.With("orderer")
 	return &Orderer{
-		Common: c.With("orderer"), node: node, engine: Engine{Report: client.Report, Send: client.Send, Identity: client.Identity},
+		Common: c, meters: newMeters(c.Metrics), node: node, engine: Engine{Report: client.Report, Send: client.Send, Identity: client.Identity},
 		book: grant.New(), asking: make(map[grant.WantID]chan wire.GrantReply), wake: make(chan struct{}, 1),
 	}
 }
@@ -131,6 +133,7 @@
 		return errors.Trace(err)
 	}
 	if reply.Code != wire.GrantGiven {
+		o.meters.turnedAway(reply.Reason)
 		return nil
 	}
 	for {
@@ -257,6 +260,12 @@
 	}
 	o.misses, o.born = 0, report.Born
 	o.book.Observe(grantReport(report), time.Now())
+	waiting, running := o.book.Counts()
+	held, flying := o.book.Holdings()
+	o.meters.waiting.Update(float64(waiting))
+	o.meters.running.Update(float64(running))
+	o.meters.held.Update(float64(held))
+	o.meters.flying.Update(float64(flying))
 	o.answerLocked()
 	return true
 }
@@ -308,6 +317,7 @@
 		Expected: g.Sequence, Holder: o.node.VM, Fence: fence, Instance: g.Instance,
 	})
 	o.Debug("msg", "order", "unload", g.Unload, "weights", g.Weights, "sequence", g.Sequence, "result", result)
+	o.meters.order(result)
 	if err != nil || result != platform.OrderAccepted && result != platform.OrderHolds {
 		o.Info("msg", "order not accepted", "unload", g.Unload, "weights", g.Weights, "sequence", g.Sequence, "result", result, "err", err)
 		return false
