--- a/pkg/gateway/bench_test.go
+++ b/pkg/gateway/bench_test.go
@@ -11,12 +11,13 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 // benchGateway is a gateway before one target on loopback, and a connection of a
 // caller to it.
-func benchGateway(b *testing.B, handler http.HandlerFunc) (net.Conn, *bufio.Reader) {
+func benchGateway(b *testing.B, service ident.Service, handler http.HandlerFunc) (net.Conn, *bufio.Reader) {
 	b.Helper()
 	target, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -25,11 +26,7 @@
 	go func() { _ = http.Serve(target, handler) }()
 	g := New(common.Discard(), platform.Node{VM: "vm-1", Callers: "127.0.0.1:0", Bounds: platform.Bounds{RetryWindow: time.Second}})
 	g.directory.Use(testConfiguration(1))
-	address := target.Addr().String()
-	g.fleet.Replace([]fleet.Target{
-		{Instance: "p-1", Service: plainService, Address: address}, {Instance: "s-1", Service: streamService, Address: address + "0"},
-	}, time.Now())
-	g.fleet.Put(fleet.Target{Instance: "s-1", Service: streamService, Address: address})
+	g.fleet.Put(fleet.Target{Instance: "i-1", Service: service, Address: target.Addr().String()})
 	for _, k := range syncedKinds {
 		g.learned(k)
 	}
@@ -61,7 +58,7 @@
 // caller's side included.
 func BenchmarkPlainRequest(b *testing.B) {
 	body := make([]byte, 800)
-	c, r := benchGateway(b, func(w http.ResponseWriter, q *http.Request) {
+	c, r := benchGateway(b, plainService, func(w http.ResponseWriter, q *http.Request) {
 		w.Header().Set(platform.HeaderAttempt, q.Header.Get(platform.HeaderAttempt))
 		w.Header().Set(platform.HeaderSignature, "s")
 		_, _ = w.Write(body)
@@ -76,7 +73,7 @@
 // BenchmarkStreamEvent is one event of a stream through the gateway.
 func BenchmarkStreamEvent(b *testing.B) {
 	const perStream = 500
-	c, r := benchGateway(b, func(w http.ResponseWriter, q *http.Request) {
+	c, r := benchGateway(b, streamService, func(w http.ResponseWriter, q *http.Request) {
 		w.Header().Set(platform.HeaderAttempt, q.Header.Get(platform.HeaderAttempt))
 		w.Header().Set(platform.HeaderSignature, "s")
 		flush := http.NewResponseController(w)
