Idle links ping every 5 s; an agent that says nothing for 250 ms is left

Change: links without open streams ping every 5 s; with one they notice silence after 2 s as before, counted from the stream's begin. An agent that queues a want says so at once, and one that says nothing for 250 ms is left for a second.

--- a/pkg/gateway/agents.go
+++ b/pkg/gateway/agents.go
@@ -26,6 +26,8 @@
 
 	mu   sync.Mutex
 	told map[*link.Conn]told
+	// mute holds the agents that said nothing, and when they are asked again.
+	mute map[string]time.Time
 }
 
 // told is the newest setup that was sent over a link.
@@ -35,14 +37,40 @@
 }
 
 func newAgents(self link.Identity, port int) *agents {
-	return &agents{pool: link.NewPool(self, nil), port: port, told: make(map[*link.Conn]told)}
+	return &agents{pool: link.NewPool(self, nil), port: port, told: make(map[*link.Conn]told), mute: make(map[string]time.Time)}
+}
+
+// muteTime is how long an agent that said nothing is not asked again, so that not
+// every request waits for it.
+const muteTime = time.Second
+
+// silent notes that the target's agent said nothing.
+func (a *agents) silent(t fleet.Target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.mute[agentAddress(t, a.port)] = time.Now().Add(muteTime)
 }
 
 // conn returns the link to the target's agent.
 func (a *agents) conn(ctx context.Context, t fleet.Target) (*link.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, agentDialWait)
+	address := agentAddress(t, a.port)
+	a.mu.Lock()
+	until, mute := a.mute[address]
+	if mute && !time.Now().Before(until) {
+		delete(a.mute, address)
+		mute = false
+	}
+	a.mu.Unlock()
+	if mute {
+		return nil, errors.Timeoutf("agent at %s silent", address)
+	}
+	dialing, cancel := context.WithTimeout(ctx, agentDialWait)
 	defer cancel()
-	return a.pool.Get(ctx, agentAddress(t, a.port))
+	conn, err := a.pool.Get(dialing, address)
+	if err != nil && dialing.Err() != nil && ctx.Err() == nil {
+		a.silent(t)
+	}
+	return conn, errors.Trace(err)
 }
 
 // tell returns the link to the target's agent, after it has sent the agent its
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -28,7 +28,7 @@
 
 // peerLiveness finds a silent agent before a stuck request costs its objective;
 // a ping is some 30 bytes.
-var peerLiveness = link.Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second}
+var peerLiveness = link.Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second, Idle: 5 * time.Second}
 
 // Gateway is the process's service to callers.
 type Gateway struct {
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -129,6 +129,9 @@
 	reply, err := receiveGrant(x.ctx, stream)
 	if err != nil {
 		stream.Close()
+		if errors.Is(err, errors.Timeout) {
+			x.g.agents.silent(t)
+		}
 		x.g.Debug("msg", "no grant", "target", t.Instance, "err", err)
 		return nil, unable
 	}
@@ -157,9 +160,25 @@
 	}, reply
 }
 
+// agentSilence is how long an agent may take to say anything about a request: a
+// round trip and its work take a few ms, also on a slow VM.
+const agentSilence = 250 * time.Millisecond
+
+// receiveGrant waits for the agent's answer, as long as the agent shows that it
+// lives.
 func receiveGrant(ctx context.Context, s *link.Stream) (wire.GrantReply, error) {
+	asked := time.Now()
+	first, cancel := context.WithTimeout(ctx, agentSilence)
+	f, err := s.Receive(first)
+	cancel()
+	if err != nil && first.Err() != nil && ctx.Err() == nil {
+		if s.Conn().Heard().Before(asked) {
+			s.Conn().Close()
+			return wire.GrantReply{}, errors.Timeoutf("agent silent for %s", agentSilence)
+		}
+		f, err = s.Receive(ctx)
+	}
 	var reply wire.GrantReply
-	f, err := s.Receive(ctx)
 	if err != nil {
 		return reply, errors.Trace(err)
 	}
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -26,8 +26,14 @@
 	// Ping is the time between two pings, and Silence the time without any frame
 	// after which the peer is taken for dead or cut off.
 	Ping, Silence time.Duration
+	// Idle is the same as Ping while no stream is open, if it is longer: nobody
+	// waits for the peer then. The peer is dead after idleSilence of them.
+	Idle time.Duration
 }
 
+// idleSilence is the number of idle pings that may be missed.
+const idleSilence = 3
+
 // defaultLiveness keeps the links of a large fleet cheap.
 var defaultLiveness = Liveness{Ping: 5 * time.Second, Silence: 15 * time.Second}
 
@@ -61,6 +67,10 @@
 	parity  uint32 // of the streams that this side opens
 
 	liveness Liveness
+	pinged   time.Time // by the write loop
+	// busy is when the first of the open streams began, in ns of Unix time; 0
+	// while none is open.
+	busy atomic.Int64
 
 	heard atomic.Int64 // when the newest frame came, in ns of Unix time
 
@@ -186,6 +196,7 @@
 	full := len(c.streams) >= maxStreams
 	if !full && c.streams != nil {
 		c.streams[f.Stream] = s
+		c.noteBusy()
 	}
 	c.mu.Unlock()
 	if full {
@@ -212,6 +223,7 @@
 func (c *Conn) drop(s *Stream) {
 	c.mu.Lock()
 	delete(c.streams, s.id)
+	c.noteBusy()
 	c.mu.Unlock()
 	s.cancel(context.Canceled)
 }
@@ -230,6 +242,7 @@
 	s := c.newStream(c.next)
 	c.next += 2
 	c.streams[s.id] = s
+	c.noteBusy()
 	c.mu.Unlock()
 	if err := c.send(kind, s.id, m); err != nil {
 		c.drop(s)
@@ -313,13 +326,40 @@
 
 // ping shows the peer that this side lives, and checks that the peer does.
 func (c *Conn) ping() error {
-	silence := time.Since(time.Unix(0, c.heard.Load()))
-	if silence > c.liveness.Silence {
+	since, limit, period := c.heard.Load(), c.liveness.Silence, time.Duration(0)
+	if busy := c.busy.Load(); busy > 0 {
+		// The peer may not have pinged since the last stream ended.
+		since = max(since, busy)
+	} else if c.liveness.Idle > c.liveness.Ping {
+		period = c.liveness.Idle
+		limit = max(limit, idleSilence*period)
+	}
+	if silence := time.Since(time.Unix(0, since)); silence > limit {
 		return errors.Annotatef(ErrClosed, "silent for %s", silence)
 	}
+	if time.Since(c.pinged) < period {
+		return nil
+	}
+	c.pinged = time.Now()
 	return c.send(KindPing, 0, nil)
 }
 
+// Ping shows the peer at once that this side lives.
+func (c *Conn) Ping() error { return c.send(KindPing, 0, nil) }
+
+// Heard returns when the newest frame came.
+func (c *Conn) Heard() time.Time { return time.Unix(0, c.heard.Load()) }
+
+// noteBusy notes whether streams are open. The caller holds mu.
+func (c *Conn) noteBusy() {
+	switch {
+	case len(c.streams) == 0:
+		c.busy.Store(0)
+	case c.busy.Load() == 0:
+		c.busy.Store(time.Now().UnixNano())
+	}
+}
+
 func (c *Conn) write(b []byte) error {
 	if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -6,7 +6,9 @@
 	"context"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -162,3 +164,50 @@
 		}
 	})
 }
+
+// An idle link pings rarely; one with an open stream notices a silent peer soon.
+func TestSilentPeerIsNoticedWhileAStreamWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		live := Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second, Idle: 5 * time.Second}
+		frozen := make(chan struct{})
+		peer := make(chan *Conn, 1)
+		go func() {
+			c, err := Server(far, Identity{Role: wire.RoleAgent, VM: "b", Liveness: live}, Handlers{
+				KindGrantWant: func(context.Context, *Stream, Frame) error { <-frozen; return nil },
+			})
+			require.NoError(t, err)
+			peer <- c
+		}()
+		c, err := Client(&silencing{Conn: near}, Identity{Role: wire.RoleEntry, VM: "a", Liveness: live}, nil)
+		require.NoError(t, err)
+		before := CountTraffic().FramesOut
+		time.Sleep(30 * time.Second)
+		require.NoError(t, c.ctx.Err(), "an idle link stays")
+		require.Less(t, CountTraffic().FramesOut-before, int64(16), "two sides, each 5 s")
+		c.nc.(*silencing).silent.Store(true)
+		_, err = c.Open(KindGrantWant, &wire.GrantWant{})
+		require.NoError(t, err)
+		time.Sleep(3500 * time.Millisecond)
+		require.Error(t, c.ctx.Err(), "silent for more than 2 s")
+		close(frozen)
+		(<-peer).Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// silencing is a connection whose peer can be made silent.
+type silencing struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+// Read reads, but for what came while the peer is silent.
+func (s *silencing) Read(b []byte) (int, error) {
+	for {
+		n, err := s.Conn.Read(b)
+		if err != nil || !s.silent.Load() {
+			return n, err
+		}
+	}
+}
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -36,7 +36,7 @@
 )
 
 // peerLiveness matches that of the entries.
-var peerLiveness = link.Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second}
+var peerLiveness = link.Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second, Idle: 5 * time.Second}
 
 // Engine is the part of the engine's client that the orderer needs.
 type Engine struct {
@@ -125,8 +125,16 @@
 	var reply wire.GrantReply
 	select {
 	case reply = <-answer:
-	case <-ctx.Done():
-		return nil
+	default:
+		// The entry gives up an agent that says nothing.
+		if err := s.Conn().Ping(); err != nil {
+			return errors.Trace(err)
+		}
+		select {
+		case reply = <-answer:
+		case <-ctx.Done():
+			return nil
+		}
 	}
 	reply.Entries = o.entries.seen(s.Conn())
 	if err := s.Send(link.KindGrantReply, &reply); err != nil {
