--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -84,16 +84,22 @@
 		return errors.Trace(err)
 	}
 	o.listener = listener
-	self := link.Identity{Role: wire.RoleAgent, VM: o.node.VM, Liveness: peerLiveness}
-	handlers := link.Handlers{link.KindEngineSetup: o.setup, link.KindGrantWant: o.want}
 	go func() {
-		if err := link.Serve(listener, self, handlers, o.Log); err != nil {
+		if err := link.Serve(listener, o.identity(), o.handlers(), o.Log); err != nil {
 			o.Warn("msg", "peer listener ended", "err", err)
 		}
 	}()
 	return nil
 }
 
+func (o *Orderer) identity() link.Identity {
+	return link.Identity{Role: wire.RoleAgent, VM: o.node.VM, Liveness: peerLiveness}
+}
+
+func (o *Orderer) handlers() link.Handlers {
+	return link.Handlers{link.KindEngineSetup: o.setup, link.KindGrantWant: o.want}
+}
+
 // Stop ends the listener. Requests under way do not pass through this process.
 func (o *Orderer) Stop(context.Context) error { return o.listener.Close() }
 
