--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -328,7 +328,7 @@
 // pass passes an answer on, or decides that it is none.
 func (x *exchange) pass(s *seat, a *forward.Answer, sent time.Time) outcome {
 	if load, ok := platform.ParseLoad([]byte(a.Value(platform.HeaderLoad))); ok {
-		x.g.loads.saw(s.target.Instance, load)
+		x.g.loads.saw(s.target.Instance, load, time.Now())
 	}
 	if a.Status == fasthttp.StatusMisdirectedRequest || a.Value(platform.HeaderNotExecuted) != "" {
 		x.g.turnedAway(s, a)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -257,6 +257,21 @@
 	})
 }
 
+// A plain service's requests go where the fewest run, those of other gateways
+// among them.
+func TestPlainRequestsGoWhereTheFewestRun(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		busy := "X-Instance-Load: 6,4,6\r\n"
+		h.script(answer(200, "yes", busy), answer(200, "yes"), answer(200, "yes"))
+		for range 3 {
+			require.Equal(t, 200, h.send(rawRequest("GET", "/safe/x")).StatusCode)
+		}
+		calls := h.sent()
+		require.NotEqual(t, calls[0].Address, calls[1].Address)
+		require.Equal(t, calls[1].Address, calls[2].Address)
+	})
+}
+
 // A stop finishes the request under way and closes the connection after it.
 func TestStopCutsNothing(t *testing.T) {
 	testHarness(t, func(t *testing.T, h *harness) {
--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"math"
 	"sync"
+	"time"
 
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
@@ -18,22 +19,43 @@
 }
 
 type load struct {
-	own      int
-	reported int // by the newest answer, own requests among them
-	slots    int
+	own    int
+	others int // requests of other gateways, by the newest answer
+	slots  int
+	seen   time.Time
 }
 
+const (
+	// othersFor is how long the others' requests count after an answer told them:
+	// some of a plain service's latency objectives.
+	othersFor = 300 * time.Millisecond
+	// maxLoads bounds the memory of targets that are gone.
+	maxLoads = 4096
+)
+
 func newLoads() *loads { return &loads{byTarget: make(map[ident.Target]*load)} }
 
+// get returns a target's load. The caller holds mu.
 func (l *loads) get(t ident.Target) *load {
 	v := l.byTarget[t]
 	if v == nil {
+		if len(l.byTarget) >= maxLoads {
+			l.forgetIdle()
+		}
 		v = &load{}
 		l.byTarget[t] = v
 	}
 	return v
 }
 
+func (l *loads) forgetIdle() {
+	for t, v := range l.byTarget {
+		if v.own == 0 {
+			delete(l.byTarget, t)
+		}
+	}
+}
+
 func (l *loads) begin(t ident.Target) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -46,11 +68,13 @@
 	l.get(t).own--
 }
 
-func (l *loads) saw(t ident.Target, reported platform.TargetLoad) {
+// saw records what a target said of its load. The request that it answered may
+// still count among its running ones.
+func (l *loads) saw(t ident.Target, reported platform.TargetLoad, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.get(t)
-	v.reported, v.slots = reported.Running+reported.Waiting, reported.Slots
+	v.others, v.slots, v.seen = max(reported.Running+reported.Waiting-v.own, 0), reported.Slots, now
 }
 
 // of returns a target's load in requests per slot.
@@ -58,8 +82,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.get(t.Instance)
-	slots := max(v.slots, t.Slots, 1)
-	return float64(v.own) / float64(slots)
+	requests := v.own
+	if time.Since(v.seen) < othersFor {
+		requests += v.others
+	}
+	return float64(requests) / float64(max(v.slots, t.Slots, 1))
 }
 
 func hash(s string) uint64 {
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -34,10 +34,11 @@
 	unloaded []ident.Adapter
 	lose     int // answers to lose
 	late     int // orders to carry out 3 s later, unanswered
+	holders  map[platform.Order]bool
 }
 
 func newEngine() *engine {
-	return &engine{name: "i-1", born: 1, model: true, held: map[ident.Adapter]ident.Version{}, flying: map[ident.Adapter]ident.Version{}}
+	return &engine{name: "i-1", born: 1, model: true, held: map[ident.Adapter]ident.Version{}, flying: map[ident.Adapter]ident.Version{}, holders: map[platform.Order]bool{}}
 }
 
 func (e *engine) restart(name ident.Target) {
@@ -69,6 +70,7 @@
 func (e *engine) send(o platform.Order) (platform.OrderResult, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.holders[platform.Order{Holder: o.Holder, Fence: o.Fence}] = true
 	if o.Instance != e.name {
 		return platform.OrderOtherInstance, nil
 	}
@@ -207,6 +209,20 @@
 	}
 }
 
+// All orders of an engine come from one holder under one token, over restarts of
+// the engine and whichever entry asks.
+func TestOneHolderOrders(t *testing.T) {
+	testOrderer(t, func(t *testing.T, e *engine, entry func() *link.Conn) {
+		_, s := ask(t, entry(), "a1")
+		s.Close()
+		e.restart("i-2")
+		time.Sleep(2 * idlePoll)
+		_, s = ask(t, entry(), "a2")
+		s.Close()
+		require.Equal(t, map[platform.Order]bool{{Holder: "vm-1", Fence: fence}: true}, e.holders)
+	})
+}
+
 // A link is lost while its requests run on: their adapters stay for a while.
 func TestAdaptersOfALostEntryStay(t *testing.T) {
 	testOrderer(t, func(t *testing.T, e *engine, entry func() *link.Conn) {
