Five agents are asked instead of three

Cause: at bursts of one adapter all three homes may be busy while others are idle. Ruled out as a cost: a further agent is asked only when those before it are busy.

--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -40,7 +40,7 @@
 
 // maxAsked is the number of agents that are asked for one request: more would
 // spread rare adapters over engines and cost a round trip each.
-const maxAsked = 3
+const maxAsked = 5
 
 // grant asks the agents of the adapter's homes for a seat.
 func (x *exchange) grant(targets []fleet.Target) (*seat, refusal) {
