--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -103,31 +103,61 @@
 		return wire.GrantReply{Code: wire.GrantBusy}, now.After(w.expires())
 	}
 	version, ready := b.ready(w)
-	crossed := w.Replicated && w.MayGoElsewhere && b.readTime(b.unstarted+ahead.prompts) > replicaAfter
-	if ready && ahead.prompts == 0 && !crossed && b.fits(w) {
+	if ready && ahead.prompts == 0 && !b.yields(w, ahead) && b.fits(w) {
 		b.grant(w, now)
 		return wire.GrantReply{Code: wire.GrantGiven, Version: version, Instance: b.instance}, true
 	}
-	wait, reason := b.computeWait(w, ahead)
-	elsewhere := wait > elsewhereAfter || crossed
-	if !ready {
-		arrival, why := b.arrival(w, len(ahead.loads), now)
-		elsewhere = elsewhere || why != wire.ReasonLoading || arrival > w.objective(now) && !b.congested() ||
-			w.Spare && b.congested() && !b.replacing(w.weights()) && !b.hasCopy(w.weights())
-		if arrival >= wait {
-			wait, reason = arrival, why
-		}
-	}
-	if elsewhere && w.MayGoElsewhere || now.Add(wait).After(w.expires()) {
-		if crossed {
-			// Between two engines that hold the adapter, the backlog decides.
-			wait = max(wait, b.readTime(b.unstarted+ahead.prompts))
-		}
-		return wire.GrantReply{Code: wire.GrantBusy, Reason: reason, WaitMS: wait.Milliseconds()}, true
+	f := b.forecast(w, ahead, now)
+	if f.elsewhere && w.MayGoElsewhere || now.Add(f.wait).After(w.expires()) {
+		return wire.GrantReply{Code: wire.GrantBusy, Reason: f.reason, WaitMS: f.wait.Milliseconds()}, true
 	}
 	return wire.GrantReply{}, false
 }
 
+// forecast is how long a want would wait, for what, and whether another engine
+// is worth asking.
+type forecast struct {
+	wait      time.Duration
+	reason    wire.GrantReason
+	elsewhere bool
+}
+
+func (b *Book) forecast(w *Want, ahead queue, now time.Time) forecast {
+	var f forecast
+	f.wait, f.reason = b.computeWait(w, ahead)
+	f.elsewhere = f.wait > elsewhereAfter
+	if b.yields(w, ahead) {
+		// Between two engines that hold the adapter, the backlog decides.
+		f.elsewhere = true
+		f.wait = max(f.wait, b.readTime(b.unstarted+ahead.prompts))
+	}
+	if _, ready := b.ready(w); ready {
+		return f
+	}
+	arrival, why := b.arrival(w, len(ahead.loads), now)
+	f.elsewhere = f.elsewhere || why != wire.ReasonLoading || b.loadsElsewhere(w, arrival, now)
+	if arrival >= f.wait {
+		f.wait, f.reason = arrival, why
+	}
+	return f
+}
+
+// yields reports whether a want should rather go to the other engine that holds
+// its adapter.
+func (b *Book) yields(w *Want, ahead queue) bool {
+	return w.Replicated && w.MayGoElsewhere && b.readTime(b.unstarted+ahead.prompts) > replicaAfter
+}
+
+// loadsElsewhere reports whether another engine should bring the adapter, or
+// serve the want with the copy that it has: while the store is congested a
+// second load only delays all others.
+func (b *Book) loadsElsewhere(w *Want, arrival time.Duration, now time.Time) bool {
+	if !b.congested() {
+		return arrival > w.objective(now)
+	}
+	return w.Spare && !b.replacing(w.weights()) && !b.hasCopy(w.weights())
+}
+
 // ready returns the version that the engine holds, if it is the wanted one or a
 // newer one.
 func (b *Book) ready(w *Want) (ident.Version, bool) {
