One rule for leaving a silent target; names that nothing calls are gone

Cause: a reading of the whole change. Whether a request may run elsewhere stood twice, and so did the time by which a silent target is left; forward had two functions that nothing calls and a pair that were one. Waiting for the store moved to sync.go.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -53,7 +53,7 @@
 		if err := a.readHead(); err != nil {
 			return nil, errors.Trace(err)
 		}
-		echoed := a.value(platform.HeaderAttempt)
+		echoed := a.Value(platform.HeaderAttempt)
 		if attempt == "" || echoed == "" || echoed == attempt {
 			return a, nil
 		}
@@ -104,13 +104,8 @@
 // Read reads the body. io.EOF says that it was whole.
 func (a *Answer) Read(b []byte) (int, error) { return a.body.Read(b) }
 
-// AtHand returns the number of bytes that can be read without waiting.
-func (a *Answer) AtHand() int { return a.c.r.Buffered() }
-
 // Value returns a header's value, whatever its case.
-func (a *Answer) Value(name string) string { return a.value(name) }
-
-func (a *Answer) value(name string) string {
+func (a *Answer) Value(name string) string {
 	if v := a.Header.Peek(name); len(v) > 0 {
 		return string(v)
 	}
@@ -140,7 +135,7 @@
 		return
 	}
 	a.c.limit = MaxUnused
-	if seconds, ok := keepAlive(a.value("Keep-Alive")); ok {
+	if seconds, ok := keepAlive(a.Value("Keep-Alive")); ok {
 		// The target's clock began earlier than this one.
 		a.c.limit = min(MaxUnused, seconds*3/4)
 	}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -37,12 +37,8 @@
 	address string
 	idle    time.Time // when it was last put back
 	limit   time.Duration
-	reused  bool
 }
 
-// Reused reports whether the connection carried an earlier request.
-func (c *Conn) Reused() bool { return c.reused }
-
 // Close drops the connection. The target stops work on the request it carries.
 func (c *Conn) Close() { _ = c.nc.Close() }
 
@@ -86,7 +82,6 @@
 			break
 		}
 		if time.Since(c.idle) <= min(c.limit, maxUnused) && c.alive() {
-			c.reused = true
 			return c, nil
 		}
 		c.Close()
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -112,36 +112,6 @@
 	return min(x.left(), plainObjectives*x.route.Objective)
 }
 
-const (
-	// syncShare is the share of a caller's time that a request waits for a
-	// process that has just started; what is left must do to serve it.
-	syncShare = 0.4
-	// maxSyncWait bounds the memory of waiting requests in a long outage.
-	maxSyncWait = 4 * time.Second
-	// syncRetryAfter is when the store may be back.
-	syncRetryAfter = time.Second
-)
-
-// awaitSync waits until the process knows enough to place requests. Callers
-// return only once or twice, so that refusing them at each start costs more than
-// the wait.
-func (g *Gateway) awaitSync(ctx context.Context, deadline time.Duration) bool {
-	if g.synced.ok() {
-		return true
-	}
-	wait := maxSyncWait
-	if deadline > 0 {
-		wait = min(wait, time.Duration(syncShare*float64(deadline)))
-	}
-	select {
-	case <-g.synced.done:
-		return true
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-	return false
-}
-
 // pickService chooses among a route's services by weight. The attempt decides,
 // so that the shares hold over all entries.
 func pickService(r *platform.Route, attempt string) ident.Service {
@@ -196,8 +166,7 @@
 // outcome.
 func (x *exchange) mayRepeat(o outcome) bool {
 	if o != outcomeNotRun {
-		again := x.route.Repeat == platform.RunAgain || x.route.Repeat == platform.RunAsStream && x.route.CanResume
-		if !again || x.runs >= x.route.MaxTargets {
+		if !x.repeatable() || x.runs >= x.route.MaxTargets {
 			return false
 		}
 	}
@@ -308,14 +277,16 @@
 // answerBy is how long to wait for a target's first bytes: until the end, unless
 // the request may run elsewhere.
 func (x *exchange) answerBy(sent time.Time) time.Time {
-	if !x.repeatable() || x.runs+1 >= x.route.MaxTargets {
+	return x.patientUntil(sent.Add(max(silenceObjectives*x.route.Objective, minPatience)))
+}
+
+// patientUntil returns when a silent target is left: by the given time if the
+// request may run elsewhere, and at the request's end otherwise.
+func (x *exchange) patientUntil(by time.Time) time.Time {
+	if !x.repeatable() || x.runs+1 >= x.route.MaxTargets || x.until.Before(by) {
 		return x.until
 	}
-	patience := max(silenceObjectives*x.route.Objective, minPatience)
-	if by := sent.Add(patience); by.Before(x.until) {
-		return by
-	}
-	return x.until
+	return by
 }
 
 const (
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -111,14 +111,7 @@
 }
 
 func (x *exchange) pauseEnd() time.Time {
-	if !x.repeatable() || x.runs+1 >= x.route.MaxTargets {
-		return x.until
-	}
-	pause := time.Now().Add(max(pauseFactor*x.route.GapObjective, minPause))
-	if pause.Before(x.until) {
-		return pause
-	}
-	return x.until
+	return x.patientUntil(time.Now().Add(max(pauseFactor*x.route.GapObjective, minPause)))
 }
 
 func grow(b []byte) []byte {
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -215,3 +215,33 @@
 		}
 	}
 }
+
+const (
+	// syncShare is the share of a caller's time that a request waits for a
+	// process that has just started; what is left must do to serve it.
+	syncShare = 0.4
+	// maxSyncWait bounds the memory of waiting requests in a long outage.
+	maxSyncWait = 4 * time.Second
+	// syncRetryAfter is when the store may be back.
+	syncRetryAfter = time.Second
+)
+
+// awaitSync waits until the process knows enough to place requests. Callers
+// return only once or twice, so that refusing them at each start costs more than
+// the wait.
+func (g *Gateway) awaitSync(ctx context.Context, deadline time.Duration) bool {
+	if g.synced.ok() {
+		return true
+	}
+	wait := maxSyncWait
+	if deadline > 0 {
+		wait = min(wait, time.Duration(syncShare*float64(deadline)))
+	}
+	select {
+	case <-g.synced.done:
+		return true
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return false
+}
