Holders of an adapter are asked first; popular loads go first; retry times of a stopping entry

Change: an entry remembers for 30 s which engine served an adapter version and asks it first. Among loads of one urgency that with the most requests waiting goes first. A request that the balancer sends to a stopping entry over a new connection is told when the successor is there.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -36,6 +36,18 @@
 	// closing says that the connection ends after the present answer.
 	closing bool
 	http11  bool
+	// late says that the balancer sent the connection here although it has had time
+	// to notice that the process stops: it has no other entry to choose.
+	late bool
+}
+
+// returnFromStop is when a request that cannot end before the process does, at the
+// given time, may come back.
+func (c *caller) returnFromStop(stopAt time.Time) time.Duration {
+	if c.late {
+		return time.Until(stopAt) + restartTime
+	}
+	return stopRetryAfter
 }
 
 // serve answers the connection's requests one after the other.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -316,6 +317,33 @@
 	})
 }
 
+// Where every entry stops, the balancer still sends new connections to one that
+// does. Their callers come back once, and find a process that has started again.
+func TestRetryTimeOfAStoppingProcess(t *testing.T) {
+	long := rawRequest("POST", "/stream/x", "Content-Length: 0\r\nX-Token-Count: 100,400\r\n")
+	retryAfter := func(t *testing.T, r io.Reader) float64 {
+		res, err := http.ReadResponse(bufio.NewReader(r), nil)
+		require.NoError(t, err)
+		require.Equal(t, 503, res.StatusCode)
+		seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		return seconds
+	}
+	testHarness(t, func(t *testing.T, h *harness) {
+		kept := h.connect()
+		synctest.Wait()
+		last := time.Now().Add(2 * time.Second)
+		h.stopAt.Store(&last)
+		h.stopping.Store(true)
+		fresh := h.connect()
+		for _, c := range []net.Conn{kept, fresh} {
+			go func() { _, _ = io.WriteString(c, long) }()
+		}
+		require.Less(t, retryAfter(t, kept), 0.2, "another entry takes it")
+		require.GreaterOrEqual(t, retryAfter(t, fresh), 3.5, "this one's successor does")
+	})
+}
+
 // oneListener accepts one connection.
 type oneListener struct {
 	conn net.Conn
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -45,7 +45,7 @@
 // grant asks the agents of the adapter's homes for a seat.
 func (x *exchange) grant(targets []fleet.Target) (*seat, refusal) {
 	weights := x.g.versions.Newest(x.q.weights)
-	homes := x.g.homes(targets, weights)
+	homes := x.g.replicas.First(weights, x.g.homes(targets, weights), time.Now())
 	soonest, wait, why := -1, time.Duration(0), wire.ReasonNone
 	asked, spare := min(maxAsked, len(homes)), false
 	for i := 0; i < asked; i++ {
--- a/pkg/grant/book_test.go
+++ b/pkg/grant/book_test.go
@@ -166,6 +166,20 @@
 	require.Equal(t, weightsOf(2, 0), o.Weights)
 }
 
+// After a restart many adapters are missing at once: a popular one goes before
+// rare ones that were asked for earlier.
+func TestLoadsThatMoreRequestsWaitForGoFirst(t *testing.T) {
+	b := bookWith(4)
+	b.Ask(want(1, 1, start))
+	b.Ask(want(2, 2, start.Add(time.Millisecond)))
+	b.Ask(want(3, 2, start.Add(2*time.Millisecond)))
+	now := start.Add(3 * time.Millisecond)
+	b.Answer(now)
+	o, ok := b.Order(now)
+	require.True(t, ok)
+	require.Equal(t, weightsOf(2, 0), o.Weights)
+}
+
 func TestEmptyEngineLoadsItsModelUnasked(t *testing.T) {
 	b := New()
 	b.Setup(setup(4))
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -72,16 +72,21 @@
 }
 
 // sort orders the wants: first those that can still meet their objective, then
-// by urgency, then by age. A load that would come too late for the objective
-// would only make the next one late as well.
+// by urgency, then by the number of requests that wait for the same weights, then
+// by age. A load that would come too late for the objective would only make the
+// next one late as well.
 func (b *Book) sort(now time.Time) {
 	late := make(map[WantID]bool, len(b.waiting))
+	sharers := make(map[ident.Weights]int)
 	for _, w := range b.waiting {
 		needs := b.readTime(w.PromptTokens)
 		if _, ready := b.ready(w); !ready {
 			needs += b.loadWait(w.weights(), 0, now)
 		}
 		late[w.ID] = w.objective(now) < needs
+		if !late[w.ID] {
+			sharers[w.weights()]++
+		}
 	}
 	sort.SliceStable(b.waiting, func(i, j int) bool {
 		x, y := b.waiting[i], b.waiting[j]
@@ -91,6 +96,9 @@
 		if x.Rank != y.Rank {
 			return x.Rank < y.Rank
 		}
+		if m, n := sharers[x.weights()], sharers[y.weights()]; m != n {
+			return m > n
+		}
 		return x.Asked.Before(y.Asked)
 	})
 }
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -66,6 +67,21 @@
 	require.Less(t, same, 500/6)
 }
 
+// An adapter that was brought to another engine than its first home, when that was
+// busy, is not brought a second time.
+func TestEnginesThatServedAnAdapterAreAskedFirst(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	homes := Homes(targets(5), weights(1, 1))
+	r := NewReplicas()
+	r.Saw(weights(1, 1), homes[3].Address, start)
+	r.Saw(weights(1, 1), homes[2].Address, start)
+	want := []fleet.Target{homes[2], homes[3], homes[0], homes[1], homes[4]}
+	require.Equal(t, want, r.First(weights(1, 1), homes, start.Add(holderMemory-1)))
+	require.Equal(t, homes, r.First(weights(1, 1), homes, start.Add(holderMemory)), "its copy may be gone")
+	require.Equal(t, homes, r.First(weights(2, 1), homes, start))
+	require.Equal(t, homes, r.First(weights(1, 2), homes, start), "a newer version would have to wait for the older one's runs")
+}
+
 func TestLeastPrefersIdleTargets(t *testing.T) {
 	all := targets(4)
 	load := map[ident.Target]float64{"i-0": 1, "i-1": 0.5, "i-2": 0, "i-3": 0}
