Soak of the users' platform's programs; stand-ins that speak the platform's words

The stand-ins of engine and balancer did not speak the platform's words.

Ruled out: starting the processes from the Go program (no program of ours starts another; a script does).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build deploy run test race lint fuzz bench bench-decisions check overhead chaos rollout tokens capacity settings-reference clean
+.PHONY: build deploy run test race lint fuzz bench bench-decisions check overhead chaos soak rollout tokens capacity settings-reference clean
 
 build:
 	go build -o build/ $(addprefix ./cmd/,$(PROGRAMS))
@@ -53,6 +53,11 @@
 chaos: build
 	scripts/chaos.sh
 
+# The users' platform's programs as real processes on stand-ins under random
+# faults, against an oracle: make soak SEED=2 TIME=60s, PLANNED=1 for planned work.
+soak: build
+	SEED=$(SEED) TIME=$(TIME) PLANNED=$(PLANNED) scripts/soak.sh
+
 # The time from an accepted change to its being in force on every process.
 rollout: build
 	scripts/rollout.sh
--- a/pkg/bench/main.go
+++ b/pkg/bench/main.go
@@ -25,7 +25,7 @@
 	t := &tool{out: stdout, err: stderr}
 	root := &ffcli.Command{
 		Name: "hyssoproad-bench", ShortUsage: "hyssoproad-bench <subcommand>", FlagSet: t.flags("hyssoproad-bench"),
-		Subcommands: []*ffcli.Command{t.deployment(), t.standIns(), t.load(), t.sample(), t.experiment(), t.overhead(), t.rollout(), t.capacity(), t.settingsReference()},
+		Subcommands: []*ffcli.Command{t.deployment(), t.standIns(), t.load(), t.sample(), t.experiment(), t.overhead(), t.rollout(), t.capacity(), t.soak(), t.settingsReference()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- /dev/null
+++ b/pkg/soak/deployment.go
@@ -0,0 +1,274 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/standin"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// Settings of a run.
+type Settings struct {
+	// Dir takes the settings files of the processes. The script that starts them
+	// writes their ids to Dir/pids.
+	Dir    string
+	Seed   uint64
+	Length time.Duration // with faults; a calm tail follows
+	// Planned restricts the faults to planned work, during which nothing may be cut.
+	Planned                   bool
+	Gateways, Engines, Plains int
+	Clients                   int
+	// Network is the second number of the loopback addresses, so that two runs
+	// can go on at the same time.
+	Network int
+}
+
+const (
+	model        ident.Model   = "soak-model"
+	draftService ident.Service = "drafts"
+	deskService  ident.Service = "desk"
+
+	callersPort, readinessPort, peerPort, workerPort, storePort = 8080, 8081, 7380, 8000, 8142
+
+	engineSlots, adapterSlots = 16, 6
+	adapters                  = 40
+	memoryMB                  = 284 // of the users' entry VMs
+	stopGrace                 = 8 * time.Second
+)
+
+// network numbers the addresses by what they are for.
+type network int
+
+const (
+	gatewayNet network = iota + 1
+	engineNet
+	engineProxyNet
+	plainNet
+	plainProxyNet
+	storeNet
+	storeProxyNet
+)
+
+func (s Settings) ip(n network, i int) string { return fmt.Sprintf("127.%d.%d.%d", s.Network, n, i+1) }
+
+func (s Settings) address(n network, i, port int) string {
+	return net.JoinHostPort(s.ip(n, i), strconv.Itoa(port))
+}
+
+// target is a worker, what leads to it, and the process beside it.
+type target struct {
+	*standin.Worker
+	listen string         // address of the worker
+	shown  string         // address in the store's list, behind the proxy
+	link   *standin.Proxy // to the worker
+	server *http.Server
+	leaves atomic.Bool // it is down, or has announced its end
+}
+
+// process is one process of the system.
+type process struct {
+	name  string
+	links []*standin.Proxy // to the store, and to the process
+}
+
+// deployment is everything around the processes.
+type deployment struct {
+	Settings
+	oracle    *Oracle
+	store     *standin.Objects
+	balancer  *standin.Balancer
+	targets   []*target
+	processes []*process
+
+	mu       sync.Mutex
+	version  uint64
+	versions map[ident.Adapter]ident.Version
+	added    []string // prefixes of the routes that were added
+}
+
+// newDeployment starts the stand-ins and writes the processes' settings files.
+func newDeployment(s Settings, oracle *Oracle) (*deployment, error) {
+	d := &deployment{Settings: s, oracle: oracle, store: standin.NewObjects(s.Seed), versions: make(map[ident.Adapter]ident.Version)}
+	r := router.New()
+	d.store.Register(r)
+	listener, err := net.Listen("tcp4", s.address(storeNet, 0, storePort))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	go func() { _ = fasthttp.Serve(listener, r.Handler) }() // ends with the run
+	if err := d.configure(""); err != nil {
+		return nil, errors.Trace(err)
+	}
+	var entries []standin.BalancedEntry
+	for i := range s.Gateways {
+		node := standin.NodeSettings{Callers: s.address(gatewayNet, i, callersPort), Readiness: s.address(gatewayNet, i, readinessPort), IP: s.ip(gatewayNet, i)}
+		entries = append(entries, standin.BalancedEntry{Callers: node.Callers, Readiness: node.Readiness})
+		if _, err := d.addProcess(fmt.Sprintf("gateway-%d", i+1), node); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	d.balancer = standin.NewBalancer(entries)
+	for i := range s.Engines {
+		if err := d.addEngine(i); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	for i := range s.Plains {
+		if err := d.addTarget(i, standin.WorkerSettings{Service: deskService, Slots: 30, Work: 10 * time.Millisecond}, plainNet, plainProxyNet); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	return d, nil
+}
+
+func (d *deployment) addEngine(i int) error {
+	err := d.addTarget(i, standin.WorkerSettings{
+		Service: draftService, Model: model, Slots: engineSlots, AdapterSlots: adapterSlots,
+		ModelLoad: 600 * time.Millisecond, AdapterLoad: 120 * time.Millisecond, EventPause: 10 * time.Millisecond,
+		Newest: d.newest,
+	}, engineNet, engineProxyNet)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	node := standin.NodeSettings{IP: d.ip(engineNet, i), Engine: d.address(engineNet, i, workerPort)}
+	p, err := d.addProcess(fmt.Sprintf("orderer-%d", i+1), node)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	link, err := standin.NewProxy(d.address(engineProxyNet, i, peerPort), d.address(engineNet, i, peerPort))
+	p.links = append(p.links, link)
+	return errors.Trace(err)
+}
+
+func (d *deployment) addTarget(i int, w standin.WorkerSettings, near, proxied network) error {
+	w.Seed, w.Seen = d.Seed*100+uint64(len(d.targets)), d.oracle.Saw
+	t := &target{Worker: standin.NewWorker(w), listen: d.address(near, i, workerPort), shown: d.address(proxied, i, workerPort)}
+	link, err := standin.NewProxy(t.shown, t.listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	t.link = link
+	d.targets = append(d.targets, t)
+	return errors.Trace(d.begin(t))
+}
+
+// begin lets a target listen, and announces it.
+func (d *deployment) begin(t *target) error {
+	listener, err := net.Listen("tcp4", t.listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	t.server = t.Serve(listener)
+	return errors.Trace(d.store.Publish(platform.KindTargets, string(t.Instance()), t.Entry(t.shown)))
+}
+
+// again starts a target that has ended.
+func (d *deployment) again(t *target) error {
+	t.Restart()
+	err := d.begin(t)
+	t.leaves.Store(false)
+	return err
+}
+
+func (d *deployment) addProcess(name string, node standin.NodeSettings) (*process, error) {
+	i := len(d.processes)
+	node.VM, node.PeerPort, node.MemoryMB, node.StopGrace = ident.VM(name), peerPort, memoryMB, stopGrace
+	node.Store = d.address(storeProxyNet, i, storePort)
+	link, err := standin.NewProxy(node.Store, d.address(storeNet, 0, storePort))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	file, err := node.Encode()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	p := &process{name: name, links: []*standin.Proxy{link}}
+	d.processes = append(d.processes, p)
+	return p, errors.Trace(os.WriteFile(filepath.Join(d.Dir, name+".json"), file, 0o644))
+}
+
+// pid returns the id of a process that the script has started.
+func (d *deployment) pid(p *process) (int, error) {
+	text, err := os.ReadFile(filepath.Join(d.Dir, "pids", p.name))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	return pid, errors.Trace(err)
+}
+
+// configure writes a newer configuration, with another route if a prefix is given.
+func (d *deployment) configure(added string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version += 3 // versions increase in uneven steps
+	if added != "" {
+		d.added = append(d.added, added)
+	}
+	routes := []standin.OperatorRoute{
+		{Prefix: draftPrefix, Repeat: platform.RunAsStream, Resume: true, Service: draftService, Timeout: 15 * time.Second, Objective: 800 * time.Millisecond, Attempts: 3},
+		{Prefix: notePrefix, Repeat: platform.RunAsStream, Service: draftService, Timeout: 8 * time.Second, Objective: time.Second, Attempts: 2},
+		{Prefix: bookPrefix, Repeat: platform.RunAtMostOnce, Service: deskService, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond, Attempts: 2},
+		{Prefix: lookPrefix, Repeat: platform.RunAgain, Service: deskService, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond, Attempts: 2},
+	}
+	for _, prefix := range d.added {
+		routes = append(routes, standin.OperatorRoute{Prefix: prefix, Repeat: platform.RunAgain, Service: deskService, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond, Attempts: 2})
+	}
+	spec, err := standin.EncodeConfiguration(d.version, routes, []standin.OperatorService{
+		{Name: draftService, Model: model, Slots: engineSlots, AdapterSlots: adapterSlots}, {Name: deskService},
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(d.store.Publish(platform.KindConfiguration, platform.ConfigurationName, spec))
+}
+
+func (d *deployment) newest(a ident.Adapter) ident.Version {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(d.versions[a], 1)
+}
+
+// announce publishes a new version of an adapter.
+func (d *deployment) announce(a ident.Adapter) error {
+	d.mu.Lock()
+	d.versions[a] = max(d.versions[a], 1) + 1
+	version := ident.AdapterVersion{Adapter: a, Version: d.versions[a]}
+	d.mu.Unlock()
+	name, spec, err := standin.EncodeVersion(model, version)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := d.store.Publish(platform.KindVersions, name, spec); err != nil {
+		return errors.Trace(err)
+	}
+	d.oracle.Announced(version, time.Now())
+	return nil
+}
+
+// awaitReady waits until the balancer has all entries in rotation.
+func (d *deployment) awaitReady(ctx context.Context) error {
+	for d.balancer.Ready() < d.Gateways {
+		select {
+		case <-ctx.Done():
+			return errors.Annotatef(ctx.Err(), "%d of %d entries are ready", d.balancer.Ready(), d.Gateways)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	return nil
+}
--- a/pkg/standin/objects.go
+++ b/pkg/standin/objects.go
@@ -200,11 +200,16 @@
 	if o.objects[key].Version != version {
 		return errors.Annotatef(objects.ErrConflict, "object %s", key)
 	}
+	o.remove(key)
+	return nil
+}
+
+// remove drops an object. The caller holds mu.
+func (o *Objects) remove(key string) {
 	delete(o.objects, key)
 	o.last++
 	o.remember(change{object: objects.Object{Key: key, Version: o.last}, removed: true})
 	o.notify()
-	return nil
 }
 
 // List returns the keys that begin with prefix.
--- a/pkg/standin/objects_http.go
+++ b/pkg/standin/objects_http.go
@@ -44,10 +44,41 @@
 	var out storedObject
 	_, out.Metadata.Name = objects.Split(o.Key)
 	out.Metadata.Revision = o.Version
+	if kind, _ := objects.Split(o.Key); plainKind(kind) {
+		out.Spec = o.Value
+		return out
+	}
 	out.Spec, _ = json.Marshal(o.Value) // bytes always encode
 	return out
 }
 
+// plainKind reports whether the platform itself writes objects of the kind. Their
+// contents are JSON; those of the product's own kinds are bytes.
+func plainKind(k platform.Kind) bool {
+	return k == platform.KindConfiguration || k == platform.KindTargets || k == platform.KindVersions
+}
+
+// Publish writes an object of a kind that the platform itself writes, whatever
+// the faults are.
+func (o *Objects) Publish(kind platform.Kind, name string, spec json.RawMessage) error {
+	key := objects.Join(kind, name)
+	o.mu.Lock()
+	version := o.objects[key].Version
+	o.mu.Unlock()
+	_, err := o.put(key, spec, version)
+	return errors.Trace(err)
+}
+
+// Withdraw removes an object that Publish wrote.
+func (o *Objects) Withdraw(kind platform.Kind, name string) {
+	key := objects.Join(kind, name)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, exists := o.objects[key]; exists {
+		o.remove(key)
+	}
+}
+
 func kindOf(ctx *fasthttp.RequestCtx) platform.Kind {
 	return platform.Kind(ctx.UserValue("kind").(string))
 }
@@ -94,7 +125,9 @@
 
 func (o *Objects) serveWrite(ctx *fasthttp.RequestCtx, key string, in storedObject, revision objects.ObjectVersion) {
 	var value []byte
-	if err := json.Unmarshal(in.Spec, &value); err != nil {
+	if plainKind(kindOf(ctx)) {
+		value = in.Spec
+	} else if err := json.Unmarshal(in.Spec, &value); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
--- /dev/null
+++ b/pkg/standin/operator.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// NodeSettings are what the platform tells one process at its start.
+type NodeSettings struct {
+	VM                 ident.VM
+	IP                 string
+	Callers, Readiness string // addresses; empty beside an engine
+	Engine             string // address; empty on an entry VM
+	Store              string // address
+	PeerPort           int
+	MemoryMB           int
+	StopGrace          time.Duration
+}
+
+// Encode returns the contents of the process's settings file.
+func (s NodeSettings) Encode() ([]byte, error) {
+	listen := map[string]string{}
+	if s.Callers != "" {
+		listen["front"], listen["ready"] = s.Callers, s.Readiness
+	}
+	return json.MarshalIndent(map[string]any{
+		"node-name": s.VM, "ip": s.IP, "zone": "local", "listen": listen, "app": s.Engine,
+		"inner-ports": []int{s.PeerPort, s.PeerPort + 10}, "limits": map[string]any{"memory-mb": s.MemoryMB},
+		"bounds":   map[string]any{"grace-s": s.StopGrace.Seconds(), "retry-budget-ratio": 0.2, "retry-budget-slack": 50, "budget-window-s": 10},
+		"platform": map[string]any{"address": s.Store, "form": "objects"},
+	}, "", "  ")
+}
+
+// OperatorRoute is one route of a configuration.
+type OperatorRoute struct {
+	Prefix    string
+	Repeat    platform.Repeat
+	Resume    bool
+	Service   ident.Service
+	Timeout   time.Duration
+	Objective time.Duration
+	Attempts  int
+}
+
+var routeKinds = [...]string{platform.RunAtMostOnce: "unsafe", platform.RunAgain: "safe", platform.RunAsStream: "streaming"}
+
+// OperatorHost is the host of all routes.
+const OperatorHost = "soak.example"
+
+// OperatorService is one service of a configuration.
+type OperatorService struct {
+	Name         ident.Service
+	Model        ident.Model // empty for a plain service
+	Slots        int
+	AdapterSlots int
+}
+
+// EncodeConfiguration returns a configuration as the operator writes it.
+func EncodeConfiguration(version uint64, routes []OperatorRoute, services []OperatorService) (json.RawMessage, error) {
+	var shownRoutes, shownServices []map[string]any
+	for _, r := range routes {
+		shownRoutes = append(shownRoutes, map[string]any{
+			"name": r.Prefix, "host": OperatorHost, "path-prefix": r.Prefix, "kind": routeKinds[r.Repeat], "can-resume": r.Resume,
+			"service": r.Service, "timeout-ms": r.Timeout.Milliseconds(), "slo-ms": r.Objective.Milliseconds(), "gap-slo-ms": 300,
+			"max-attempts": r.Attempts, "priority": 1,
+		})
+	}
+	for _, s := range services {
+		shown := map[string]any{"name": s.Name, "health-path": WorkerHealthPath}
+		if s.Model != "" {
+			shown["engine"] = map[string]any{
+				"slots": s.Slots, "kv-capacity-tokens": 100000, "mb": 1000, "adapter-slots": s.AdapterSlots, "stride": 1,
+				"models": []any{map[string]any{"name": s.Model, "mb": 900, "load-s": 1, "disk-s": 0.5, "adapter-mb": 1}},
+			}
+		}
+		shownServices = append(shownServices, shown)
+	}
+	return json.Marshal(map[string]any{"version": version, "routes": shownRoutes, "services": shownServices})
+}
+
+// EncodeVersion returns the announcement of an adapter's version, and its name in
+// the store.
+func EncodeVersion(model ident.Model, a ident.AdapterVersion) (string, json.RawMessage, error) {
+	spec, err := json.Marshal(map[string]any{"model": model, "adapter": a.Adapter, "version": a.Version})
+	return string(model) + "." + string(a.Adapter), spec, err
+}
--- a/pkg/standin/proxy.go
+++ b/pkg/standin/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/juju/errors"
@@ -14,11 +15,16 @@
 
 // The modes.
 const (
-	LinkOpen  LinkMode = "open"
-	LinkCut   LinkMode = "cut"   // connections are closed and refused
-	LinkStall LinkMode = "stall" // connections stay open and carry nothing
+	LinkOpen   LinkMode = "open"
+	LinkCut    LinkMode = "cut"     // connections are closed and refused
+	LinkStall  LinkMode = "stall"   // connections stay open and carry nothing
+	LinkDelay  LinkMode = "delay"   // what is carried comes late
+	LinkOneWay LinkMode = "one-way" // nothing is carried back to who connected
 )
 
+// linkDelay is far above a round trip and below the time-outs of most calls.
+const linkDelay = 150 * time.Millisecond
+
 // Proxy forwards TCP connections to one process, as a network that can fail.
 type Proxy struct {
 	to       string
@@ -49,9 +55,20 @@
 	close(p.moved)
 	p.moved = make(chan struct{})
 	if m == LinkCut {
-		for c := range p.conns {
-			_ = c.Close()
-		}
+		p.closeAll()
+	}
+}
+
+// Reset closes the connections; new ones work.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeAll()
+}
+
+func (p *Proxy) closeAll() {
+	for c := range p.conns {
+		_ = c.Close()
 	}
 }
 
@@ -86,7 +103,7 @@
 	done := make(chan struct{}, 2)
 	for _, pair := range [][2]net.Conn{{near, far}, {far, near}} {
 		go func() {
-			p.copy(pair[0], pair[1])
+			p.copy(pair[0], pair[1], pair[0] == far)
 			done <- struct{}{}
 		}()
 	}
@@ -109,13 +126,17 @@
 
 const proxyBufferBytes = 16 << 10
 
-func (p *Proxy) copy(from, to net.Conn) {
+func (p *Proxy) copy(from, to net.Conn, back bool) {
 	buffer := make([]byte, proxyBufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		for mode, moved := p.state(); mode == LinkStall; mode, moved = p.state() {
+		mode, moved := p.state()
+		for ; mode == LinkStall || mode == LinkOneWay && back; mode, moved = p.state() {
 			<-moved
 		}
+		if mode == LinkDelay {
+			time.Sleep(linkDelay)
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
