An order needs a place of its own; unknown requests' adapters stay; closed slots reopen

Ruled out: holds that are never released, loads that never end.

Change: a load, also of a newer version, needs a free place; what the engine holds at the first report counts as in use while it runs more requests than were granted since (30 s at most); closed slots reopen when a load begins or nothing is wanted.

Tests that fail without it: TestReplacementsNeedAPlaceOfTheirOwn, TestOlderVersionGivesUpTheOnlyPlace, TestAdaptersOfUnknownRequestsAreNotUnloaded, TestBookKeepsItsPromises (rapid), TestClosedAdapterIsServedAgain.

--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -56,8 +56,12 @@
 	version ident.Version
 	uses    int
 	lastUse time.Time
+	// inherited says that requests may use it that this process does not know.
+	inherited bool
 }
 
+func (a *adapter) inUse() bool { return a.uses > 0 || a.inherited }
+
 // Book is what one agent knows of its engine and of those who want to use it.
 type Book struct {
 	setup wire.EngineSetup
@@ -67,7 +71,10 @@
 	named    int64 // the start of the engine that told its name
 	born     int64
 	up       bool
-	models   map[ident.Model]bool
+	// inheritedUntil is when requests that were granted before this process started
+	// have ended at the latest; zero before the first report.
+	inheritedUntil time.Time
+	models         map[ident.Model]bool
 	// onDisk and inMemory are the models of whose weights the engine has copies.
 	onDisk, inMemory []ident.Model
 	held             map[ident.Weights]*adapter // by unversioned weights
--- a/pkg/grant/book_test.go
+++ b/pkg/grant/book_test.go
@@ -256,6 +256,60 @@
 	require.Empty(t, b.Answer(start), "requests for the old version would be refused meanwhile")
 }
 
+// Adapters on their way count towards the places beside the versions that they
+// replace, which the engine still holds.
+func TestReplacementsNeedAPlaceOfTheirOwn(t *testing.T) {
+	b := bookWith(2, 1, 2)
+	w := want(1, 1, start)
+	w.Adapter.Version = 2
+	b.Ask(w)
+	b.Answer(start)
+	o, ok := b.Order(start)
+	require.True(t, ok)
+	require.Equal(t, Order{Unload: true, Weights: weightsOf(2, 0), Instance: "i-1"}, o)
+	b.Carried(o, start)
+	o, ok = b.Order(start)
+	require.True(t, ok)
+	require.Equal(t, weightsOf(1, 2), o.Weights)
+	b.Carried(o, start)
+	b.Ask(want(2, 3, start))
+	b.Answer(start)
+	_, ok = b.Order(start)
+	require.False(t, ok, "one held and one on its way fill both places")
+}
+
+func TestOlderVersionGivesUpTheOnlyPlace(t *testing.T) {
+	b := bookWith(1, 1)
+	w := want(1, 1, start)
+	w.Adapter.Version = 2
+	b.Ask(w)
+	b.Answer(start)
+	o, ok := b.Order(start)
+	require.True(t, ok)
+	require.Equal(t, Order{Unload: true, Weights: weightsOf(1, 0), Instance: "i-1"}, o)
+}
+
+// A process that starts beside a busy engine knows none of its requests: what the
+// engine holds is in use until no more run than were granted since.
+func TestAdaptersOfUnknownRequestsAreNotUnloaded(t *testing.T) {
+	b := New()
+	b.Setup(setup(1))
+	report := Report{Born: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}, Active: 2}
+	b.Observe(report, start)
+	b.Ask(want(1, 2, start))
+	b.Answer(start)
+	_, ok := b.Order(start)
+	require.False(t, ok)
+	b.Observe(report, start.Add(inheritedTime-1))
+	_, ok = b.Order(start)
+	require.False(t, ok)
+	report.Active = 0
+	b.Observe(report, start.Add(inheritedTime-1))
+	o, ok := b.Order(start)
+	require.True(t, ok)
+	require.Equal(t, Order{Unload: true, Weights: weightsOf(1, 0), Instance: "i-1"}, o)
+}
+
 // simulated is an engine whose loads take a while, and whose answers to orders
 // may be lost.
 type simulated struct {
@@ -347,19 +401,12 @@
 					require.NotEqual(t, u, key, "order on an adapter in use")
 				}
 				accepted := engine.carry(o)
-				require.LessOrEqual(t, len(engine.held)+len(engine.flying), places+1)
 				if accepted && rapid.IntRange(0, 3).Draw(t, "answered") > 0 {
 					b.Carried(o, now)
 				} else {
 					b.Observe(engine.report(), now) // no answer: the report tells
 				}
-				count := len(engine.held)
-				for f := range engine.flying {
-					if _, replaced := engine.held[f]; !replaced {
-						count++
-					}
-				}
-				require.LessOrEqual(t, count, places, "engine overfilled")
+				require.LessOrEqual(t, len(engine.held)+len(engine.flying), places, "engine overfilled")
 				require.LessOrEqual(t, len(engine.flying), maxFlying)
 			},
 			"land": func(t *rapid.T) {
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -227,7 +227,7 @@
 	switch {
 	case !b.models[w.Model]:
 		return b.modelWait(w.Model, now), wire.ReasonModelAbsent
-	case held != nil && held.uses > 0:
+	case held != nil && held.inUse():
 		return b.runTime, wire.ReasonOldVersion
 	case held == nil && !b.replacing(w.weights()) && b.full() && b.victim().IsZero():
 		return b.runTime, wire.ReasonAdaptersUsed
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -14,6 +14,7 @@
 	Models   []ident.Model
 	Held     []ident.Weights // adapters
 	Flying   []ident.Weights // adapters on their way
+	Active   int             // requests that run or are queued there
 	// OnDisk and InMemory are the models of whose weights the engine has copies.
 	OnDisk, InMemory []ident.Model
 }
@@ -43,6 +44,24 @@
 		flying[w.Unversioned()] = f
 	}
 	b.flying = flying
+	b.inherit(r.Active, now)
+}
+
+// inheritedTime is the longest that a request of before may still run: the time
+// limits of the users' routes are up to 30 s.
+const inheritedTime = 30 * time.Second
+
+// inherit marks what the engine holds at the first report as in use, until no more
+// requests run there than this process has granted.
+func (b *Book) inherit(active int, now time.Time) {
+	first := b.inheritedUntil.IsZero()
+	if first {
+		b.inheritedUntil = now.Add(inheritedTime)
+	}
+	unknown := active > len(b.running) && now.Before(b.inheritedUntil)
+	for _, a := range b.held {
+		a.inherited = (first || a.inherited) && unknown
+	}
 }
 
 func (b *Book) observeHeld(weights []ident.Weights, now time.Time) {
--- a/pkg/grant/order.go
+++ b/pkg/grant/order.go
@@ -61,27 +61,24 @@
 	if w.Adapter.IsZero() || !b.models[w.Model] || b.replacing(w.weights()) || !b.mayLoad(w.weights(), now) {
 		return Order{}, false
 	}
-	if a := b.held[w.weights().Unversioned()]; a != nil {
-		// A replacement waits for its runs, and new requests with it.
-		return b.order(false, w.weights()), a.version < w.Adapter.Version && a.uses == 0
+	key := w.weights().Unversioned()
+	old := b.held[key]
+	if old != nil && (old.version >= w.Adapter.Version || old.inUse()) {
+		return Order{}, false // a replacement waits for its runs, and new requests with it
 	}
 	if !b.full() {
 		return b.order(false, w.weights()), true
 	}
 	victim := b.victim()
+	if victim.IsZero() && old != nil {
+		victim = key
+	}
 	return b.order(true, victim), !victim.IsZero()
 }
 
-// full reports whether no further adapter fits.
-func (b *Book) full() bool {
-	count := len(b.held) + len(b.flying)
-	for f := range b.flying {
-		if b.held[f] != nil {
-			count-- // a replacement takes the place of the older version
-		}
-	}
-	return count >= b.places()
-}
+// full reports whether no further adapter fits. A replacement needs a place of its
+// own until it has taken the older version's: an overfilled engine crashes.
+func (b *Book) full() bool { return len(b.held)+len(b.flying) >= b.places() }
 
 // places is the number of adapters that fit the engine.
 func (b *Book) places() int {
@@ -108,7 +105,7 @@
 	var out ident.Weights
 	var oldest time.Time
 	for key, a := range b.held {
-		if a.uses > 0 || wanted[key] {
+		if a.inUse() || wanted[key] {
 			continue
 		}
 		if out.IsZero() || a.lastUse.Before(oldest) {
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -307,7 +307,7 @@
 }
 
 func grantReport(r platform.EngineReport) grant.Report {
-	out := grant.Report{Born: r.Born, Sequence: r.Sequence, Busy: r.Busy, OnDisk: r.OnDisk, InMemory: r.InMemory}
+	out := grant.Report{Born: r.Born, Sequence: r.Sequence, Busy: r.Busy, Active: r.Active, OnDisk: r.OnDisk, InMemory: r.InMemory}
 	for _, m := range r.Models {
 		out.Models = append(out.Models, m.Name)
 		for _, a := range m.Adapters {
--- a/pkg/queue/load.go
+++ b/pkg/queue/load.go
@@ -35,6 +35,9 @@
 			best, worth = l, w
 		}
 	}
+	if best == nil {
+		s.reopen()
+	}
 	if best == nil || !s.room(now, best) {
 		s.wantedSince = time.Time{}
 		return ident.AdapterVersion{}, 0, false
@@ -152,6 +155,16 @@
 	}
 }
 
+// reopen lets a closed slot's adapter be served again.
+func (s *Scheduler) reopen() {
+	for _, l := range s.resident {
+		if l.closing {
+			l.closing = false
+			delete(s.wanted, l.key)
+		}
+	}
+}
+
 // Load reserves a slot for key, and names the adapter that must be unloaded
 // first, if any; the caller then calls Evicted. It reports false when the load
 // is no longer possible.
@@ -169,6 +182,7 @@
 		v.state = evicting
 		evict = v.key
 	}
+	s.reopen() // whoever starves still closes a slot again
 	l.state = loading
 	s.resident[key] = l
 	if !s.wantedSince.IsZero() {
--- a/pkg/queue/scheduler_test.go
+++ b/pkg/queue/scheduler_test.go
@@ -166,6 +166,60 @@
 // TestOneSlowLoadDoesNotCloseTheQueue repeats what random faults found: after a
 // load that took longer than any deadline, every request was refused, so that no
 // load ever showed that the store had recovered.
+// A busy adapter that was closed for a starving one is served again once the
+// starving one has got another slot, or waits no more.
+func TestClosedAdapterIsServedAgain(t *testing.T) {
+	tests := []struct {
+		name   string
+		settle func(t *testing.T, s *Scheduler, now time.Time, running []*Request)
+	}{
+		{"another slot came free", func(t *testing.T, s *Scheduler, now time.Time, running []*Request) {
+			s.Finish(running[1], time.Second)
+			k, _, ok := s.Want(now)
+			require.True(t, ok)
+			evict, ok := s.Load(now, k)
+			require.True(t, ok)
+			require.Equal(t, key(2), evict)
+		}},
+		{"the starving request left", func(t *testing.T, s *Scheduler, now time.Time, _ []*Request) {
+			require.True(t, s.Cancel("starving"))
+			_, _, ok := s.Want(now)
+			require.False(t, ok)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := New(Settings{Slots: 2, Seats: 4}, start)
+			var running []*Request
+			for i, arrivals := range []int{1, 3} { // the first is worth less
+				s.Adopt(start, key(i+1))
+				for n := range arrivals {
+					_, err := s.Add(start, request(fmt.Sprintf("%d-%d", i, n), i+1, start, time.Minute))
+					require.NoError(t, err)
+				}
+			}
+			for r := s.Start(start); r != nil; r = s.Start(start) {
+				running = append(running, r)
+			}
+			require.Len(t, running, 4)
+			_, err := s.Add(start, request("starving", 3, start, time.Minute))
+			require.NoError(t, err)
+			now := start.Add(6 * time.Second)
+			_, _, ok := s.Want(now)
+			require.False(t, ok, "both slots are in use, and the first is closed")
+			for _, r := range running[2:] {
+				s.Finish(r, time.Second)
+			}
+			test.settle(t, s, now, running)
+			_, err = s.Add(now, request("again", 1, now, time.Minute))
+			require.NoError(t, err)
+			r := s.Start(now)
+			require.NotNil(t, r)
+			require.Equal(t, ident.Request("again"), r.ID)
+		})
+	}
+}
+
 func TestOneSlowLoadDoesNotCloseTheQueue(t *testing.T) {
 	s := New(Settings{Slots: 1, Seats: 1}, start)
 	_, err := s.Add(start, request("first", 0, start, time.Minute))
