--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -160,7 +160,7 @@
 // homes returns the targets to ask for the weights, in order.
 func (g *Gateway) homes(targets []fleet.Target, w ident.Weights) []fleet.Target {
 	if w.IsZero() {
-		return placement.Least(targets, g.loads.of, rand.Uint64())
+		return placement.Least(targets, g.loads.of, g.node.Domain, rand.Uint64())
 	}
 	return placement.Homes(targets, w)
 }
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -33,7 +33,7 @@
 
 // plainSeat takes the target with the fewest requests.
 func (g *Gateway) plainSeat(targets []fleet.Target, attempt string) *seat {
-	t := placement.Least(targets, g.loads.of, hash(attempt))[0]
+	t := placement.Least(targets, g.loads.of, g.node.Domain, hash(attempt))[0]
 	g.loads.begin(t.Instance)
 	return &seat{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, started: func(time.Duration) {}}
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -38,9 +38,11 @@
 	return out
 }
 
-// Least returns the targets by what runs on them, least first. Ties go in an
-// order that differs between entries and requests.
-func Least(targets []fleet.Target, load func(fleet.Target) float64, tie uint64) []fleet.Target {
+// Least returns the targets by what runs on them, least first. Among equal ones those
+// of the entry's own failure domain come first, since bytes between domains take
+// longer and are paid for; the rest goes in an order that differs between entries
+// and requests.
+func Least(targets []fleet.Target, load func(fleet.Target) float64, own ident.Domain, tie uint64) []fleet.Target {
 	out := append([]fleet.Target(nil), targets...)
 	loads := make(map[ident.Target]float64, len(out))
 	for _, t := range out {
@@ -48,8 +50,14 @@
 	}
 	rank := func(t fleet.Target) uint64 { return route.Draw(tie, xxhash.Sum64String(t.Address)) }
 	sort.Slice(out, func(i, j int) bool {
-		a, b := loads[out[i].Instance], loads[out[j].Instance]
-		return a < b || a == b && rank(out[i]) > rank(out[j])
+		x, y := out[i], out[j]
+		if a, b := loads[x.Instance], loads[y.Instance]; a != b {
+			return a < b
+		}
+		if near, far := x.Domain == own, y.Domain == own; near != far {
+			return near
+		}
+		return rank(x) > rank(y)
 	})
 	return out
 }
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -87,7 +87,7 @@
 	load := map[ident.Target]float64{"i-0": 1, "i-1": 0.5, "i-2": 0, "i-3": 0}
 	first := map[ident.Target]bool{}
 	for tie := range uint64(32) {
-		order := Least(all, func(t fleet.Target) float64 { return load[t.Instance] }, tie)
+		order := Least(all, func(t fleet.Target) float64 { return load[t.Instance] }, "", tie)
 		require.Equal(t, ident.Target("i-0"), order[3].Instance)
 		require.Equal(t, ident.Target("i-1"), order[2].Instance)
 		first[order[0].Instance] = true
@@ -95,6 +95,16 @@
 	require.Len(t, first, 2, "ties are spread")
 }
 
+func TestEqualTargetsOfTheOwnDomainComeFirst(t *testing.T) {
+	all := targets(4)
+	all[2].Domain, all[3].Domain = "near", "near"
+	load := map[ident.Target]float64{"i-0": 0, "i-1": 0.5, "i-2": 0.5, "i-3": 1}
+	for tie := range uint64(32) {
+		order := Least(all, func(t fleet.Target) float64 { return load[t.Instance] }, "near", tie)
+		require.Equal(t, []fleet.Target{all[0], all[2], all[1], all[3]}, order, "load goes before the way")
+	}
+}
+
 func TestVersionsNeverRevert(t *testing.T) {
 	v := NewVersions()
 	require.True(t, v.Learn(weights(1, 3)))
