--- a/pkg/grant/loads.go
+++ b/pkg/grant/loads.go
@@ -15,7 +15,7 @@
 	known  map[ident.Weights]ident.Version // of the copy that the engine may still have, by unversioned weights
 	cold   time.Duration                   // mean time of a load from the store
 	warm   time.Duration                   // mean time of a load from the engine's own copy
-	best   time.Duration                   // the shortest recent load from the store
+	best   time.Duration                   // the shortest recent load from the store; 0 before the first
 	// atOnce is the mean number of loads from the store that this engine may have
 	// under way. Below one it pauses between two loads.
 	atOnce float64
@@ -60,7 +60,7 @@
 func newLoads() loads {
 	return loads{
 		flying: make(map[ident.Weights]flight), known: make(map[ident.Weights]ident.Version),
-		cold: firstColdLoad, warm: firstWarmLoad, best: firstColdLoad, atOnce: firstAtOnce,
+		cold: firstColdLoad, warm: firstWarmLoad, atOnce: firstAtOnce,
 	}
 }
 
@@ -71,12 +71,16 @@
 		clear(l.known)
 	}
 	l.known[w.Unversioned()] = w.Version
-	if f.warm || took < l.best/ownCopySpeed {
+	if f.warm || took < l.fullSpeed()/ownCopySpeed {
 		l.warm = time.Duration(average(float64(l.warm), float64(took)))
 		return
 	}
 	l.cold = time.Duration(average(float64(l.cold), float64(took)))
-	l.best = min(time.Duration(float64(l.best)*bestDecay), took)
+	if l.best > 0 {
+		l.best = min(time.Duration(float64(l.best)*bestDecay), took)
+	} else {
+		l.best = took
+	}
 	switch ratio := float64(took) / float64(l.best); {
 	case ratio <= quickLoad:
 		l.atOnce = min(maxFlying, l.atOnce+atOnceStep)
@@ -88,6 +92,14 @@
 	}
 }
 
+// fullSpeed is what a load from the store takes that shares it with few.
+func (l *loads) fullSpeed() time.Duration {
+	if l.best > 0 {
+		return l.best
+	}
+	return firstColdLoad
+}
+
 // congested reports whether the store serves more loads than it can at full
 // speed.
 func (l *loads) congested() bool { return l.atOnce < roomyAtOnce }
--- a/pkg/system/stop_test.go
+++ b/pkg/system/stop_test.go
@@ -93,7 +93,8 @@
 	}
 }
 
-// TestReplacingAllAgentsCutsOffNoRequest is listed in KNOWN-RED.txt.
+// A slot that an agent closed for a starving adapter stayed closed when another came
+// free: requests waited out their deadline in 1 of 50 runs.
 func TestReplacingAllAgentsCutsOffNoRequest(t *testing.T) {
 	underLoad(t, func(w *world) {
 		for _, p := range w.agents {
