An engine's own list of runs tells whose adapters are in use after a restart

A grant on its way hid a request of before, whose adapter was ordered to be unloaded.

Ruled out: counting only requests whose first event has come (under load some have none at any time, so that nothing could be unloaded for 30 s); several reports in a row (rarer, not gone).

Change: a grant names its attempt; what the engine holds at the first report counts as in use while the report lists a run that was not granted here. Runs are decoded only then. The liveness of the grants' links is written once.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -26,10 +26,6 @@
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
-// peerLiveness finds a silent agent before a stuck request costs its objective;
-// a ping is some 30 bytes.
-var peerLiveness = link.Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second, Idle: 5 * time.Second}
-
 // Gateway is the process's service to callers.
 type Gateway struct {
 	common.Common
@@ -84,7 +80,7 @@
 	return &Gateway{
 		Common: c, meters: newMeters(c.Metrics), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(), replicas: placement.NewReplicas(),
 		pool:   forward.NewPool(),
-		agents: newAgents(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: peerLiveness}, node.PeerPort),
+		agents: newAgents(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort),
 		loads:  newLoads(), synced: newSynced(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector), waiting: make(map[*caller]bool),
 	}
 }
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -119,7 +119,7 @@
 	}
 	objective := time.Until(x.began.Add(x.route.Objective))
 	stream, err := conn.Open(link.KindGrantWant, &wire.GrantWant{
-		Model: w.Model, Adapter: w.AdapterVersion,
+		Attempt: ident.Attempt(x.q.attempt), Model: w.Model, Adapter: w.AdapterVersion,
 		PromptTokens: x.q.prompt, OutputTokens: x.q.output, Rank: x.route.Rank,
 		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: how.elsewhere, Spare: how.spare, Replicated: how.replicated,
 	})
--- a/pkg/grant/book_test.go
+++ b/pkg/grant/book_test.go
@@ -307,26 +307,44 @@
 }
 
 // A process that starts beside a busy engine knows none of its requests: what the
-// engine holds is in use until no more run than were granted since.
+// engine holds is in use until all that run there were granted since.
 func TestAdaptersOfUnknownRequestsAreNotUnloaded(t *testing.T) {
 	b := New()
 	b.Setup(setup(1))
-	report := Report{Born: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}, Active: 2}
+	report := Report{Born: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}, Runs: []ident.Attempt{"of-before"}}
+	require.True(t, b.Inheriting())
 	b.Observe(report, start)
-	b.Ask(want(1, 2, start))
+	known := want(1, 1, start)
+	known.Attempt = "known"
+	b.Ask(known)
+	require.Len(t, b.Answer(start), 1)
+	b.Ask(want(2, 2, start))
 	b.Answer(start)
+	b.Withdraw(1, start)
 	_, ok := b.Order(start)
 	require.False(t, ok)
+	report.Runs = []ident.Attempt{"of-before"}
 	b.Observe(report, start.Add(inheritedTime-1))
 	_, ok = b.Order(start)
-	require.False(t, ok)
-	report.Active = 0
+	require.False(t, ok, "as many run as were granted, but another")
+	report.Runs = nil
 	b.Observe(report, start.Add(inheritedTime-1))
+	require.False(t, b.Inheriting())
 	o, ok := b.Order(start)
 	require.True(t, ok)
 	require.Equal(t, Order{Unload: true, Weights: weightsOf(1, 0), Instance: "i-1"}, o)
 }
 
+func TestInheritedAdaptersComeFreeInTheEnd(t *testing.T) {
+	b := New()
+	b.Setup(setup(1))
+	report := Report{Born: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}, Runs: []ident.Attempt{"stuck"}}
+	b.Observe(report, start)
+	require.True(t, b.Inheriting())
+	b.Observe(report, start.Add(inheritedTime))
+	require.False(t, b.Inheriting())
+}
+
 // simulated is an engine whose loads take a while, and whose answers to orders
 // may be lost.
 type simulated struct {
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -14,7 +14,8 @@
 	Models   []ident.Model
 	Held     []ident.Weights // adapters
 	Flying   []ident.Weights // adapters on their way
-	Active   int             // requests that run or are queued there
+	// Runs are the requests that run there. They are read while the book inherits.
+	Runs []ident.Attempt
 	// OnDisk and InMemory are the models of whose weights the engine has copies.
 	OnDisk, InMemory []ident.Model
 }
@@ -44,26 +45,55 @@
 		flying[w.Unversioned()] = f
 	}
 	b.flying = flying
-	b.inherit(r.Active, now)
+	if b.Inheriting() {
+		b.inherit(r.Runs, now)
+	}
 }
 
 // inheritedTime is the longest that a request of before may still run: the time
 // limits of the users' routes are up to 30 s.
 const inheritedTime = 30 * time.Second
 
-// inherit marks what the engine holds at the first report as in use, until no more
-// requests run there than this process has granted.
-func (b *Book) inherit(active int, now time.Time) {
+// Inheriting reports whether requests may run that this process does not know, so
+// that the next report must name those that run.
+func (b *Book) Inheriting() bool {
+	if b.inheritedUntil.IsZero() {
+		return true
+	}
+	for _, a := range b.held {
+		if a.inherited {
+			return true
+		}
+	}
+	return false
+}
+
+// inherit marks what the engine holds at the first report as in use, until no
+// request runs there that this process has not granted.
+func (b *Book) inherit(runs []ident.Attempt, now time.Time) {
 	first := b.inheritedUntil.IsZero()
 	if first {
 		b.inheritedUntil = now.Add(inheritedTime)
 	}
-	unknown := active > len(b.running) && now.Before(b.inheritedUntil)
+	unknown := now.Before(b.inheritedUntil) && b.anyUnknown(runs)
 	for _, a := range b.held {
 		a.inherited = (first || a.inherited) && unknown
 	}
 }
 
+func (b *Book) anyUnknown(runs []ident.Attempt) bool {
+	granted := make(map[ident.Attempt]bool, len(b.running))
+	for _, r := range b.running {
+		granted[r.Attempt] = true
+	}
+	for _, id := range runs {
+		if !granted[id] {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *Book) observeHeld(weights []ident.Weights, now time.Time) {
 	held := make(map[ident.Weights]*adapter, len(weights))
 	for _, w := range weights {
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -34,6 +34,11 @@
 // idleSilence is the number of idle pings that may be missed.
 const idleSilence = 3
 
+// GrantLiveness is that of links on which requests wait for a grant: a silent peer is
+// found before a stuck request costs its objective of about a second; a ping is some
+// 30 bytes.
+var GrantLiveness = Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second, Idle: 5 * time.Second}
+
 // defaultLiveness keeps the links of a large fleet cheap.
 var defaultLiveness = Liveness{Ping: 5 * time.Second, Silence: 15 * time.Second}
 
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -35,9 +35,6 @@
 	lossLinger = 3 * time.Second
 )
 
-// peerLiveness matches that of the entries.
-var peerLiveness = link.Liveness{Ping: 700 * time.Millisecond, Silence: 2 * time.Second, Idle: 5 * time.Second}
-
 // Engine is the part of the engine's client that the orderer needs.
 type Engine struct {
 	Report func() (platform.EngineReport, error)
@@ -93,7 +90,7 @@
 }
 
 func (o *Orderer) identity() link.Identity {
-	return link.Identity{Role: wire.RoleAgent, VM: o.node.VM, Liveness: peerLiveness}
+	return link.Identity{Role: wire.RoleAgent, VM: o.node.VM, Liveness: link.GrantLiveness}
 }
 
 func (o *Orderer) handlers() link.Handlers {
@@ -273,7 +270,7 @@
 		o.Info("msg", "engine regained", "born", report.Born)
 	}
 	o.misses, o.born = 0, report.Born
-	o.book.Observe(grantReport(report), time.Now())
+	o.book.Observe(o.grantReport(report), time.Now())
 	waiting, running := o.book.Counts()
 	held, flying := o.book.Holdings()
 	o.meters.waiting.Update(float64(waiting))
@@ -306,8 +303,10 @@
 	o.Info("msg", "engine identified", "instance", instance, "born", born)
 }
 
-func grantReport(r platform.EngineReport) grant.Report {
-	out := grant.Report{Born: r.Born, Sequence: r.Sequence, Busy: r.Busy, Active: r.Active, OnDisk: r.OnDisk, InMemory: r.InMemory}
+// grantReport translates a report for the book, with the engine's runs while the
+// book asks for them.
+func (o *Orderer) grantReport(r platform.EngineReport) grant.Report {
+	out := grant.Report{Born: r.Born, Sequence: r.Sequence, Busy: r.Busy, OnDisk: r.OnDisk, InMemory: r.InMemory}
 	for _, m := range r.Models {
 		out.Models = append(out.Models, m.Name)
 		for _, a := range m.Adapters {
@@ -317,6 +316,13 @@
 	for _, p := range r.Pending {
 		out.Flying = append(out.Flying, ident.Weights{Model: p.Model, AdapterVersion: p.AdapterVersion})
 	}
+	if o.book.Inheriting() {
+		runs, err := r.Runs()
+		if err != nil {
+			o.Warn("msg", "engine's runs not read", "err", err)
+		}
+		out.Runs = runs
+	}
 	return out
 }
 
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -137,7 +137,7 @@
 		f(t, e, func() *link.Conn {
 			near, far := net.Pipe()
 			go func() { _, _ = link.Server(far, o.identity(), o.handlers()) }()
-			c, err := link.Client(near, link.Identity{Role: wire.RoleEntry, VM: "vm-2", Liveness: peerLiveness}, nil)
+			c, err := link.Client(near, link.Identity{Role: wire.RoleEntry, VM: "vm-2", Liveness: link.GrantLiveness}, nil)
 			require.NoError(t, err)
 			conns = append(conns, c)
 			s, err := c.Open(link.KindEngineSetup, &wire.EngineSetup{
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -79,7 +79,7 @@
 	onDisk   bool
 	held     map[ident.Adapter]*heldAdapter
 	pending  map[ident.Adapter]ident.Version
-	running  int
+	running  map[ident.Attempt]bool
 	faults   WorkerFaults
 	draining bool
 }
@@ -104,7 +104,7 @@
 	w.instance = ident.Target(string(w.Service) + "-" + strconv.FormatUint(w.Seed, 10) + "-" + strconv.Itoa(w.starts))
 	w.born, w.sequence, w.busy, w.model, w.draining = time.Now().UnixMilli(), 0, false, false, false
 	w.held, w.pending = make(map[ident.Adapter]*heldAdapter), make(map[ident.Adapter]ident.Version)
-	w.running = 0
+	w.running = make(map[ident.Attempt]bool)
 }
 
 // Instance returns the name of the worker's present life.
@@ -180,7 +180,7 @@
 		return admission{status: 421, reason: "another instance"}
 	case w.Model != "" && (!w.model || r.model != w.Model):
 		return admission{status: 421, reason: "model absent"}
-	case w.running >= w.Slots:
+	case len(w.running) >= w.Slots:
 		return admission{status: 503, reason: "full"}
 	}
 	a := admission{life: w.starts}
@@ -195,19 +195,19 @@
 		held.uses++
 		a.version = held.version
 	}
-	w.running++
+	w.running[r.attempt] = true
 	return a
 }
 
 // release ends a request that was admitted.
-func (w *Worker) release(a admission, adapter ident.Adapter) {
+func (w *Worker) release(a admission, r workerRequest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if a.life != w.starts {
 		return
 	}
-	w.running--
-	if held := w.held[adapter]; held != nil {
+	delete(w.running, r.attempt)
+	if held := w.held[r.adapter]; held != nil {
 		held.uses--
 	}
 }
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -73,7 +73,7 @@
 func (w *Worker) serveReport(out http.ResponseWriter) {
 	w.mu.Lock()
 	report := map[string]any{
-		"stage": "colocated", "born": w.born, "busy": w.busy, "seq": w.sequence, "active": w.running, "queued": 0,
+		"stage": "colocated", "born": w.born, "busy": w.busy, "seq": w.sequence, "active": len(w.running), "queued": 0,
 		"models": []any{}, "pending": []string{},
 	}
 	var adapters, pending []string
@@ -89,7 +89,11 @@
 	if w.onDisk {
 		report["available"] = map[string]any{"on-disk": []ident.Model{w.Model}}
 	}
-	report["pending"] = pending
+	runs := [][]any{}
+	for attempt := range w.running {
+		runs = append(runs, []any{attempt, 0, 0, 0})
+	}
+	report["pending"], report["runs"] = pending, runs
 	w.mu.Unlock()
 	out.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(out).Encode(report) // the caller may have left
@@ -115,7 +119,7 @@
 	w.mu.Unlock()
 	a := w.admit(q)
 	if a.status == 0 && w.strikes(faults.ShedShare) {
-		w.release(a, q.adapter)
+		w.release(a, q)
 		a = admission{status: http.StatusServiceUnavailable, reason: "shed"}
 	}
 	event := WorkerEvent{Kind: WorkerTurnedAway, Instance: w.Instance(), Attempt: q.attempt, Named: q.adapter, Resumed: q.lastEvent > 0}
@@ -125,7 +129,7 @@
 		out.WriteHeader(a.status)
 		return
 	}
-	defer w.release(a, q.adapter)
+	defer w.release(a, q)
 	event.Kind, event.Adapter = WorkerRan, ident.AdapterVersion{Adapter: q.adapter, Version: a.version}
 	w.seen(event)
 	out.Header().Set(platform.HeaderSignature, WorkerSignature(q.attempt))
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -33,6 +33,7 @@
 // GrantWant asks for the right to send one request to the agent's engine. The
 // stream that carries it stays open while the request runs.
 type GrantWant struct {
+	Attempt      ident.Attempt
 	Model        ident.Model
 	Adapter      ident.AdapterVersion // version 0 takes any
 	PromptTokens int
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -298,8 +298,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GrantWant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
+	o, err = z.Attempt.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
 	o, err = z.Model.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Model")
@@ -329,8 +334,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+		return
+	}
+	bts, err = z.Attempt.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
 		return
 	}
 	bts, err = z.Model.UnmarshalMsg(bts)
@@ -389,7 +399,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GrantWant) Msgsize() (s int) {
-	s = 1 + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
+	s = 1 + z.Attempt.Msgsize() + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
