Before an adapter makes way the engine's runs are checked

A request whose link to its target is silent arrives seconds after its grant, when the process beside the engine has been started again or has given up the lost entry.

Ruled out: reading the runs with each report (50 a second while something is awaited).

Change: an order that displaces an adapter is given only after the newest report's runs are all grants of this process; until then all adapters count as in use, which entries are told (adapters-used), for 30 s at most.

Tests that fail without it: TestAdaptersOfARequestOfBeforeStay, TestAdaptersOfUnknownRequestsAreNotUnloaded.

--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -56,12 +56,8 @@
 	version ident.Version
 	uses    int
 	lastUse time.Time
-	// inherited says that requests may use it that this process does not know.
-	inherited bool
 }
 
-func (a *adapter) inUse() bool { return a.uses > 0 || a.inherited }
-
 // Book is what one agent knows of its engine and of those who want to use it.
 type Book struct {
 	setup wire.EngineSetup
@@ -71,10 +67,10 @@
 	named    int64 // the start of the engine that told its name
 	born     int64
 	up       bool
-	// inheritedUntil is when requests that were granted before this process started
-	// have ended at the latest; zero before the first report.
-	inheritedUntil time.Time
-	models         map[ident.Model]bool
+	// unknownSince is since when requests run that were not granted here, zero if none
+	// do, and unknownAt when they were seen last.
+	unknownSince, unknownAt time.Time
+	models                  map[ident.Model]bool
 	// onDisk and inMemory are the models of whose weights the engine has copies.
 	onDisk, inMemory []ident.Model
 	held             map[ident.Weights]*adapter // by unversioned weights
--- a/pkg/grant/book_test.go
+++ b/pkg/grant/book_test.go
@@ -67,7 +67,7 @@
 	require.Empty(t, b.Answer(start))
 	order, ok := b.Order(start)
 	require.True(t, ok)
-	require.Equal(t, Order{Unload: true, Weights: weightsOf(2, 0), Instance: "i-1"}, order)
+	require.Equal(t, Order{Unload: true, Weights: weightsOf(2, 0), Instance: "i-1", Displaces: true}, order)
 	b.Carried(order, start)
 	order, ok = b.Order(start)
 	require.True(t, ok)
@@ -283,7 +283,7 @@
 	b.Answer(start)
 	o, ok := b.Order(start)
 	require.True(t, ok)
-	require.Equal(t, Order{Unload: true, Weights: weightsOf(2, 0), Instance: "i-1"}, o)
+	require.Equal(t, Order{Unload: true, Weights: weightsOf(2, 0), Instance: "i-1", Displaces: true}, o)
 	b.Carried(o, start)
 	o, ok = b.Order(start)
 	require.True(t, ok)
@@ -303,46 +303,43 @@
 	b.Answer(start)
 	o, ok := b.Order(start)
 	require.True(t, ok)
-	require.Equal(t, Order{Unload: true, Weights: weightsOf(1, 0), Instance: "i-1"}, o)
+	require.Equal(t, Order{Unload: true, Weights: weightsOf(1, 0), Instance: "i-1", Displaces: true}, o)
 }
 
-// A process that starts beside a busy engine knows none of its requests: what the
-// engine holds is in use until all that run there were granted since.
+// A process that starts beside a busy engine, or lost an entry, does not know all
+// requests: what the engine holds is in use while one runs that was not granted here.
 func TestAdaptersOfUnknownRequestsAreNotUnloaded(t *testing.T) {
-	b := New()
-	b.Setup(setup(1))
-	report := Report{Born: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}, Runs: []ident.Attempt{"of-before"}}
-	require.True(t, b.Inheriting())
-	b.Observe(report, start)
+	b := bookWith(1, 1)
 	known := want(1, 1, start)
 	known.Attempt = "known"
 	b.Ask(known)
 	require.Len(t, b.Answer(start), 1)
+	b.Displace([]ident.Attempt{"known"}, start)
+	require.False(t, b.Pinned())
+	b.Withdraw(1, start)
 	b.Ask(want(2, 2, start))
 	b.Answer(start)
-	b.Withdraw(1, start)
-	_, ok := b.Order(start)
-	require.False(t, ok)
-	report.Runs = []ident.Attempt{"of-before"}
-	b.Observe(report, start.Add(inheritedTime-1))
-	_, ok = b.Order(start)
-	require.False(t, ok, "as many run as were granted, but another")
-	report.Runs = nil
-	b.Observe(report, start.Add(inheritedTime-1))
-	require.False(t, b.Inheriting())
 	o, ok := b.Order(start)
 	require.True(t, ok)
-	require.Equal(t, Order{Unload: true, Weights: weightsOf(1, 0), Instance: "i-1"}, o)
-}
+	require.Equal(t, Order{Unload: true, Weights: weightsOf(1, 0), Instance: "i-1", Displaces: true}, o)
 
-func TestInheritedAdaptersComeFreeInTheEnd(t *testing.T) {
-	b := New()
-	b.Setup(setup(1))
-	report := Report{Born: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}, Runs: []ident.Attempt{"stuck"}}
-	b.Observe(report, start)
-	require.True(t, b.Inheriting())
-	b.Observe(report, start.Add(inheritedTime))
-	require.False(t, b.Inheriting())
+	b.Displace([]ident.Attempt{"of-before"}, start)
+	require.True(t, b.Pinned())
+	_, ok = b.Order(start)
+	require.False(t, ok)
+	elsewhere := want(3, 3, start)
+	elsewhere.MayGoElsewhere = true
+	b.Ask(elsewhere)
+	replies := b.Answer(start)
+	require.Len(t, replies, 1)
+	require.Equal(t, wire.ReasonAdaptersUsed, replies[0].Reason)
+
+	b.Displace([]ident.Attempt{"of-before"}, start.Add(unknownTime-1))
+	require.True(t, b.Pinned())
+	b.Displace([]ident.Attempt{"of-before"}, start.Add(unknownTime))
+	require.False(t, b.Pinned(), "it cannot run that long")
+	b.Displace(nil, start.Add(unknownTime))
+	require.False(t, b.Pinned())
 }
 
 // simulated is an engine whose loads take a while, and whose answers to orders
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -38,6 +38,9 @@
 	Weights  ident.Weights
 	Sequence uint64 // the orders that the engine must have accepted before
 	Instance ident.Target
+	// Displaces says that an adapter makes way. It is given only after Displace has
+	// seen the requests that run at the engine.
+	Displaces bool
 }
 
 // queue is what goes before a want.
@@ -227,7 +230,7 @@
 	switch {
 	case !b.models[w.Model]:
 		return b.modelWait(w.Model, now), wire.ReasonModelAbsent
-	case held != nil && held.inUse():
+	case held != nil && b.inUse(held):
 		return b.runTime, wire.ReasonOldVersion
 	case held == nil && !b.replacing(w.weights()) && b.full() && b.victim().IsZero():
 		return b.runTime, wire.ReasonAdaptersUsed
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -14,8 +14,6 @@
 	Models   []ident.Model
 	Held     []ident.Weights // adapters
 	Flying   []ident.Weights // adapters on their way
-	// Runs are the requests that run there. They are read while the book inherits.
-	Runs []ident.Attempt
 	// OnDisk and InMemory are the models of whose weights the engine has copies.
 	OnDisk, InMemory []ident.Model
 }
@@ -45,40 +43,29 @@
 		flying[w.Unversioned()] = f
 	}
 	b.flying = flying
-	if b.Inheriting() {
-		b.inherit(r.Runs, now)
-	}
 }
 
-// inheritedTime is the longest that a request of before may still run: the time
-// limits of the users' routes are up to 30 s.
-const inheritedTime = 30 * time.Second
+// unknownTime is the longest that a request which was not granted here may run: the
+// time limits of the users' routes are up to 30 s.
+const unknownTime = 30 * time.Second
 
-// Inheriting reports whether requests may run that this process does not know, so
-// that the next report must name those that run.
-func (b *Book) Inheriting() bool {
-	if b.inheritedUntil.IsZero() {
-		return true
+// Displace decides, by the requests that run at the engine, whether an adapter may
+// make way. A request that was granted before this process started, or whose entry
+// was lost, may use any of those held.
+func (b *Book) Displace(runs []ident.Attempt, now time.Time) {
+	if !b.anyUnknown(runs) {
+		b.unknownSince = time.Time{}
+		return
 	}
-	for _, a := range b.held {
-		if a.inherited {
-			return true
-		}
+	if b.unknownSince.IsZero() {
+		b.unknownSince = now
 	}
-	return false
+	b.unknownAt = now
 }
 
-// inherit marks what the engine holds at the first report as in use, until no
-// request runs there that this process has not granted.
-func (b *Book) inherit(runs []ident.Attempt, now time.Time) {
-	first := b.inheritedUntil.IsZero()
-	if first {
-		b.inheritedUntil = now.Add(inheritedTime)
-	}
-	unknown := now.Before(b.inheritedUntil) && b.anyUnknown(runs)
-	for _, a := range b.held {
-		a.inherited = (first || a.inherited) && unknown
-	}
+// Pinned reports whether all adapters held count as in use.
+func (b *Book) Pinned() bool {
+	return !b.unknownSince.IsZero() && b.unknownAt.Sub(b.unknownSince) < unknownTime
 }
 
 func (b *Book) anyUnknown(runs []ident.Attempt) bool {
--- a/pkg/grant/order.go
+++ b/pkg/grant/order.go
@@ -63,17 +63,21 @@
 	}
 	key := w.weights().Unversioned()
 	old := b.held[key]
-	if old != nil && (old.version >= w.Adapter.Version || old.inUse()) {
+	if old != nil && (old.version >= w.Adapter.Version || b.inUse(old)) {
 		return Order{}, false // a replacement waits for its runs, and new requests with it
 	}
 	if !b.full() {
-		return b.order(false, w.weights()), true
+		o := b.order(false, w.weights())
+		o.Displaces = old != nil
+		return o, true
 	}
 	victim := b.victim()
 	if victim.IsZero() && old != nil {
 		victim = key
 	}
-	return b.order(true, victim), !victim.IsZero()
+	o := b.order(true, victim)
+	o.Displaces = true
+	return o, !victim.IsZero()
 }
 
 // full reports whether no further adapter fits. A replacement needs a place of its
@@ -95,6 +99,8 @@
 	return min(b.setup.AdapterSlots, int(room/largest))
 }
 
+func (b *Book) inUse(a *adapter) bool { return a.uses > 0 || b.Pinned() }
+
 // victim returns the idle adapter that was used least recently, or zero
 // weights. Adapters that are waited for stay.
 func (b *Book) victim() ident.Weights {
@@ -105,7 +111,7 @@
 	var out ident.Weights
 	var oldest time.Time
 	for key, a := range b.held {
-		if a.inUse() || wanted[key] {
+		if b.inUse(a) || wanted[key] {
 			continue
 		}
 		if out.IsZero() || a.lastUse.Before(oldest) {
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -59,8 +59,9 @@
 	entries entries
 
 	misses     int
-	born       int64     // when the engine started, in ms of Unix time
-	identifyAt time.Time // when the engine may be asked for its name again
+	born       int64                 // when the engine started, in ms of Unix time
+	report     platform.EngineReport // the newest
+	identifyAt time.Time             // when the engine may be asked for its name again
 	listener   net.Listener
 }
 
@@ -244,15 +245,44 @@
 	}
 	o.identify()
 	for {
-		o.mu.Lock()
-		order, due := o.book.Order(time.Now())
-		o.mu.Unlock()
+		order, due := o.next()
 		if !due || !o.order(order) {
 			return
 		}
 	}
 }
 
+// next returns the next order to give. Before an adapter makes way, the engine's
+// runs are checked for requests that were not granted here.
+func (o *Orderer) next() (grant.Order, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	order, due := o.book.Order(time.Now())
+	if !due || !order.Displaces {
+		return order, due
+	}
+	o.checkRuns()
+	if !o.book.Pinned() {
+		return order, true
+	}
+	o.answerLocked() // waits have become longer
+	return o.book.Order(time.Now())
+}
+
+// checkRuns shows the book the runs of the newest report. They are decoded only
+// here, since reports are read often. The caller holds mu.
+func (o *Orderer) checkRuns() {
+	runs, err := o.report.Runs()
+	if err != nil {
+		o.Warn("msg", "engine's runs not read", "err", err)
+	}
+	pinned := o.book.Pinned()
+	o.book.Displace(runs, time.Now())
+	if o.book.Pinned() != pinned {
+		o.Info("msg", "requests of other grants run at the engine", "pinned", !pinned, "runs", len(runs))
+	}
+}
+
 func (o *Orderer) observe() bool {
 	report, err := o.engine.Report()
 	o.mu.Lock()
@@ -269,8 +299,11 @@
 	if o.misses >= downAfter {
 		o.Info("msg", "engine regained", "born", report.Born)
 	}
-	o.misses, o.born = 0, report.Born
-	o.book.Observe(o.grantReport(report), time.Now())
+	o.misses, o.born, o.report = 0, report.Born, report
+	o.book.Observe(grantReport(report), time.Now())
+	if o.book.Pinned() {
+		o.checkRuns()
+	}
 	waiting, running := o.book.Counts()
 	held, flying := o.book.Holdings()
 	o.meters.waiting.Update(float64(waiting))
@@ -303,9 +336,7 @@
 	o.Info("msg", "engine identified", "instance", instance, "born", born)
 }
 
-// grantReport translates a report for the book, with the engine's runs while the
-// book asks for them.
-func (o *Orderer) grantReport(r platform.EngineReport) grant.Report {
+func grantReport(r platform.EngineReport) grant.Report {
 	out := grant.Report{Born: r.Born, Sequence: r.Sequence, Busy: r.Busy, OnDisk: r.OnDisk, InMemory: r.InMemory}
 	for _, m := range r.Models {
 		out.Models = append(out.Models, m.Name)
@@ -316,13 +347,6 @@
 	for _, p := range r.Pending {
 		out.Flying = append(out.Flying, ident.Weights{Model: p.Model, AdapterVersion: p.AdapterVersion})
 	}
-	if o.book.Inheriting() {
-		runs, err := r.Runs()
-		if err != nil {
-			o.Warn("msg", "engine's runs not read", "err", err)
-		}
-		out.Runs = runs
-	}
 	return out
 }
 
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"sync"
 	"testing"
@@ -32,8 +33,9 @@
 	flying   map[ident.Adapter]ident.Version
 	most     int // adapters held and on their way at once
 	unloaded []ident.Adapter
-	lose     int // answers to lose
-	late     int // orders to carry out 3 s later, unanswered
+	runs     []ident.Attempt // that the engine reports
+	lose     int             // answers to lose
+	late     int             // orders to carry out 3 s later, unanswered
 	holders  map[platform.Order]bool
 }
 
@@ -52,7 +54,18 @@
 func (e *engine) report() (platform.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := platform.EngineReport{Born: e.born, Sequence: e.sequence}
+	var runs [][]any
+	for _, id := range e.runs {
+		runs = append(runs, []any{id, 100, 1, 1})
+	}
+	shown, err := json.Marshal(map[string]any{"born": e.born, "seq": e.sequence, "runs": runs})
+	if err != nil {
+		return platform.EngineReport{}, err
+	}
+	r, err := platform.ParseReport(shown)
+	if err != nil {
+		return r, err
+	}
 	if !e.model {
 		return r, nil
 	}
@@ -239,6 +252,26 @@
 	})
 }
 
+// A process starts beside an engine that runs a request of before: none of what the
+// engine holds makes way until that has ended.
+func TestAdaptersOfARequestOfBeforeStay(t *testing.T) {
+	testOrderer(t, func(t *testing.T, e *engine, entry func() *link.Conn) {
+		e.mu.Lock()
+		e.held["a1"], e.held["a2"], e.runs = 1, 1, []ident.Attempt{"of-before"}
+		e.mu.Unlock()
+		time.AfterFunc(2*time.Second, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			require.Empty(t, e.unloaded)
+			e.runs = nil
+		})
+		began := time.Now()
+		reply, _ := ask(t, entry(), "a3")
+		require.Equal(t, wire.GrantGiven, reply.Code)
+		require.Greater(t, time.Since(began), 2*time.Second)
+	})
+}
+
 // An engine comes back empty and under another name, which entries do not know.
 func TestRestartedEngineIsFilledAgain(t *testing.T) {
 	testOrderer(t, func(t *testing.T, e *engine, entry func() *link.Conn) {
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -161,9 +161,9 @@
 		}
 		o.holders[e.Instance] = e.Holder
 	case standin.WorkerOverfilled:
-		o.found = append(o.found, Violation{PromisePlaces, "", fmt.Sprintf("%s ordered to load %v", e.Instance, e.Adapter)})
+		o.found = append(o.found, Violation{PromisePlaces, "", fmt.Sprintf("%s ordered by %s to load %v at %s", e.Instance, e.Holder, e.Adapter, e.At.Format(time.StampMilli))})
 	case standin.WorkerEvicted:
-		o.found = append(o.found, Violation{PromisePinned, "", fmt.Sprintf("%s ordered to give up %v", e.Instance, e.Adapter)})
+		o.found = append(o.found, Violation{PromisePinned, "", fmt.Sprintf("%s ordered by %s to give up %v at %s", e.Instance, e.Holder, e.Adapter, e.At.Format(time.StampMilli))})
 	}
 }
 
