Engines that hold the base model are asked first

Change: where a service has several models, engines whose entry in the store lists the model come first.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 import (
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,27 @@
 	Slots    int
 	Draining bool
 	Born     int64 // in ms of Unix time; 0 if unknown
+	Models   Models
+}
+
+// Models are the base models that a target held when it last told. The type is
+// comparable, as targets are.
+type Models string
+
+const modelSeparator = "\n"
+
+// ModelsOf returns the names as Models.
+func ModelsOf(names []ident.Model) Models {
+	var out Models
+	for _, n := range names {
+		out += Models(n) + modelSeparator
+	}
+	return out
+}
+
+// Has reports whether the model is among m.
+func (m Models) Has(name ident.Model) bool {
+	return strings.Contains(modelSeparator+string(m), modelSeparator+string(name)+modelSeparator)
 }
 
 // returnGrace is how long after an outage of the store a live target may be
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -46,6 +46,9 @@
 func (x *exchange) grant(targets []fleet.Target) (*seat, refusal) {
 	weights := x.g.versions.Newest(x.q.weights)
 	homes := x.g.replicas.First(weights, x.g.homes(targets, weights), time.Now())
+	if len(x.service.Engine.Models) > 1 {
+		homes = placement.HoldersFirst(homes, weights.Model)
+	}
 	soonest, wait, why := -1, time.Duration(0), wire.ReasonNone
 	asked, spare := min(maxAsked, len(homes)), false
 	for i := 0; i < asked; i++ {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -38,6 +38,15 @@
 	return out
 }
 
+// HoldersFirst returns the homes with those first that hold the base model, each group
+// in its order: where a service has several models, an engine seldom has room for
+// another, and loading one takes seconds.
+func HoldersFirst(homes []fleet.Target, m ident.Model) []fleet.Target {
+	out := append([]fleet.Target(nil), homes...)
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Models.Has(m) && !out[j].Models.Has(m) })
+	return out
+}
+
 // Least returns the targets by what runs on them, least first. Among equal ones those
 // of the entry's own failure domain come first, since bytes between domains take
 // longer and are paid for; the rest goes in an order that differs between entries
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -82,6 +82,16 @@
 	require.Equal(t, homes, r.First(weights(1, 2), homes, start), "a newer version would have to wait for the older one's runs")
 }
 
+// Three base models, of which each engine has room for one.
+func TestEnginesThatHoldTheModelComeFirst(t *testing.T) {
+	all := targets(4)
+	all[1].Models, all[3].Models = fleet.ModelsOf([]ident.Model{"m", "n"}), fleet.ModelsOf([]ident.Model{"m"})
+	all[2].Models = fleet.ModelsOf([]ident.Model{"mm"})
+	require.Equal(t, []fleet.Target{all[1], all[3], all[0], all[2]}, HoldersFirst(all, "m"))
+	require.Equal(t, []fleet.Target{all[2], all[0], all[1], all[3]}, HoldersFirst(all, "mm"))
+	require.Equal(t, all, HoldersFirst(all, "absent"))
+}
+
 func TestLeastPrefersIdleTargets(t *testing.T) {
 	all := targets(4)
 	load := map[ident.Target]float64{"i-0": 1, "i-1": 0.5, "i-2": 0, "i-3": 0}
