An engine changes to a base model whose engines are all busy

Change: a model's requests are asked of its holders, by the list in the store, and last of one candidate, the same from every entry, whose own model three engines hold. Services of one model are not touched.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -43,6 +43,17 @@
 	return out
 }
 
+// Names returns the names in m.
+func (m Models) Names() []ident.Model {
+	var out []ident.Model
+	for n := range strings.SplitSeq(strings.TrimSuffix(string(m), modelSeparator), modelSeparator) {
+		if n != "" {
+			out = append(out, ident.Model(n))
+		}
+	}
+	return out
+}
+
 // Has reports whether the model is among m.
 func (m Models) Has(name ident.Model) bool {
 	return strings.Contains(modelSeparator+string(m), modelSeparator+string(name)+modelSeparator)
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -45,15 +45,12 @@
 // grant asks the agents of the adapter's homes for a seat.
 func (x *exchange) grant(targets []fleet.Target) (*seat, refusal) {
 	weights := x.g.versions.Newest(x.q.weights)
-	homes := x.g.replicas.First(weights, x.g.homes(targets, weights), time.Now())
-	if len(x.service.Engine.Models) > 1 {
-		homes = placement.HoldersFirst(homes, weights.Model)
-	}
+	homes, candidate := x.homes(targets, weights)
 	soonest, wait, why := -1, time.Duration(0), wire.ReasonNone
 	asked, spare := min(maxAsked, len(homes)), false
 	for i := 0; i < asked; i++ {
 		s, reply := x.ask(homes[i], weights, asking{
-			elsewhere: true, spare: spare, replicated: i+1 < len(homes) && x.g.replicas.Holds(weights, homes[i+1].Address, time.Now()),
+			elsewhere: true, spare: spare, mayChange: homes[i].Instance == candidate, replicated: i+1 < len(homes) && x.g.replicas.Holds(weights, homes[i+1].Address, time.Now()),
 		})
 		if s != nil {
 			return s, refusal{}
@@ -84,6 +81,21 @@
 	return s, refusal{}
 }
 
+// homes returns the targets to ask, in order. Where a service has several base models
+// those are the holders of the request's, and last the candidate that may change to it.
+func (x *exchange) homes(targets []fleet.Target, w ident.Weights) (list []fleet.Target, candidate ident.Target) {
+	list = x.g.replicas.First(w, x.g.homes(targets, w), time.Now())
+	if len(x.service.Engine.Models) < 2 {
+		return list, ""
+	}
+	list = placement.Holders(list, w.Model)
+	list = list[:min(len(list), maxAsked-1)]
+	if t, ok := placement.Candidate(targets, w.Model); ok {
+		return append(list, t), t.Instance
+	}
+	return list, ""
+}
+
 const (
 	// Callers leave a stream that shows no event within abandonObjectives latency
 	// objectives, abandonPauses longest pauses or abandonTime, whichever is
@@ -110,6 +122,7 @@
 	elsewhere  bool // another agent can be asked
 	spare      bool // another engine holds the adapter or is to hold it
 	replicated bool // the next engine holds it already
+	mayChange  bool // the engine may change to the model
 }
 
 // ask asks one target's agent.
@@ -124,7 +137,7 @@
 	stream, err := conn.Open(link.KindGrantWant, &wire.GrantWant{
 		Attempt: ident.Attempt(x.q.attempt), Model: w.Model, Adapter: w.AdapterVersion,
 		PromptTokens: x.q.prompt, OutputTokens: x.q.output, Rank: x.route.Rank,
-		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: how.elsewhere, Spare: how.spare, Replicated: how.replicated,
+		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: how.elsewhere, Spare: how.spare, Replicated: how.replicated, MaySwitch: how.mayChange,
 	})
 	if err != nil {
 		return nil, unable
--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -85,6 +85,7 @@
 	usage
 	speed
 	loads
+	switching
 }
 
 // usage sums up the granted requests.
@@ -136,7 +137,12 @@
 func (b *Book) Idle() bool { return len(b.waiting) == 0 && len(b.flying) == 0 && !b.busy }
 
 // Ask adds a request. Decide answers it.
-func (b *Book) Ask(w *Want) { b.waiting = append(b.waiting, w) }
+func (b *Book) Ask(w *Want) {
+	if w.MaySwitch && !b.models[w.Model] {
+		b.wanted(w.Model, w.Asked)
+	}
+	b.waiting = append(b.waiting, w)
+}
 
 // Withdraw drops a request that waits, or ends one that was granted.
 func (b *Book) Withdraw(id WantID, now time.Time) {
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -172,7 +172,7 @@
 // ready returns the version that the engine holds, if it is the wanted one or a
 // newer one.
 func (b *Book) ready(w *Want) (ident.Version, bool) {
-	if !b.models[w.Model] {
+	if !b.serves(w.Model) {
 		return 0, false
 	}
 	if w.Adapter.IsZero() {
@@ -185,6 +185,10 @@
 	return a.version, true
 }
 
+// serves reports whether requests for the model may run: an engine that changes to
+// another model finishes those of before only.
+func (b *Book) serves(m ident.Model) bool { return b.models[m] && (b.to == "" || b.to == m) }
+
 // replacing reports whether a version of the adapter is on its way.
 func (b *Book) replacing(w ident.Weights) bool {
 	_, flies := b.flying[w.Unversioned()]
@@ -205,6 +209,7 @@
 }
 
 func (b *Book) grant(w *Want, now time.Time) {
+	b.served = b.served.plus(now)
 	b.unstarted += w.PromptTokens
 	b.tokens += w.tokens()
 	b.running[w.ID] = &running{Want: w, granted: now, backlog: b.unstarted}
@@ -228,7 +233,7 @@
 func (b *Book) arrival(w *Want, ahead int, now time.Time) (time.Duration, wire.GrantReason) {
 	held := b.held[w.weights().Unversioned()]
 	switch {
-	case !b.models[w.Model]:
+	case !b.serves(w.Model):
 		return b.modelWait(w.Model, now), wire.ReasonModelAbsent
 	case held != nil && b.inUse(held):
 		return b.runTime, wire.ReasonOldVersion
--- a/pkg/grant/order.go
+++ b/pkg/grant/order.go
@@ -12,6 +12,12 @@
 	if !b.up || b.instance == "" || b.busy {
 		return Order{}, false
 	}
+	b.considerSwitch(now)
+	if model, ok := b.leavingModel(); ok {
+		o := b.order(true, ident.Weights{Model: model})
+		o.Displaces = true
+		return o, !b.Pinned()
+	}
 	if model, ok := b.missingModel(); ok {
 		return b.order(false, ident.Weights{Model: model}), true
 	}
@@ -30,11 +36,9 @@
 // missingModel returns the base model that an engine without one should load:
 // the one that is waited for, or else the first of its service.
 func (b *Book) missingModel() (ident.Model, bool) {
-	room := b.setup.MB
-	for _, m := range b.setup.Models {
-		if b.models[m.Name] {
-			room -= m.MB
-		}
+	room := b.room()
+	if m, ok := b.model(b.to); ok && !b.models[b.to] {
+		return m.Name, m.MB <= room
 	}
 	for _, w := range b.waiting {
 		if m, ok := b.model(w.Model); ok && !b.models[w.Model] && m.MB <= room {
@@ -47,6 +51,17 @@
 	return "", false
 }
 
+// room is the memory, in MB, that the models held leave free.
+func (b *Book) room() float64 {
+	room := b.setup.MB
+	for _, m := range b.setup.Models {
+		if b.models[m.Name] {
+			room -= m.MB
+		}
+	}
+	return room
+}
+
 func (b *Book) model(name ident.Model) (wire.ModelSetup, bool) {
 	for _, m := range b.setup.Models {
 		if m.Name == name {
@@ -58,7 +73,7 @@
 
 // bring returns the next order towards holding what the want needs.
 func (b *Book) bring(w *Want, now time.Time) (Order, bool) {
-	if w.Adapter.IsZero() || !b.models[w.Model] || b.replacing(w.weights()) || !b.mayLoad(w.weights(), now) {
+	if w.Adapter.IsZero() || !b.serves(w.Model) || b.replacing(w.weights()) || !b.mayLoad(w.weights(), now) {
 		return Order{}, false
 	}
 	key := w.weights().Unversioned()
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -38,15 +38,42 @@
 	return out
 }
 
-// HoldersFirst returns the homes with those first that hold the base model, each group
-// in its order: where a service has several models, an engine seldom has room for
-// another, and loading one takes seconds.
-func HoldersFirst(homes []fleet.Target, m ident.Model) []fleet.Target {
-	out := append([]fleet.Target(nil), homes...)
-	sort.SliceStable(out, func(i, j int) bool { return out[i].Models.Has(m) && !out[j].Models.Has(m) })
+// Holders returns the homes that hold the base model.
+func Holders(homes []fleet.Target, m ident.Model) []fleet.Target {
+	var out []fleet.Target
+	for _, t := range homes {
+		if t.Models.Has(m) {
+			out = append(out, t)
+		}
+	}
 	return out
 }
 
+// leastHolders is the number of engines that must hold a model for one of them to
+// change to another: one remains if the other fails meanwhile.
+const leastHolders = 3
+
+// Candidate returns the engine that should change to the base model once all that
+// hold it are busy: the same from every entry, and none of the last that hold another
+// model.
+func Candidate(targets []fleet.Target, m ident.Model) (fleet.Target, bool) {
+	for _, t := range Homes(targets, ident.Weights{Model: m}) {
+		if !t.Models.Has(m) && spare(targets, t) {
+			return t, true
+		}
+	}
+	return fleet.Target{}, false
+}
+
+func spare(targets []fleet.Target, t fleet.Target) bool {
+	for _, m := range t.Models.Names() {
+		if len(Holders(targets, m)) < leastHolders {
+			return false
+		}
+	}
+	return true
+}
+
 // Least returns the targets by what runs on them, least first. Among equal ones those
 // of the entry's own failure domain come first, since bytes between domains take
 // longer and are paid for; the rest goes in an order that differs between entries
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -49,6 +49,9 @@
 	// Spare says that another engine holds the adapter or is to hold it: while the
 	// weight store is congested it is not worth a second load.
 	Spare bool
+	// MaySwitch says that all engines of the model are busy, and that others hold what
+	// the agent's engine holds: it may change to the model.
+	MaySwitch bool
 }
 
 // GrantCode is the outcome of a GrantWant.
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -298,8 +298,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *GrantWant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o, err = z.Attempt.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Attempt")
@@ -323,6 +323,7 @@
 	o = msgp.AppendBool(o, z.MayGoElsewhere)
 	o = msgp.AppendBool(o, z.Replicated)
 	o = msgp.AppendBool(o, z.Spare)
+	o = msgp.AppendBool(o, z.MaySwitch)
 	return
 }
 
@@ -334,8 +335,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	bts, err = z.Attempt.UnmarshalMsg(bts)
@@ -393,13 +394,18 @@
 		err = msgp.WrapError(err, "Spare")
 		return
 	}
+	z.MaySwitch, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MaySwitch")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GrantWant) Msgsize() (s int) {
-	s = 1 + z.Attempt.Msgsize() + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
+	s = 1 + z.Attempt.Msgsize() + z.Model.Msgsize() + z.Adapter.Msgsize() + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
