--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -36,18 +36,18 @@
 	// closing says that the connection ends after the present answer.
 	closing bool
 	http11  bool
-	// late says that the balancer sent the connection here although it has had time
-	// to notice that the process stops: it has no other entry to choose.
-	late bool
+	// lastResort says that the balancer sent the connection here although it has had
+	// time to notice that the process stops: it has no other entry to choose.
+	lastResort bool
 }
 
-// returnFromStop is when a request that cannot end before the process does, at the
+// stopRetryAfter is when a request that cannot end before the process does, at the
 // given time, may come back.
-func (c *caller) returnFromStop(stopAt time.Time) time.Duration {
-	if c.late {
+func (c *caller) stopRetryAfter(stopAt time.Time) time.Duration {
+	if c.lastResort {
 		return time.Until(stopAt) + restartTime
 	}
-	return stopRetryAfter
+	return otherEntryRetryAfter
 }
 
 // serve answers the connection's requests one after the other.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -83,15 +83,15 @@
 	g.meters.requests.Inc(1)
 	g.budget(x.service.Name).request()
 	if stopAt := g.stopAt.Load(); stopAt != nil && time.Now().Add(x.length()).After(*stopAt) {
-		return c.problem(fasthttp.StatusServiceUnavailable, "stopping", g.spread(c.returnFromStop(*stopAt))) == nil
+		return c.problem(fasthttp.StatusServiceUnavailable, "stopping", g.spread(c.stopRetryAfter(*stopAt))) == nil
 	}
 	return x.run()
 }
 
 const (
-	// stopRetryAfter sends a caller to another entry, which has been taking the
+	// otherEntryRetryAfter sends a caller to another entry, which has been taking the
 	// new connections for a while.
-	stopRetryAfter = 100 * time.Millisecond
+	otherEntryRetryAfter = 100 * time.Millisecond
 	// restartTime is how long the platform takes to start a process again, and its
 	// balancer to see that it is ready, which it asks once a second.
 	restartTime = 1500 * time.Millisecond
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -206,7 +206,7 @@
 func (g *Gateway) serve(nc net.Conn) {
 	limits := g.limits()
 	_ = nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	c := &caller{g: g, nc: nc, r: bufio.NewReaderSize(nc, limits.HeaderBytes), late: g.stopAt.Load() != nil}
+	c := &caller{g: g, nc: nc, r: bufio.NewReaderSize(nc, limits.HeaderBytes), lastResort: g.stopAt.Load() != nil}
 	g.idle(c, true)
 	c.serve()
 	g.idle(c, false)
--- a/pkg/gateway/seat.go
+++ b/pkg/gateway/seat.go
@@ -50,7 +50,7 @@
 	asked, spare := min(maxAsked, len(homes)), false
 	for i := 0; i < asked; i++ {
 		s, reply := x.ask(homes[i], weights, asking{
-			elsewhere: true, spare: spare, mayChange: homes[i].Instance == candidate, replicated: i+1 < len(homes) && x.g.replicas.Holds(weights, homes[i+1].Address, time.Now()),
+			elsewhere: true, spare: spare, maySwitch: homes[i].Instance == candidate, replicated: i+1 < len(homes) && x.g.replicas.Holds(weights, homes[i+1].Address, time.Now()),
 		})
 		if s != nil {
 			return s, refusal{}
@@ -122,7 +122,7 @@
 	elsewhere  bool // another agent can be asked
 	spare      bool // another engine holds the adapter or is to hold it
 	replicated bool // the next engine holds it already
-	mayChange  bool // the engine may change to the model
+	maySwitch  bool // the engine may change to the model
 }
 
 // ask asks one target's agent.
@@ -137,7 +137,7 @@
 	stream, err := conn.Open(link.KindGrantWant, &wire.GrantWant{
 		Attempt: ident.Attempt(x.q.attempt), Model: w.Model, Adapter: w.AdapterVersion,
 		PromptTokens: x.q.prompt, OutputTokens: x.q.output, Rank: x.route.Rank,
-		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: how.elsewhere, Spare: how.spare, Replicated: how.replicated, MaySwitch: how.mayChange,
+		WaitMS: x.patience().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), MayGoElsewhere: how.elsewhere, Spare: how.spare, Replicated: how.replicated, MaySwitch: how.maySwitch,
 	})
 	if err != nil {
 		return nil, unable
--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -139,7 +139,7 @@
 // Ask adds a request. Decide answers it.
 func (b *Book) Ask(w *Want) {
 	if w.MaySwitch && !b.models[w.Model] {
-		b.wanted(w.Model, w.Asked)
+		b.noteDemand(w.Model, w.Asked)
 	}
 	b.waiting = append(b.waiting, w)
 }
--- a/pkg/grant/switch.go
+++ b/pkg/grant/switch.go
@@ -46,8 +46,8 @@
 	return rate{r.of(now) + 1/rateTime.Seconds(), now}
 }
 
-// wanted records a want for a model that the engine does not hold.
-func (s *switching) wanted(m ident.Model, now time.Time) {
+// noteDemand records a want for a model that the engine does not hold.
+func (s *switching) noteDemand(m ident.Model, now time.Time) {
 	if s.demand == nil {
 		s.demand = make(map[ident.Model]rate)
 	}
--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -99,13 +99,11 @@
 		a.method, a.path, a.Idempotent = http.MethodGet, lookPrefix, true
 	}
 	if a.stream = a.path == draftPrefix || a.path == notePrefix; a.stream {
-		a.Service, a.Adapter, a.wait = draftService, c.adapter(), streamWait
+		a.Service, a.Adapter, a.wait = draftService, drawAdapter(c.random), streamWait
 	}
 	return a
 }
 
-func (c *client) adapter() ident.Adapter { return drawAdapter(c.random) }
-
 // drawAdapter draws an adapter, of which few are popular.
 func drawAdapter(random *rand.Rand) ident.Adapter {
 	n := random.IntN(adapters)
@@ -180,7 +178,7 @@
 	return b.Bytes()
 }
 
-// drawProbe names the request that asks an entry for an added route.
-func drawProbe(seed uint64, gateway, n int) ident.Attempt {
+// probeAttempt names the request that asks an entry for an added route.
+func probeAttempt(seed uint64, gateway, n int) ident.Attempt {
 	return ident.Attempt(fmt.Sprintf("%d-probe-%d-%d", seed, gateway, n))
 }
--- a/pkg/soak/run.go
+++ b/pkg/soak/run.go
@@ -172,7 +172,7 @@
 		return errors.Trace(err)
 	}
 	r := Request{Service: deskService, Idempotent: true, At: time.Now()}
-	r.Attempt = drawProbe(d.Seed, gateway, n)
+	r.Attempt = probeAttempt(d.Seed, gateway, n)
 	d.oracle.Asked(r)
 	req.Host = standin.OperatorHost
 	req.Header.Set(platform.HeaderAttempt, string(r.Attempt))
