An adapter makes way only by a report of after the last request's end

Change: an order that displaces waits for a report that was asked for after the last end of a granted request.

Test that fails without it: TestAdapterOfARequestThatWasJustLeftStays.

--- a/pkg/grant/book.go
+++ b/pkg/grant/book.go
@@ -70,7 +70,9 @@
 	// unknownSince is since when requests run that were not granted here, zero if none
 	// do, and unknownAt when they were seen last.
 	unknownSince, unknownAt time.Time
-	models                  map[ident.Model]bool
+	// ended is when a granted request ended last.
+	ended  time.Time
+	models map[ident.Model]bool
 	// onDisk and inMemory are the models of whose weights the engine has copies.
 	onDisk, inMemory []ident.Model
 	held             map[ident.Weights]*adapter // by unversioned weights
@@ -157,7 +159,8 @@
 		return
 	}
 	b.start(r)
-	b.ended(now.Sub(r.granted))
+	b.ran(now.Sub(r.granted))
+	b.ended = now
 	b.tokens -= r.tokens()
 	delete(b.running, id)
 	if a := b.held[r.weights().Unversioned()]; a != nil {
--- a/pkg/grant/book_test.go
+++ b/pkg/grant/book_test.go
@@ -317,6 +317,8 @@
 	b.Displace([]ident.Attempt{"known"}, start)
 	require.False(t, b.Pinned())
 	b.Withdraw(1, start)
+	require.False(t, b.Shows(start), "the engine may run what was just left")
+	require.True(t, b.Shows(start.Add(1)))
 	b.Ask(want(2, 2, start))
 	b.Answer(start)
 	o, ok := b.Order(start)
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -49,6 +49,10 @@
 // time limits of the users' routes are up to 30 s.
 const unknownTime = 30 * time.Second
 
+// Shows reports whether a report of the given time shows all requests that have ended
+// here: the engine may notice only later that an entry has left one.
+func (b *Book) Shows(reported time.Time) bool { return reported.After(b.ended) }
+
 // Displace decides, by the requests that run at the engine, whether an adapter may
 // make way. A request that was granted before this process started, or whose entry
 // was lost, may use any of those held.
--- a/pkg/grant/speed.go
+++ b/pkg/grant/speed.go
@@ -33,7 +33,7 @@
 	s.tokensPerMS = max(minTokensPerMS, average(s.tokensPerMS, sample))
 }
 
-func (s *speed) ended(d time.Duration) {
+func (s *speed) ran(d time.Duration) {
 	s.runTime = time.Duration(average(float64(s.runTime), float64(d)))
 }
 
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -61,6 +61,7 @@
 	misses     int
 	born       int64                 // when the engine started, in ms of Unix time
 	report     platform.EngineReport // the newest
+	reported   time.Time             // when the newest report was asked for
 	identifyAt time.Time             // when the engine may be asked for its name again
 	listener   net.Listener
 }
@@ -261,6 +262,9 @@
 	if !due || !order.Displaces {
 		return order, due
 	}
+	if !o.book.Shows(o.reported) {
+		return grant.Order{}, false // the next report does
+	}
 	o.checkRuns()
 	if !o.book.Pinned() {
 		return order, true
@@ -284,6 +288,7 @@
 }
 
 func (o *Orderer) observe() bool {
+	asked := time.Now()
 	report, err := o.engine.Report()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -299,7 +304,7 @@
 	if o.misses >= downAfter {
 		o.Info("msg", "engine regained", "born", report.Born)
 	}
-	o.misses, o.born, o.report = 0, report.Born, report
+	o.misses, o.born, o.report, o.reported = 0, report.Born, report, asked
 	o.book.Observe(grantReport(report), time.Now())
 	if o.book.Pinned() {
 		o.checkRuns()
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -34,6 +34,7 @@
 	most     int // adapters held and on their way at once
 	unloaded []ident.Adapter
 	runs     []ident.Attempt // that the engine reports
+	slow     time.Duration   // of a report, which is as of its begin
 	lose     int             // answers to lose
 	late     int             // orders to carry out 3 s later, unanswered
 	holders  map[platform.Order]bool
@@ -52,6 +53,16 @@
 }
 
 func (e *engine) report() (platform.EngineReport, error) {
+	r, err := e.now()
+	e.mu.Lock()
+	slow := e.slow
+	e.mu.Unlock()
+	time.Sleep(slow)
+	return r, err
+}
+
+// now is the engine's report as of now.
+func (e *engine) now() (platform.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var runs [][]any
@@ -146,6 +157,7 @@
 		}}
 		ctx, cancel := context.WithCancel(t.Context())
 		go o.Run(ctx)
+		synctest.Wait() // the engine's first report is in
 		var conns []*link.Conn
 		f(t, e, func() *link.Conn {
 			near, far := net.Pipe()
@@ -272,6 +284,45 @@
 	})
 }
 
+// An entry leaves a request that began after the newest report; the engine notices
+// later. Its adapter stays until a report shows that it has ended.
+func TestAdapterOfARequestThatWasJustLeftStays(t *testing.T) {
+	const notices = 40 * time.Millisecond
+	testOrderer(t, func(t *testing.T, e *engine, entry func() *link.Conn) {
+		c := entry()
+		for _, a := range []ident.Adapter{"a1", "a2"} {
+			_, s := ask(t, c, a)
+			s.Close()
+		}
+		time.Sleep(2 * idlePoll)
+		_, left := ask(t, c, "a1")
+		e.mu.Lock()
+		e.slow = 10 * time.Millisecond // the next report is of before the request
+		e.mu.Unlock()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			reply, _ := ask(t, c, "a3")
+			require.Equal(t, wire.GrantGiven, reply.Code)
+		}()
+		time.Sleep(e.slow / 2)
+		e.mu.Lock()
+		e.runs = []ident.Attempt{"left"}
+		e.mu.Unlock()
+		left.Close()
+		_, again := ask(t, c, "a2") // the only idle one is a1
+		time.AfterFunc(notices, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			require.Empty(t, e.unloaded)
+			e.runs = nil
+		})
+		<-done
+		again.Close()
+		require.Equal(t, []ident.Adapter{"a1"}, e.unloaded)
+	})
+}
+
 // An engine comes back empty and under another name, which entries do not know.
 func TestRestartedEngineIsFilledAgain(t *testing.T) {
 	testOrderer(t, func(t *testing.T, e *engine, entry func() *link.Conn) {
