--- a/pkg/grant/switch.go
+++ b/pkg/grant/switch.go
@@ -57,7 +57,8 @@
 // considerSwitch begins or ends a change to another model.
 func (b *Book) considerSwitch(now time.Time) {
 	if b.to != "" {
-		if b.models[b.to] {
+		// An operator may take a model out of the service meanwhile.
+		if _, known := b.model(b.to); !known || b.models[b.to] {
 			b.to, b.demand, b.next = "", nil, now.Add(switchPause)
 		}
 		return
--- a/pkg/grant/switch_test.go
+++ b/pkg/grant/switch_test.go
@@ -77,6 +77,23 @@
 	require.False(t, ok, "a change shows before the next")
 }
 
+// The operator removes the model while the engine changes to it.
+func TestChangeToAModelThatIsGone(t *testing.T) {
+	b := twoModels(900)
+	now := demand(t, b, 12, start)
+	o, ok := b.Order(now)
+	require.True(t, ok && o.Unload)
+	s := setup(4)
+	s.Configuration = 2
+	b.Setup(s)
+	_, ok = b.Order(now)
+	require.False(t, ok)
+	b.Ask(want(1, 1, now))
+	replies := b.Answer(now)
+	require.Len(t, replies, 1)
+	require.Equal(t, wire.GrantGiven, replies[0].Code)
+}
+
 func TestEngineKeepsItsModel(t *testing.T) {
 	tests := []struct {
 		name  string
