--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -287,7 +287,9 @@
 		a.log.Apply(d.Records)
 	}
 	if a.log.Catalog().Revision() < d.Revision {
-		_ = a.pull(ctx, s.Conn())
+		if err := a.pull(ctx, s.Conn()); err != nil {
+			a.Warn("msg", "configuration not pulled", "revision", d.Revision, "err", err)
+		}
 	}
 	a.configured()
 	return s.Send(link.KindConfigAck, &wire.ConfigAck{Revision: a.log.Catalog().Revision()})
--- a/pkg/agent/homes.go
+++ b/pkg/agent/homes.go
@@ -239,15 +239,26 @@
 func (h *homes) loadDone(g grant, took time.Duration, failed bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
 	defer cancel()
+	if err := h.sendLoadDone(ctx, g, took, failed); err != nil {
+		h.a.Debug("msg", "load's end not reported", "entry", g.address, "err", err)
+	}
+}
+
+func (h *homes) sendLoadDone(ctx context.Context, g grant, took time.Duration, failed bool) error {
 	conn, err := h.pool.Get(ctx, g.address)
 	if err != nil {
-		return
+		return errors.Trace(err)
 	}
 	s, err := conn.Open(link.KindLoadDone, &wire.LoadDone{ID: uint64(g.id), Failed: failed, TookMS: took.Milliseconds()})
-	if err == nil {
-		_, _ = s.Receive(ctx)
-		s.Close()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer s.Close()
+	// The entry answers with the end of the stream only.
+	if _, err := s.Receive(ctx); err != nil && !errors.Is(err, link.ErrClosed) {
+		return errors.Trace(err)
 	}
+	return nil
 }
 
 // report describes the agent and its target as they are now.
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -112,7 +112,7 @@
 	a.announce(j)
 	err := a.drive(j, s)
 	if j.unclean {
-		_ = a.engine.Cancel(id)
+		a.cancelAtEngine(id)
 	}
 	p := s.progress()
 	switch {
--- a/pkg/agent/submit.go
+++ b/pkg/agent/submit.go
@@ -190,7 +190,15 @@
 		return
 	}
 	if a.engine != nil && !j.submit.NonIdempotent {
-		_ = a.engine.Cancel(string(j.submit.Attempt))
+		a.cancelAtEngine(string(j.submit.Attempt))
+	}
+}
+
+// cancelAtEngine ends a generation that nobody waits for. One that goes on only costs
+// the engine's time.
+func (a *Agent) cancelAtEngine(id string) {
+	if err := a.engine.Cancel(id); err != nil {
+		a.Debug("msg", "generation not cancelled", "id", id, "err", err)
 	}
 }
 
