Links and retry budgets do not depend on the wall clock

Cause: pkg/link kept the time of the last frame in Unix time, and pkg/retry aligned its buckets to it. A jump forward declared all links dead, a jump back kept dead links; any jump of more than the window renewed the retry budget. Start times of two targets at one address come from two VMs' clocks; a 421 of the address now settles which is alive. Ruled out: grants, deadlines, outlier records, copies and pauses use the monotonic reading. Shown: TestWallClockJumpsDoNotAffectLiveness, TestWallClockJumpsDoNotRenewTheBudget, TestAddressAnswerOverridesStartTimes fail without the change (make prove).

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -72,12 +72,31 @@
 	missing map[ident.Target]time.Time
 	// lastOutage is the last time that the store was unreachable.
 	lastOutage time.Time
-	services   map[ident.Service][]Target
+	// contradicted holds targets whose address answered that it is another target's.
+	contradicted map[ident.Target]bool
+	services     map[ident.Service][]Target
 }
 
 // New returns a view without targets.
 func New() *View {
-	return &View{targets: make(map[ident.Target]Target), missing: make(map[ident.Target]time.Time)}
+	return &View{targets: make(map[ident.Target]Target), missing: make(map[ident.Target]time.Time), contradicted: make(map[ident.Target]bool)}
+}
+
+// Contradict records that the target's address answered that it is another target's.
+// If another target is listed at that address, that one is used from now on, whatever
+// their start times say: the clocks of their VMs may differ. It reports whether
+// that is so.
+func (v *View) Contradict(t Target) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, other := range v.targets {
+		if id != t.Instance && other.Address == t.Address && !v.contradicted[id] {
+			v.contradicted[t.Instance] = true
+			v.rebuild()
+			return true
+		}
+	}
+	return false
 }
 
 // RecordOutage records that the store could not be reached.
@@ -113,6 +132,9 @@
 }
 
 func (v *View) put(t Target) {
+	if v.targets[t.Instance].StartMS != t.StartMS {
+		delete(v.contradicted, t.Instance) // it has started again
+	}
 	v.targets[t.Instance] = t
 	delete(v.missing, t.Instance)
 }
@@ -164,10 +186,15 @@
 	byAddress := make(map[string]Target, len(v.targets))
 	for _, t := range v.targets {
 		other, found := byAddress[t.Address]
-		if !found || other.StartMS < t.StartMS || other.StartMS == t.StartMS && other.Instance < t.Instance {
+		if !found || v.newer(t, other) {
 			byAddress[t.Address] = t
 		}
 	}
+	for id := range v.contradicted {
+		if _, listed := v.targets[id]; !listed {
+			delete(v.contradicted, id)
+		}
+	}
 	services := make(map[ident.Service][]Target)
 	for _, t := range byAddress {
 		if !t.Draining {
@@ -180,6 +207,17 @@
 	v.services = services
 }
 
+// newer reports whether t rather than other is alive at the address of both.
+func (v *View) newer(t, other Target) bool {
+	if x, y := v.contradicted[t.Instance], v.contradicted[other.Instance]; x != y {
+		return y
+	}
+	if t.StartMS != other.StartMS {
+		return t.StartMS > other.StartMS
+	}
+	return t.Instance > other.Instance
+}
+
 // Available returns the targets of a service that may receive requests. The caller
 // must not change the list.
 func (v *View) Available(s ident.Service) []Target {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -73,3 +73,20 @@
 	require.Empty(t, names(v))
 	require.Len(t, v.Available("other"), 1)
 }
+
+// The clocks of two VMs differ, so that a new target appears to be older than the one
+// that had its address before. It is used once the address has answered that it is not
+// the old one.
+func TestAddressAnswerOverridesStartTimes(t *testing.T) {
+	v := New()
+	old, current := target("old", "1:1"), target("new", "1:1")
+	old.StartMS, current.StartMS = 9000, 5000
+	v.Replace([]Target{old, current}, now)
+	require.Equal(t, []string{"old"}, names(v))
+	require.True(t, v.Contradict(old))
+	require.Equal(t, []string{"new"}, names(v))
+	require.False(t, v.Contradict(current), "no other target is left at the address")
+	old.StartMS = 10_000
+	v.Put(old)
+	require.Equal(t, []string{"old"}, names(v), "it has started again")
+}
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -32,6 +32,9 @@
 	Idle time.Duration
 }
 
+// notBusy is the value of busySince while no stream is open.
+const notBusy = -1
+
 // maxMissedIdlePings is the number of idle pings that may be missed.
 const maxMissedIdlePings = 3
 
@@ -74,11 +77,15 @@
 
 	liveness Liveness
 	pinged   time.Time // time of the last ping; used by the write loop only
-	// busySince is when the link last went from no open stream to one, in ns of
-	// Unix time; 0 while no stream is open.
+	// now reads the clock. Times are kept as durations since opened, which the
+	// monotonic clock measures: the wall clock may jump.
+	now    func() time.Time
+	opened time.Time
+	// busySince is when the link last went from no open stream to one, in ns since
+	// opened; notBusy while no stream is open.
 	busySince atomic.Int64
 
-	lastReceived atomic.Int64 // when the last frame arrived, in ns of Unix time
+	lastReceived atomic.Int64 // when the last frame arrived, in ns since opened
 
 	outMu   sync.Mutex
 	pending []byte
@@ -100,7 +107,13 @@
 		next:     2,
 		wake:     make(chan struct{}, 1),
 		liveness: self.Liveness,
+		now:      self.now,
+	}
+	if c.now == nil {
+		c.now = time.Now
 	}
+	c.opened = c.now()
+	c.busySince.Store(notBusy)
 	if c.liveness == (Liveness{}) {
 		c.liveness = defaultLiveness
 	}
@@ -108,7 +121,6 @@
 		c.next = 1
 	}
 	c.parity = c.next % 2
-	c.lastReceived.Store(time.Now().UnixNano())
 	go c.readLoop()
 	go c.writeLoop()
 	return c, nil
@@ -166,7 +178,7 @@
 			c.fail(errors.Wrap(err, ErrClosed))
 			return
 		}
-		c.lastReceived.Store(time.Now().UnixNano())
+		c.lastReceived.Store(c.age())
 		traffic.framesIn.Add(1)
 		traffic.bytesIn.Add(int64(headerBytes + len(f.Body)))
 		if err := c.dispatch(f); err != nil {
@@ -334,7 +346,7 @@
 // one is due.
 func (c *Conn) ping() error {
 	since, limit, period := c.lastReceived.Load(), c.liveness.Silence, time.Duration(0)
-	if busy := c.busySince.Load(); busy > 0 {
+	if busy := c.busySince.Load(); busy != notBusy {
 		// While the link was idle, the peer may have pinged at the longer Idle
 		// interval.
 		since = max(since, busy)
@@ -342,13 +354,14 @@
 		period = c.liveness.Idle
 		limit = max(limit, maxMissedIdlePings*period)
 	}
-	if silence := time.Since(time.Unix(0, since)); silence > limit {
+	if silence := time.Duration(c.age() - since); silence > limit {
 		return errors.Annotatef(ErrClosed, "no frame from peer for %s", silence)
 	}
-	if time.Since(c.pinged) < period {
+	now := c.now()
+	if now.Sub(c.pinged) < period {
 		return nil
 	}
-	c.pinged = time.Now()
+	c.pinged = now
 	return c.send(KindPing, 0, nil)
 }
 
@@ -356,15 +369,20 @@
 func (c *Conn) Ping() error { return c.send(KindPing, 0, nil) }
 
 // LastReceived returns when the last frame arrived.
-func (c *Conn) LastReceived() time.Time { return time.Unix(0, c.lastReceived.Load()) }
+func (c *Conn) LastReceived() time.Time {
+	return c.opened.Add(time.Duration(c.lastReceived.Load()))
+}
+
+// age returns the time since the connection was opened, in ns.
+func (c *Conn) age() int64 { return int64(c.now().Sub(c.opened)) }
 
 // updateBusySince records whether streams are open. The caller holds mu.
 func (c *Conn) updateBusySince() {
 	switch {
 	case len(c.streams) == 0:
-		c.busySince.Store(0)
-	case c.busySince.Load() == 0:
-		c.busySince.Store(time.Now().UnixNano())
+		c.busySince.Store(notBusy)
+	case c.busySince.Load() == notBusy:
+		c.busySince.Store(c.age())
 	}
 }
 
--- a/pkg/link/handshake.go
+++ b/pkg/link/handshake.go
@@ -28,6 +28,8 @@
 	// Liveness configures the detection of unresponsive peers; the zero value
 	// selects the default.
 	Liveness Liveness
+
+	now func() time.Time // reads the clock; time.Now if nil
 }
 
 // handshake exchanges hellos and proofs. Both sides prove that they know the
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hyssoproad/hyssoproad/pkg/clocktest"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
@@ -213,3 +214,61 @@
 		}
 	}
 }
+
+// jumpingClock is a clock whose wall clock jumps at will. Times read in a synctest
+// bubble have no monotonic reading, so it adds the bubble's time to that of a time
+// read outside.
+type jumpingClock struct {
+	outside time.Time
+	started time.Time
+	offset  atomic.Int64
+}
+
+func (j *jumpingClock) now() time.Time {
+	return clocktest.Jump(j.outside.Add(time.Since(j.started)), time.Duration(j.offset.Load()))
+}
+
+// The wall clocks of two processes jump against each other, forward and back, while
+// the link is idle and while a stream is open. The link stays up, and it still detects
+// a silent peer in time.
+func TestWallClockJumpsDoNotAffectLiveness(t *testing.T) {
+	for _, by := range []time.Duration{time.Hour, -time.Hour} {
+		outside := time.Now()
+		synctest.Test(t, func(t *testing.T) {
+			client := &jumpingClock{outside: outside, started: time.Now()}
+			server := &jumpingClock{outside: outside, started: time.Now()}
+			near, far := net.Pipe()
+			var accepted *Conn
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				accepted, _ = Server(far, Identity{Liveness: GrantLiveness, now: server.now}, Handlers{
+					KindAttemptQuery: func(ctx context.Context, _ *Stream, _ Frame) error { <-ctx.Done(); return nil },
+				})
+			}()
+			c, err := Client(near, Identity{Liveness: GrantLiveness, now: client.now}, nil)
+			require.NoError(t, err)
+			<-done
+			for _, open := range []bool{false, true} {
+				if open {
+					_, err := c.Open(KindAttemptQuery, &wire.AttemptQuery{Attempt: "a"})
+					require.NoError(t, err)
+				}
+				for _, offset := range []time.Duration{by, 0} {
+					client.offset.Store(int64(offset))
+					server.offset.Store(int64(-offset))
+					before := client.now()
+					time.Sleep(20 * time.Second)
+					require.NoError(t, c.ctx.Err())
+					require.NoError(t, accepted.ctx.Err())
+					require.True(t, c.LastReceived().After(before), "pings arrive")
+				}
+			}
+			client.offset.Store(int64(by))
+			accepted.cancel(ErrClosed) // the peer falls silent without closing the transport
+			time.Sleep(GrantLiveness.Silence + 2*GrantLiveness.Ping)
+			require.Error(t, c.ctx.Err())
+			_ = far.Close()
+		})
+	}
+}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -25,6 +25,9 @@
 // Budget is one entry's share of the retry budget of a service.
 type Budget struct {
 	limits Limits
+	// start is the time of the first call, which starts bucket 0. The wall clock
+	// may jump, so that buckets aligned to it would forget retries.
+	start  time.Time
 	bucket int64
 	// requests and retries hold the counts per bucket. The newest is at index
 	// bucket modulo buckets.
@@ -35,8 +38,11 @@
 func New(limits Limits) *Budget { return &Budget{limits: limits} }
 
 func (b *Budget) advance(now time.Time) {
-	bucket := now.UnixNano() / (int64(b.limits.Window) / buckets)
-	if bucket-b.bucket >= buckets || bucket < b.bucket {
+	if b.start.IsZero() {
+		b.start = now
+	}
+	bucket := int64(now.Sub(b.start) / (b.limits.Window / buckets))
+	if bucket-b.bucket >= buckets {
 		b.requests, b.retries = [buckets]int{}, [buckets]int{}
 		b.bucket = bucket
 	}
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/hyssoproad/hyssoproad/pkg/clocktest"
 	"github.com/hyssoproad/hyssoproad/pkg/testseed"
 )
 
@@ -79,3 +80,18 @@
 	c.Record(5, now.Add(3*countPeriod))
 	require.Equal(t, 5, c.Estimate())
 }
+
+// The wall clock jumps while all targets fail (load pattern: a retry storm). The
+// retries of the window still count.
+func TestWallClockJumpsDoNotRenewTheBudget(t *testing.T) {
+	for _, by := range []time.Duration{20 * time.Second, -20 * time.Second} {
+		b := New(Limits{MinRetries: 10, Window: 10 * time.Second})
+		now := time.Now()
+		for b.Allow(1, now) {
+			now = now.Add(time.Millisecond)
+		}
+		require.False(t, b.Allow(1, clocktest.Jump(now, by)), "jump by %s", by)
+		require.False(t, b.Allow(1, now.Add(time.Second)), "after the jump back by %s", by)
+		require.True(t, b.Allow(1, now.Add(11*time.Second)))
+	}
+}
