--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build deploy run test race lint fuzz bench bench-decisions check overhead chaos soak rollout tokens capacity settings-reference rename clean
+.PHONY: build deploy run test race prove lint fuzz bench bench-decisions check overhead chaos soak rollout tokens capacity settings-reference rename clean
 
 build:
 	go build -o build/ $(addprefix ./cmd/,$(PROGRAMS))
@@ -25,6 +25,10 @@
 race:
 	scripts/test.sh -race
 
+# Each test of scripts/mechanisms.txt fails without the mechanism that it checks.
+prove:
+	scripts/prove.sh
+
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
 	@for m in $(MODULES); do (cd $$m && go vet ./... && go run honnef.co/go/tools/cmd/staticcheck@v0.8.2 ./...) || exit 1; done
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -111,12 +112,18 @@
 	if err != nil {
 		return from, errors.Trace(err)
 	}
-	if len(events) > 0 {
+	if events = newerThan(from, events); len(events) > 0 {
 		f.OnChanges(events)
 	}
 	return next, nil
 }
 
+// newerThan drops the changes up to a revision, which a store that is behind may
+// report again: what they would bring back has changed since.
+func newerThan(from platform.Revision, events []platform.Event) []platform.Event {
+	return slices.DeleteFunc(events, func(e platform.Event) bool { return !e.Removed && e.Object.Revision <= from })
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -119,3 +119,10 @@
 		require.Less(t, failures, 40)
 	})
 }
+
+// A store that is behind reports changes that the list already contained. What they
+// would bring back has changed since.
+func TestIgnoresChangesOlderThanTheList(t *testing.T) {
+	s := &store{revision: 10, watches: []func(platform.Revision) ([]platform.Event, platform.Revision, error){event(7), event(11), event(9)}}
+	require.Equal(t, []platform.Revision{10, 11}, follow(t, s, 10*time.Second))
+}
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -19,8 +19,16 @@
 // is returned as the error of the read instead.
 const ErrInvalidResponse = errors.ConstError("invalid response")
 
-// maxStrayResponses is how many responses to earlier requests are skipped.
-const maxStrayResponses = 2
+const (
+	// maxStrayResponses is how many responses to earlier requests are skipped.
+	maxStrayResponses = 2
+	// maxStrayBytes bounds the body of a response that is skipped or discarded.
+	maxStrayBytes = 64 << 10
+	// maxInformational is how many informational (1xx) heads may precede a response.
+	maxInformational = 8
+	// maxTrailerLines bounds the trailer after a chunked body.
+	maxTrailerLines = 32
+)
 
 // Response is a target's response whose head has been read.
 type Response struct {
@@ -44,7 +52,7 @@
 
 // Receive reads the head of the response to the request with the given method and
 // attempt ID. It returns ErrInvalidResponse if the connection carries only
-// responses to other requests.
+// responses to other requests, or a success that names no request.
 func (c *Conn) Receive(method, attempt string, deadline time.Time) (*Response, error) {
 	// The error of SetReadDeadline is ignored: bytes that arrived before the
 	// connection closed can still be read, and the read reports the close.
@@ -57,29 +65,45 @@
 			return nil, errors.Trace(err)
 		}
 		echoed := res.Value(platform.HeaderAttempt)
-		if attempt == "" || echoed == "" || echoed == attempt {
+		if attempt == "" || echoed == attempt || echoed == "" && res.Status >= 300 {
 			return res, nil
 		}
+		if echoed == "" {
+			return nil, errors.Annotate(ErrInvalidResponse, "success without an attempt ID")
+		}
 		res.stray = true
-		if _, err := io.Copy(io.Discard, res.body); err != nil {
-			return nil, errors.Wrap(err, ErrInvalidResponse)
+		if err := res.Discard(); err != nil {
+			return nil, errors.Trace(err)
 		}
 	}
 	return nil, errors.Annotate(ErrInvalidResponse, "only responses to other requests")
 }
 
 func (res *Response) readHead() error {
-	for {
+	for range maxInformational + 1 {
 		if err := res.Header.Read(res.c.r); err != nil {
 			return errors.Trace(err)
 		}
 		res.Status = res.Header.StatusCode()
 		if res.Status >= 200 {
-			break
+			res.complete = false
+			res.body = res.bodyReader()
+			return nil
 		}
 	}
-	res.complete = false
-	res.body = res.bodyReader()
+	return errors.Annotatef(ErrInvalidResponse, "more than %d informational responses", maxInformational)
+}
+
+// Discard reads the body and drops it. It returns ErrInvalidResponse if the body is
+// incomplete or longer than maxStrayBytes.
+func (res *Response) Discard() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(res.body, maxStrayBytes+1))
+	if err != nil {
+		return errors.Wrap(err, ErrInvalidResponse)
+	}
+	if n > maxStrayBytes {
+		return errors.Annotatef(ErrInvalidResponse, "discarded body exceeds %d bytes", maxStrayBytes)
+	}
 	return nil
 }
 
@@ -196,7 +220,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	for {
+	for range maxTrailerLines {
 		line, err := c.res.c.r.ReadSlice('\n')
 		if err == io.EOF {
 			return n, io.ErrUnexpectedEOF
@@ -209,6 +233,7 @@
 			return n, io.EOF
 		}
 	}
+	return n, errors.Annotatef(ErrInvalidResponse, "trailer exceeds %d lines", maxTrailerLines)
 }
 
 // untilCloseReader reads a body that ends when the connection closes.
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -7,12 +7,15 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/hyssoproad/hyssoproad/pkg/socket"
 )
 
 const (
@@ -25,7 +28,8 @@
 	MaxIdle = 4 * time.Second
 	// maxIdlePerTarget is the number of idle connections kept per target.
 	maxIdlePerTarget = 64
-	readBufferBytes  = 4 << 10
+	// readBufferBytes is also the largest head of a response.
+	readBufferBytes = 4 << 10
 	// unackedTimeout is how long sent bytes may stay unacknowledged before TCP
 	// closes the connection.
 	unackedTimeout = 2500 * time.Millisecond
@@ -38,6 +42,34 @@
 	address   string
 	idleSince time.Time // when it was last returned to the pool
 	maxIdle   time.Duration
+	// onStall is called when a read's deadline has passed.
+	onStall func() (next time.Time, wait bool)
+}
+
+// OnStall sets the function that decides what happens when the deadline of a read
+// has passed: it returns the next deadline, or false to let the read fail. Without
+// one the read fails.
+func (c *Conn) OnStall(f func() (next time.Time, wait bool)) { c.onStall = f }
+
+// stallReader reads from a Conn's connection, and lets onStall extend the deadline. It
+// lies below the readers of a body, which cannot be used after an error.
+type stallReader struct{ c *Conn }
+
+// Read reads from the connection.
+func (s stallReader) Read(b []byte) (int, error) {
+	for {
+		n, err := s.c.nc.Read(b)
+		if n > 0 || s.c.onStall == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		next, wait := s.c.onStall()
+		if !wait {
+			return n, err
+		}
+		if err := s.c.nc.SetReadDeadline(next); err != nil {
+			return 0, err
+		}
+	}
 }
 
 // Close closes the connection, which makes the target stop its work on the request
@@ -93,7 +125,9 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "dialing %s", address)
 	}
-	return &Conn{nc: nc, r: bufio.NewReaderSize(nc, readBufferBytes), address: address, maxIdle: MaxIdle}, nil
+	c := &Conn{nc: nc, address: address, maxIdle: MaxIdle}
+	c.r = bufio.NewReaderSize(stallReader{c}, readBufferBytes)
+	return c, nil
 }
 
 func (p *Pool) takeIdle(address string) *Conn {
@@ -110,30 +144,11 @@
 
 // alive reports whether the target has neither closed the connection nor sent bytes
 // that belong to no request.
-func (c *Conn) alive() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, recvErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = recvErr == unix.EAGAIN
-	})
-	return err == nil && quiet
-}
+func (c *Conn) alive() bool { return c.r.Buffered() == 0 && socket.Quiet(c.nc) }
 
 // Put returns a connection to the pool, after the whole response was read.
 func (p *Pool) Put(c *Conn) {
-	c.idleSince = time.Now()
+	c.idleSince, c.onStall = time.Now(), nil
 	if err := c.nc.SetDeadline(time.Time{}); err != nil {
 		c.Close()
 		return
--- /dev/null
+++ b/pkg/gateway/agent_harness_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+const streamModel ident.Model = "m"
+
+// agentHarness is a harness whose stream targets are engines with an agent each.
+type agentHarness struct {
+	*harness
+	// grant decides each grant request. It may sleep.
+	grant func(address string, r wire.GrantRequest) wire.GrantReply
+
+	mu       sync.Mutex
+	links    []*link.Conn
+	requests []string // addresses of the agents that were asked, in order
+}
+
+func testAgentHarness(t *testing.T, f func(t *testing.T, h *agentHarness)) {
+	t.Helper()
+	testHarness(t, func(t *testing.T, plain *harness) {
+		h := &agentHarness{harness: plain, grant: func(string, wire.GrantRequest) wire.GrantReply {
+			return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+		}}
+		h.agents.pool.Dial = h.dialAgent
+		c := testConfiguration(2)
+		s := c.Services[streamService]
+		s.Engine = &platform.EngineSpec{Slots: 8, KVTokens: 100_000, MB: 1000, AdapterSlots: 4, TokensPerEvent: 1, Models: []platform.ModelSpec{{Name: streamModel, MB: 900, AdapterMB: 1}}}
+		c.Services[streamService] = s
+		h.directory.Update(c)
+		defer h.cutLinks()
+		f(t, h)
+	})
+}
+
+func (h *agentHarness) dialAgent(_ context.Context, address string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		c, err := link.Server(far, link.Identity{Role: wire.RoleAgent, VM: "vm-2", Liveness: link.GrantLiveness}, link.Handlers{
+			link.KindEngineSetup: func(context.Context, *link.Stream, link.Frame) error { return nil },
+			link.KindGrantRequest: func(ctx context.Context, s *link.Stream, f link.Frame) error {
+				return h.serveGrant(ctx, s, f, address)
+			},
+		})
+		if err == nil {
+			h.mu.Lock()
+			h.links = append(h.links, c)
+			h.mu.Unlock()
+		}
+	}()
+	return near, nil
+}
+
+func (h *agentHarness) serveGrant(ctx context.Context, s *link.Stream, f link.Frame, address string) error {
+	var r wire.GrantRequest
+	_, err := r.UnmarshalMsg(f.Body)
+	require.NoError(h.t, err)
+	h.mu.Lock()
+	h.requests = append(h.requests, address)
+	h.mu.Unlock()
+	if err := s.Conn().Ping(); err != nil {
+		return err
+	}
+	reply := h.grant(address, r)
+	if err := s.Send(link.KindGrantReply, &reply); err != nil {
+		return err
+	}
+	for {
+		if _, err := s.Receive(ctx); err != nil {
+			return nil // the request has ended
+		}
+	}
+}
+
+// cutLinks closes the links to all agents.
+func (h *agentHarness) cutLinks() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.links {
+		c.Close()
+	}
+	h.links = nil
+}
+
+// grantRequests returns the number of grant requests so far.
+func (h *agentHarness) grantRequests() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.requests)
+}
+
+// streamRequest is a request for an adapter of streamModel.
+func streamRequest(path string) string {
+	return rawRequest("POST", path, "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "X-Token-Count: 100,10\r\n")
+}
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -18,7 +18,19 @@
 
 // acquireAssignment returns the target to send the request to, or the reason why there
 // is none.
-func (x *exchange) acquireAssignment() (*assignment, refusal) {
+func (x *exchange) acquireAssignment() (*assignment, refusal) { return x.acquire(x.acquireGrant) }
+
+// acquireImmediately is like acquireAssignment, but does not wait for a busy engine.
+func (x *exchange) acquireImmediately() (*assignment, refusal) {
+	return x.acquire(func(targets []fleet.Target) (*assignment, refusal) {
+		a, why, _ := x.askHomes(targets)
+		return a, why
+	})
+}
+
+// acquire returns an assignment to one of the service's eligible targets. It calls
+// grant for a target that needs one.
+func (x *exchange) acquire(grant func([]fleet.Target) (*assignment, refusal)) (*assignment, refusal) {
 	targets := x.g.eligibleTargets(x.service.Name, x.excluded)
 	if len(targets) == 0 {
 		return nil, refusal{reason: "no target", wait: noTargetRetryAfter}
@@ -26,7 +38,7 @@
 	if x.service.Engine == nil || x.q.weights.Model == "" {
 		return x.g.leastLoadedAssignment(targets, x.q.attempt), refusal{}
 	}
-	return x.acquireGrant(targets)
+	return grant(targets)
 }
 
 // noTargetRetryAfter is the Retry-After time when no target is available: about one
@@ -45,43 +57,52 @@
 // engines and cost a round trip each.
 const maxAgents = 5
 
-// acquireGrant requests a grant from the agents of the adapter's homes.
+// acquireGrant requests a grant from the agents of the adapter's homes. If all are
+// busy, it waits for the one with the shortest forecast wait.
 func (x *exchange) acquireGrant(targets []fleet.Target) (*assignment, refusal) {
-	weights := x.g.versions.Newest(x.q.weights)
+	a, why, soonest := x.askHomes(targets)
+	if a != nil || soonest == nil || why.wait >= x.maxGrantWait() {
+		return a, why
+	}
+	a, reply := x.requestGrant(*soonest, x.weights(), grantOptions{})
+	if a == nil {
+		return nil, refusal{reason: "engines busy", cause: reply.Reason, wait: max(why.wait, time.Duration(reply.WaitMS)*time.Millisecond)}
+	}
+	return a, refusal{}
+}
+
+// weights returns the newest known version of the requested weights.
+func (x *exchange) weights() ident.Weights { return x.g.versions.Newest(x.q.weights) }
+
+// askHomes asks the adapter's homes one after the other for a grant that does not have
+// to wait long. If there is none, it returns the home with the shortest forecast
+// wait, or nil if no home gave one.
+func (x *exchange) askHomes(targets []fleet.Target) (granted *assignment, why refusal, soonest *fleet.Target) {
+	weights := x.weights()
 	homes, candidate := x.homes(targets, weights)
-	soonest, wait, shortestReason := -1, time.Duration(0), wire.ReasonNone
 	limit, heldElsewhere := min(maxAgents, len(homes)), false
+	why = refusal{reason: "no engine can run it", wait: noTargetRetryAfter}
 	for i := 0; i < limit; i++ {
 		a, reply := x.requestGrant(homes[i], weights, grantOptions{
 			hasAlternative: true, heldElsewhere: heldElsewhere, maySwitchModel: homes[i].Instance == candidate, alternativeHolds: i+1 < len(homes) && x.g.replicas.Holds(weights, homes[i+1].Address, time.Now()),
 		})
 		if a != nil {
-			return a, refusal{}
+			return a, refusal{}, nil
 		}
 		if x.ctx.Err() != nil {
-			return nil, refusal{reason: "timed out"}
+			return nil, refusal{reason: "timed out"}, nil
 		}
 		switch {
 		case reply.Code == wire.GrantBusy:
 			heldElsewhere = heldElsewhere || reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull || reply.Reason == wire.ReasonLoading
-			if w := time.Duration(reply.WaitMS) * time.Millisecond; soonest < 0 || w < wait {
-				soonest, wait, shortestReason = i, w, reply.Reason
+			if w := time.Duration(reply.WaitMS) * time.Millisecond; soonest == nil || w < why.wait {
+				soonest, why = &homes[i], refusal{reason: "engines busy", cause: reply.Reason, wait: w}
 			}
 		case limit < len(homes):
 			limit++ // no usable answer: ask one more
 		}
 	}
-	if soonest < 0 {
-		return nil, refusal{reason: "no engine can run it", wait: noTargetRetryAfter}
-	}
-	if wait >= x.maxGrantWait() {
-		return nil, refusal{reason: "engines busy", cause: shortestReason, wait: wait}
-	}
-	a, reply := x.requestGrant(homes[soonest], weights, grantOptions{})
-	if a == nil {
-		return nil, refusal{reason: "engines busy", cause: reply.Reason, wait: max(wait, time.Duration(reply.WaitMS)*time.Millisecond)}
-	}
-	return a, refusal{}
+	return nil, why, soonest
 }
 
 // homes returns the targets to ask, in order. For a service with several base
@@ -172,7 +193,7 @@
 		x.g.versions.Update(w)
 	}
 	return &assignment{
-		target: t, instance: reply.Instance, version: reply.Version, release: stream.Close,
+		target: t, instance: reply.Instance, version: reply.Version, release: stream.Close, acquired: time.Now(), suspended: x.g.suspended(),
 		reportFirstEvent: func(d time.Duration) {
 			// A lost report only makes the agent's forecast less accurate.
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
--- /dev/null
+++ b/pkg/gateway/body_buffers.go
@@ -0,0 +1,52 @@
+package gateway
+
+import "sync/atomic"
+
+const (
+	// freeBodyBytes is the size up to which a response is always buffered.
+	freeBodyBytes = 64 << 10
+	// bodyMemoryShare is the share of the VM's memory that larger responses may take
+	// together, so that targets that send without end cannot exhaust it.
+	bodyMemoryShare = 0.125
+)
+
+// bodyBuffers limits the memory of buffered responses.
+type bodyBuffers struct {
+	limit int64
+	used  *atomic.Int64 // by buffers above freeBodyBytes
+}
+
+func newBodyBuffers(memoryBytes int64) bodyBuffers {
+	limit := int64(bodyMemoryShare * float64(memoryBytes))
+	if memoryBytes <= 0 {
+		limit = maxResponseBytes
+	}
+	return bodyBuffers{limit: limit, used: new(atomic.Int64)}
+}
+
+// grow returns a larger buffer with the same bytes, and reports whether there was
+// memory for it. The announced length is -1 if unknown.
+func (b bodyBuffers) grow(body []byte, length int) ([]byte, bool) {
+	size := max(2*cap(body), firstBodyBytes)
+	if length >= 0 {
+		// One more byte lets a reader see the end without growing the buffer.
+		size = min(size, max(length, cap(body))+1)
+	}
+	if length >= 0 && length < freeBodyBytes {
+		size = length + 1
+	}
+	if size > freeBodyBytes && b.used.Add(int64(size)) > b.limit {
+		b.used.Add(-int64(size))
+		return body, false
+	}
+	larger := append(make([]byte, 0, size), body...)
+	b.release(cap(body))
+	return larger, true
+}
+
+// release returns the memory of a buffer of the given capacity.
+func (b bodyBuffers) release(capacity int) {
+	if capacity > freeBodyBytes {
+		b.used.Add(-int64(capacity))
+	}
+}
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
+	"github.com/hyssoproad/hyssoproad/pkg/socket"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -65,9 +66,12 @@
 	limits := c.g.limits()
 	_, err := c.r.Peek(1)
 	c.g.setIdle(c, false)
-	if err != nil {
+	if err != nil && !c.requestPending(err) {
 		return false
 	}
+	// A stop waits for requests from their first byte on.
+	c.g.active.Add(1)
+	defer c.g.active.Add(-1)
 	began := time.Now()
 	_ = c.nc.SetReadDeadline(began.Add(limits.HeaderTimeout))
 	q := &request{}
@@ -76,22 +80,38 @@
 		return false
 	}
 	_ = c.nc.SetReadDeadline(time.Time{})
-	c.g.active.Add(1)
-	defer c.g.active.Add(-1)
 	c.responseStarted, c.closeAfterResponse, c.http11 = false, !q.keepAlive || c.g.stopping.Load(), q.head.IsHTTP11()
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	peekErr := make(chan error, 1)
 	go c.watchForClose(cancel, peekErr)
-	// A response that started before the stop did not announce the close. A request
-	// that arrives at that moment is not read, and the caller has to send it again.
-	if !c.g.handle(ctx, c, q, began) || c.closeAfterResponse || c.g.stopping.Load() {
+	// A response that started before the stop did not announce the close, so its
+	// connection carries another request, whose response does.
+	if !c.g.handle(ctx, c, q, began) || c.closeAfterResponse {
 		return false
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	return c.awaitNext(peekErr, limits.IdleTimeout)
+}
+
+// awaitNext waits for the connection's next request and reports whether it arrived.
+func (c *callerConn) awaitNext(peekErr <-chan error, idleTimeout time.Duration) bool {
+	c.g.active.Add(-1)
+	defer c.g.active.Add(1)
+	_ = c.nc.SetReadDeadline(time.Now().Add(idleTimeout))
 	c.served = true
 	c.g.setIdle(c, true)
-	return <-peekErr == nil
+	err := <-peekErr
+	if err == nil || c.requestPending(err) {
+		return true
+	}
+	c.g.setIdle(c, false)
+	return false
+}
+
+// requestPending reports whether a request has arrived although the wait for it ended
+// with the given error.
+func (c *callerConn) requestPending(err error) bool {
+	return isTimeout(err) && !socket.Quiet(c.nc) && c.nc.SetReadDeadline(time.Time{}) == nil
 }
 
 // watchForClose waits for the connection's next byte. It cancels the current
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"time"
@@ -52,6 +53,12 @@
 
 	sends, runs int
 	excluded    []ident.Target
+	// reserved is an assignment that was acquired while another target stalled.
+	reserved *assignment
+	// last is the last step taken at a target.
+	last attemptStep
+	// suspendedBefore is how long the VM had been suspended when the request arrived.
+	suspendedBefore time.Duration
 	// failedResponse is a target's error response. It is forwarded if no other
 	// target succeeds.
 	failedResponse *forward.Response
@@ -80,7 +87,7 @@
 	defer cancel()
 	x := &exchange{
 		g: g, c: c, q: q, ctx: ctx, began: began, deadline: deadline, route: route, lastEvent: q.lastEvent,
-		configuration: configuration, service: configuration.Services[pickService(route, q.attempt)],
+		configuration: configuration, service: configuration.Services[pickService(route, q.attempt)], suspendedBefore: g.suspended(),
 	}
 	g.metrics.requests.Inc(1)
 	g.budget(x.service.Name).countRequest()
@@ -141,46 +148,77 @@
 // whether the connection can be used further.
 func (x *exchange) run() bool {
 	for {
-		assigned, refusal := x.acquireAssignment()
+		assigned, refusal := x.nextAssignment()
 		if assigned == nil {
 			return x.finishUnserved(refusal)
 		}
+		x.discountSuspension()
+		if assigned.lapsed(x.g.suspended()) && !x.expired() {
+			x.g.Info("msg", "grant lapsed before the request was sent", "request", x.q.attempt, "target", assigned.target.Instance)
+			assigned.release()
+			continue
+		}
 		x.sends++
 		o := x.sendOnce(assigned)
 		assigned.release()
 		x.g.metrics.outcomes[o].Inc(1)
-		if x.expired() && o != outcomeDelivered {
-			return x.finishTimedOut(o)
-		}
 		if o == outcomeDelivered {
 			return !x.callerDisconnected()
 		}
+		if x.expired() {
+			return x.finishTimedOut(o)
+		}
 		x.excluded = append(x.excluded, assigned.target.Instance)
 		if o != outcomeNotRun {
 			x.runs++
 		}
-		if !x.mayRetry(o) {
-			return x.finishUnserved(refusal)
+		if x.reserved == nil && !x.mayRetry(o) {
+			return x.finishUnserved(x.retryRefusal())
 		}
 	}
 }
 
+// nextAssignment returns the reserved assignment, or else acquires one.
+func (x *exchange) nextAssignment() (*assignment, refusal) {
+	if a := x.reserved; a != nil {
+		x.reserved = nil
+		return a, refusal{}
+	}
+	return x.acquireAssignment()
+}
+
+// retryRefusal is the refusal of a request that its target did not run and that may
+// not be sent to another one.
+func (x *exchange) retryRefusal() refusal {
+	return refusal{reason: "target did not run it", wait: x.route.Objective}
+}
+
+// discountSuspension takes the time that the VM was suspended off the deadline. The
+// monotonic clock does not count it, but callers do.
+func (x *exchange) discountSuspension() {
+	if total := x.g.suspended(); total > x.suspendedBefore {
+		x.deadline = x.deadline.Add(x.suspendedBefore - total)
+		x.suspendedBefore = total
+	}
+}
+
 // maxSends bounds the number of targets that one request is sent to.
 const maxSends = 3
 
 // mayRetry reports whether the request may be sent to another target after the
 // outcome. If so, it has taken the retry from the service's retry budget.
 func (x *exchange) mayRetry(o outcome) bool {
-	if o != outcomeNotRun {
-		if !x.retryable() || x.runs >= x.route.MaxTargets {
-			return false
-		}
-	}
-	if x.sends >= maxSends || x.remaining() < minRemaining {
+	if o != outcomeNotRun && (!x.retryable() || x.runs >= x.route.MaxTargets) {
 		return false
 	}
+	return x.sends < maxSends && x.remaining() >= minRemaining && x.takeRetry()
+}
+
+// takeRetry takes a retry from the service's retry budget and reports whether there
+// was one.
+func (x *exchange) takeRetry() bool {
 	if !x.g.budget(x.service.Name).allow(x.g.entryCount.Estimate()) {
-		x.g.Info("msg", "retry budget spent", "request", x.q.attempt, "service", x.service.Name, "outcome", o)
+		x.g.Info("msg", "retry budget spent", "request", x.q.attempt, "service", x.service.Name, "target", x.last.target, "step", x.last.step)
 		return false
 	}
 	x.g.metrics.retries.Inc(1)
@@ -209,34 +247,89 @@
 		x.g.metrics.abortedStreams.Inc(1)
 		// The body is left unterminated, so that the caller cannot mistake it for
 		// complete.
-		x.g.Info("msg", "stream aborted", "request", x.q.attempt, "last-event", x.lastEvent)
+		x.logFailed("stream aborted", "unfinished", 0)
 		return false
 	}
 	if x.failedResponse != nil {
-		return x.c.writeResponse(x.failedResponse, x.failedBody, x.q.method) == nil
+		return x.deliverFailure()
 	}
 	if x.runs > 0 {
+		x.logFailed("request failed", "unknown", fasthttp.StatusBadGateway)
 		return x.c.writeError(fasthttp.StatusBadGateway, "target failed, outcome unknown", 0) == nil
 	}
 	x.g.metrics.refused.Inc(1)
-	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "forecast", why.wait, "sends", x.sends, "after", time.Since(x.began))
+	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "forecast", why.wait, "sends", x.sends, "target", x.last.target, "step", x.last.step, "after", time.Since(x.began))
 	return x.c.writeError(fasthttp.StatusServiceUnavailable, why.reason, x.g.addJitter(max(why.wait, minRetryAfter))) == nil
 }
 
+// deliverFailure forwards the error response of a target.
+func (x *exchange) deliverFailure() bool {
+	x.logFailed("request failed", "failed", x.failedResponse.Status)
+	return x.c.writeResponse(x.failedResponse, x.failedBody, x.q.method) == nil
+}
+
+// logFailed logs the last row of a request that was sent to a target and failed. A
+// status of 0 means that the response ends without its end.
+func (x *exchange) logFailed(msg, outcome string, status int) {
+	x.g.Info("msg", msg, "request", x.q.attempt, "service", x.service.Name, "target", x.last.target, "step", x.last.step, "err", x.last.err,
+		"outcome", outcome, "status", status, "sends", x.sends, "last-event", x.lastEvent, "after", time.Since(x.began))
+}
+
 // minRetryAfter is the least Retry-After time of a refused request.
 const minRetryAfter = 200 * time.Millisecond
 
 // finishTimedOut ends a request that timed out or whose caller disconnected.
 func (x *exchange) finishTimedOut(o outcome) bool {
-	if x.callerDisconnected() || x.streamStarted {
+	if x.callerDisconnected() {
 		return false
 	}
+	if x.failedResponse != nil && !x.streamStarted {
+		return x.deliverFailure()
+	}
 	x.g.metrics.timedOut.Inc(1)
-	x.g.Info("msg", "timed out", "request", x.q.attempt, "service", x.service.Name, "outcome", o, "sends", x.sends)
+	status, result := fasthttp.StatusServiceUnavailable, "not-run"
 	if x.runs > 0 || o == outcomeUnknown {
-		return x.c.writeError(fasthttp.StatusGatewayTimeout, "timed out, outcome unknown", 0) == nil
+		status, result = fasthttp.StatusGatewayTimeout, "unknown"
 	}
-	return x.c.writeError(fasthttp.StatusServiceUnavailable, "timed out, not run", 0) == nil
+	if x.streamStarted {
+		x.logFailed("stream timed out", "unfinished", 0)
+		return false
+	}
+	x.logFailed("timed out", result, status)
+	return x.c.writeError(status, "timed out, outcome "+result, 0) == nil
+}
+
+// attemptStep is a step of a send to a target, for the log.
+type attemptStep struct {
+	target ident.Target
+	step   string
+	err    error
+}
+
+// The steps of a send.
+const (
+	stepDial   = "dial"
+	stepSend   = "send"
+	stepAnswer = "answer"
+	stepStatus = "status"
+	stepBody   = "body"
+	stepStream = "stream"
+)
+
+// begin records the step that is taken next.
+func (x *exchange) begin(a *assignment, step string) {
+	x.last = attemptStep{target: a.target.Instance, step: step}
+}
+
+// fail records and logs the failure of a step, unless the request has timed out or its
+// caller has disconnected.
+func (x *exchange) fail(a *assignment, step string, err error) {
+	x.last = attemptStep{target: a.target.Instance, step: step, err: err}
+	if x.expired() {
+		return
+	}
+	ejected := x.g.detector(a.target.Service).Record(a.target.Instance, true, time.Now())
+	x.g.Info("msg", "target failed", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", step, "err", err, "passed-over", ejected)
 }
 
 // sendOnce sends the request to the assigned target once.
@@ -245,9 +338,10 @@
 	if !x.retryable() {
 		maxIdle = maxIdleNonRetryable
 	}
+	x.begin(a, stepDial)
 	conn, err := x.g.pool.Get(x.ctx, a.target.Address, maxIdle)
 	if err != nil {
-		x.g.recordFailure(a.target, "dial", err)
+		x.fail(a, stepDial, err)
 		return outcomeNotRun
 	}
 	// Closing the connection makes the target stop its work on the request.
@@ -256,19 +350,20 @@
 	buffer := bytebufferpool.Get()
 	buffer.B = x.q.encode(buffer.B, sendParams{remaining: x.remaining(), instance: a.instance, version: a.version, lastEvent: x.lastEvent})
 	sent := time.Now()
+	x.begin(a, stepSend)
 	err = conn.Send(buffer.B, x.deadline)
 	bytebufferpool.Put(buffer)
 	if err != nil {
 		conn.Close()
-		x.g.recordFailure(a.target, "send", err)
+		x.fail(a, stepSend, err)
 		return outcomeUnknown
 	}
+	x.begin(a, stepAnswer)
+	conn.OnStall(x.stallHandler(a))
 	res, err := conn.Receive(x.q.method, x.q.attempt, x.firstByteDeadline(sent))
 	if err != nil {
 		conn.Close()
-		if !x.expired() {
-			x.g.recordFailure(a.target, "answer", err)
-		}
+		x.fail(a, stepAnswer, err)
 		return outcomeUnknown
 	}
 	return x.handleResponse(a, res, sent)
@@ -310,31 +405,32 @@
 		x.g.loads.record(a.target.Instance, load, time.Now())
 	}
 	if res.Status == fasthttp.StatusMisdirectedRequest || res.Value(platform.HeaderNotExecuted) != "" {
-		x.g.logNotRun(a, res)
-		_, err := io.Copy(io.Discard, res)
-		x.finish(res, err)
+		x.logNotRun(a, res)
+		x.finish(res, res.Discard())
 		return outcomeNotRun
 	}
 	if res.Status < 300 && res.Value(platform.HeaderSignature) == "" {
 		x.finish(res, forward.ErrInvalidResponse)
-		x.g.recordFailure(a.target, "answer", errors.Annotate(forward.ErrInvalidResponse, "missing signature"))
+		x.fail(a, stepAnswer, errors.Annotate(forward.ErrInvalidResponse, "missing signature"))
 		return outcomeUnknown
 	}
 	if x.route.RetryPolicy == platform.RunStream && res.Status < 300 {
 		return x.forwardStream(a, res, sent)
 	}
+	x.begin(a, stepBody)
 	body, err := x.readBody(res)
+	defer x.g.bodies.release(cap(body))
 	x.finish(res, err)
 	if err != nil {
-		x.g.recordFailure(a.target, "body", err)
+		x.fail(a, stepBody, err)
 		return outcomeUnknown
 	}
 	if res.Status >= 500 {
-		x.g.recordFailure(a.target, "status", errors.Errorf("status %d", res.Status))
+		x.fail(a, stepStatus, errors.Errorf("status %d", res.Status))
 		if x.streamStarted {
 			return outcomeUnknown
 		}
-		x.failedResponse, x.failedBody = res, body
+		x.failedResponse, x.failedBody = res, bytes.Clone(body)
 		return outcomeFailed
 	}
 	x.g.recordSuccess(a.target)
@@ -347,6 +443,14 @@
 	return outcomeDelivered
 }
 
+// logNotRun logs that a target did not run the request.
+func (x *exchange) logNotRun(a *assignment, res *forward.Response) {
+	x.g.Info("msg", "target did not run the request", "request", x.q.attempt, "target", a.target.Instance, "status", res.Status, "version", a.version)
+	if res.Status == fasthttp.StatusMisdirectedRequest && x.g.fleet.Contradict(a.target) {
+		x.g.Info("msg", "another target has this address", "target", a.target.Instance, "address", a.target.Address)
+	}
+}
+
 // finish returns the connection to the pool, or closes it after an error.
 func (x *exchange) finish(res *forward.Response, err error) {
 	if err != nil {
@@ -356,15 +460,27 @@
 	x.g.pool.Release(res)
 }
 
-// maxResponseBytes bounds a response that is buffered before it is forwarded.
-const maxResponseBytes = 16 << 20
+const (
+	// maxResponseBytes bounds a response that is buffered before it is forwarded.
+	maxResponseBytes = 16 << 20
+	firstBodyBytes   = 4 << 10
+)
 
+// readBody reads a complete body. The caller releases the buffer's capacity to the
+// body buffers, also after an error.
 func (x *exchange) readBody(res *forward.Response) ([]byte, error) {
 	res.SetReadDeadline(x.deadline)
-	body := make([]byte, 0, max(res.Length(), 512))
+	if res.Length() > maxResponseBytes {
+		return nil, errors.Annotatef(forward.ErrInvalidResponse, "response of %d bytes exceeds %d", res.Length(), maxResponseBytes)
+	}
+	var body []byte
 	for {
 		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
+			larger, ok := x.g.bodies.grow(body, res.Length())
+			if !ok {
+				return body, errors.Annotatef(forward.ErrInvalidResponse, "no memory for more than %d bytes of the response", len(body))
+			}
+			body = larger
 		}
 		n, err := res.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -372,10 +488,10 @@
 			return body, nil
 		}
 		if err != nil {
-			return nil, errors.Wrap(err, forward.ErrInvalidResponse)
+			return body, errors.Wrap(err, forward.ErrInvalidResponse)
 		}
 		if len(body) > maxResponseBytes {
-			return nil, errors.Annotatef(forward.ErrInvalidResponse, "response exceeds %d bytes", maxResponseBytes)
+			return body, errors.Annotatef(forward.ErrInvalidResponse, "response exceeds %d bytes", maxResponseBytes)
 		}
 	}
 }
@@ -392,8 +508,23 @@
 	target fleet.Target
 	// instance is the target's instance name: as its agent reports it, or else as
 	// listed in the store.
-	instance         ident.Target
-	version          ident.Version // adapter version on the target; 0 if none
-	release          func()
+	instance ident.Target
+	version  ident.Version // adapter version on the target; 0 if none
+	release  func()
+	// acquired is when the assignment was granted, and suspended how long the VM had
+	// been suspended by then. Both are zero if the assignment does not lapse.
+	acquired         time.Time
+	suspended        time.Duration
 	reportFirstEvent func(time.Duration) // reports the time to the first event to the agent
 }
+
+// grantLease is how long a grant may be held before the request is sent. The agent
+// holds a grant for longer than that after it has last heard from an entry.
+const grantLease = 2 * time.Second
+
+// lapsed reports whether the assignment's lease has ended: the process was paused
+// between the grant and the send, and the agent may have given the place away. The
+// argument is how long the VM has been suspended.
+func (a *assignment) lapsed(suspended time.Duration) bool {
+	return !a.acquired.IsZero() && time.Since(a.acquired)+suspended-a.suspended > grantLease
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/outlier"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
 	"github.com/hyssoproad/hyssoproad/pkg/retry"
+	"github.com/hyssoproad/hyssoproad/pkg/uptime"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -40,6 +41,9 @@
 	agents    *agentLinks
 	loads     *loadTracker
 	synced    *syncState
+	bodies    bodyBuffers
+	// suspended returns how long the VM was suspended since it started. Tests replace it.
+	suspended func() time.Duration
 
 	budgetMu   sync.Mutex
 	budgets    map[ident.Service]*budget
@@ -82,7 +86,8 @@
 		Common: c, metrics: newMetrics(c.Metrics), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(), replicas: placement.NewReplicas(),
 		pool:   forward.NewPool(),
 		agents: newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort),
-		loads:  newLoadTracker(), synced: newSyncState(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector), idleConns: make(map[*callerConn]bool),
+		bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended,
+		loads: newLoadTracker(), synced: newSyncState(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector), idleConns: make(map[*callerConn]bool),
 	}
 }
 
@@ -163,19 +168,10 @@
 	return placement.Homes(targets, w)
 }
 
-func (g *Gateway) recordFailure(t fleet.Target, step string, err error) {
-	ejected := g.detector(t.Service).Record(t.Instance, true, time.Now())
-	g.Info("msg", "target failed", "target", t.Instance, "service", t.Service, "step", step, "err", err, "passed-over", ejected)
-}
-
 func (g *Gateway) recordSuccess(t fleet.Target) {
 	g.detector(t.Service).Record(t.Instance, false, time.Now())
 }
 
-func (g *Gateway) logNotRun(a *assignment, res *forward.Response) {
-	g.Info("msg", "target did not run the request", "target", a.target.Instance, "status", res.Status, "version", a.version)
-}
-
 // Start listens for callers and serves them.
 func (g *Gateway) Start(context.Context) error {
 	listener, err := net.Listen("tcp4", g.node.CallerAddress)
@@ -234,6 +230,9 @@
 	// requests are abandoned. The guarantees exempt the last sixth of that period.
 	stopMargin       = 800 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
+	// firstRequestTime is how long the first request on a new connection may take to
+	// arrive: a few round trips.
+	firstRequestTime = 200 * time.Millisecond
 )
 
 // Stop finishes the requests in progress. It still serves new requests that can
@@ -246,17 +245,50 @@
 	g.Info("msg", "stopping", "active", g.active.Load())
 	time.Sleep(unreadyDetectionTime)
 	g.stopAt.Store(&abandonAt)
-	for g.active.Load() > 0 && time.Now().Before(abandonAt) {
-		g.closeIdle()
-		time.Sleep(stopPollInterval)
-	}
+	g.awaitRequests(abandonAt)
 	_ = g.listener.Close()
-	g.closeIdle()
+	// Requests may already be on their way on connections that were just accepted.
+	g.awaitConnections(time.Now().Add(firstRequestTime))
+	g.awaitRequests(abandonAt)
 	g.Info("msg", "finished", "unfinished", g.active.Load(), "after", time.Since(began))
 	return nil
 }
 
-// closeIdle closes served connections that wait for another request.
+// awaitRequests closes idle connections until no request is in progress, or until
+// the given time.
+func (g *Gateway) awaitRequests(until time.Time) {
+	for {
+		g.closeIdle()
+		if g.active.Load() == 0 || !time.Now().Before(until) {
+			return
+		}
+		time.Sleep(stopPollInterval)
+	}
+}
+
+// awaitConnections waits until each accepted connection has carried a request, or
+// until the given time.
+func (g *Gateway) awaitConnections(until time.Time) {
+	for g.unserved() > 0 && time.Now().Before(until) {
+		time.Sleep(stopPollInterval)
+	}
+}
+
+// unserved returns the number of idle connections that have carried no request yet.
+func (g *Gateway) unserved() int {
+	g.connMu.Lock()
+	defer g.connMu.Unlock()
+	n := 0
+	for c := range g.idleConns {
+		if !c.served {
+			n++
+		}
+	}
+	return n
+}
+
+// closeIdle closes served connections that wait for another request. One whose next
+// request has arrived meanwhile still serves it.
 func (g *Gateway) closeIdle() {
 	g.connMu.Lock()
 	defer g.connMu.Unlock()
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -69,29 +69,36 @@
 	conns    []net.Conn
 }
 
+// testGateway returns a gateway that is in sync with a store of four targets.
+func testGateway() *Gateway {
+	g := New(common.Discard(), platform.Node{VM: "vm-1", PeerPort: 7380, Bounds: platform.Bounds{RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second, StopGrace: 8 * time.Second}})
+	g.directory.Update(testConfiguration(1))
+	g.fleet.Replace([]fleet.Target{
+		{Instance: "p-1", Service: plainService, Address: "10.0.0.1:1"}, {Instance: "p-2", Service: plainService, Address: "10.0.0.2:1"},
+		{Instance: "s-1", Service: streamService, Address: "10.0.0.3:1"}, {Instance: "s-2", Service: streamService, Address: "10.0.0.4:1"},
+	}, time.Now())
+	for _, k := range requiredKinds {
+		g.markListed(k)
+	}
+	return g
+}
+
 func testHarness(t *testing.T, f func(t *testing.T, h *harness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		node := platform.Node{VM: "vm-1", PeerPort: 7380, Bounds: platform.Bounds{RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second, StopGrace: 8 * time.Second}}
-		h := &harness{Gateway: New(common.Discard(), node), t: t, replies: make(map[string][]reply), closed: make(map[string]time.Time)}
+		h := &harness{Gateway: testGateway(), t: t, replies: make(map[string][]reply), closed: make(map[string]time.Time)}
 		h.pool.Dial = h.dialTarget
-		h.directory.Update(testConfiguration(1))
-		h.fleet.Replace([]fleet.Target{
-			{Instance: "p-1", Service: plainService, Address: "10.0.0.1:1"}, {Instance: "p-2", Service: plainService, Address: "10.0.0.2:1"},
-			{Instance: "s-1", Service: streamService, Address: "10.0.0.3:1"}, {Instance: "s-2", Service: streamService, Address: "10.0.0.4:1"},
-		}, time.Now())
-		for _, k := range requiredKinds {
-			h.markListed(k)
-		}
+		defer func() {
+			h.mu.Lock()
+			for _, c := range h.conns {
+				_ = c.Close()
+			}
+			h.mu.Unlock()
+			h.pool.Close()
+			time.Sleep(2 * time.Minute) // longer than any sleep in a reply
+			synctest.Wait()
+		}()
 		f(t, h)
-		h.mu.Lock()
-		for _, c := range h.conns {
-			_ = c.Close()
-		}
-		h.mu.Unlock()
-		h.pool.Close()
-		time.Sleep(2 * time.Minute) // longer than any sleep in a reply
-		synctest.Wait()
 	})
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -5,13 +5,16 @@
 	"io"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 )
 
 const (
 	streamBufferBytes = 4 << 10
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds the size of one event. Many streams may buffer one at the
+	// same time.
+	maxEventBytes = 128 << 10
 	// gapFactor is the number of a route's gap objectives after which a stream
 	// that can resume on another target counts as stuck. Callers abandon a stream
 	// after 8.
@@ -22,18 +25,21 @@
 var (
 	eventEnd = []byte("\n\n")
 	eventID  = []byte("id:")
+	// eventFields begin the lines that make up an event.
+	eventFields = [][]byte{[]byte("id:"), []byte("data:")}
 )
 
 // forwardStream forwards a target's events as they arrive. Until the end of the
 // stream it forwards only complete events, so that another target can resume after
 // the last one.
 func (x *exchange) forwardStream(a *assignment, res *forward.Response, sent time.Time) outcome {
+	x.begin(a, stepStream)
 	first := true
 	timing := streamTiming{grantWait: sent.Sub(x.began)}
 	last := sent
 	pending := make([]byte, 0, streamBufferBytes)
+	res.SetReadDeadline(x.nextEventDeadline())
 	for {
-		res.SetReadDeadline(x.nextEventDeadline())
 		pending = grow(pending)
 		n, err := res.Read(pending[len(pending):cap(pending)])
 		pending = pending[:len(pending)+n]
@@ -42,6 +48,10 @@
 			complete = len(pending)
 		}
 		if complete > 0 {
+			if hasEvent(pending[:complete]) {
+				// Other bytes, such as comments, do not keep a stalled stream alive.
+				res.SetReadDeadline(x.nextEventDeadline())
+			}
 			if first {
 				a.reportFirstEvent(time.Since(sent))
 				timing.firstEvent = time.Since(sent)
@@ -64,11 +74,12 @@
 		case err == io.EOF:
 			timing.total = time.Since(x.began)
 			return x.endStream(a, res, timing)
-		case err != nil || len(pending) > maxEventBytes:
+		case err == nil && len(pending) > maxEventBytes:
+			err = errors.Annotatef(forward.ErrInvalidResponse, "event exceeds %d bytes", maxEventBytes)
+		}
+		if err != nil {
 			res.Close()
-			if !x.expired() {
-				x.g.recordFailure(a.target, "stream", err)
-			}
+			x.fail(a, stepStream, err)
 			return outcomeUnknown
 		}
 	}
@@ -112,7 +123,44 @@
 }
 
 func (x *exchange) nextEventDeadline() time.Time {
-	return x.failoverDeadline(time.Now().Add(max(gapFactor*x.route.GapObjective, minGapWait)))
+	return x.failoverDeadline(time.Now().Add(x.maxEventGap()))
+}
+
+// maxEventGap is the time without an event after which a target counts as stuck.
+func (x *exchange) maxEventGap() time.Duration {
+	return max(gapFactor*x.route.GapObjective, minGapWait)
+}
+
+// stallHandler returns the function that is called when the target has sent nothing
+// useful until the deadline of a read. The response is abandoned only if another
+// target takes the request at once: the target may merely be slow.
+func (x *exchange) stallHandler(a *assignment) func() (time.Time, bool) {
+	return func() (time.Time, bool) {
+		if x.expired() || x.reserve(a) {
+			return time.Time{}, false
+		}
+		return x.failoverDeadline(time.Now().Add(x.maxEventGap())), true
+	}
+}
+
+// reserve acquires an assignment to another target than that of a, which is stuck,
+// and takes a retry from the budget. It reports whether it has both.
+func (x *exchange) reserve(a *assignment) bool {
+	if !x.retryable() || x.runs+1 >= x.route.MaxTargets || x.sends >= maxSends || x.remaining() < minRemaining {
+		return false
+	}
+	x.excluded = append(x.excluded, a.target.Instance)
+	other, _ := x.acquireImmediately()
+	x.excluded = x.excluded[:len(x.excluded)-1]
+	if other == nil {
+		return false
+	}
+	if !x.takeRetry() {
+		other.release()
+		return false
+	}
+	x.reserved = other
+	return true
 }
 
 func grow(b []byte) []byte {
@@ -122,6 +170,19 @@
 	return append(b, 0)[:len(b)]
 }
 
+// hasEvent reports whether the text contains a line of an event rather than only
+// comments and blank lines.
+func hasEvent(text []byte) bool {
+	for line := range bytes.Lines(text) {
+		for _, field := range eventFields {
+			if bytes.HasPrefix(line, field) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // completeEvents returns the length of the complete events at the start of b.
 func completeEvents(b []byte) int {
 	i := bytes.LastIndex(b, eventEnd)
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -117,8 +117,10 @@
 }
 
 // Setup applies the engine's configuration unless it is older than the current one.
+// The name that the running engine has reported itself takes precedence over the
+// setup's: an entry that is behind may send that of an engine that has left.
 func (s *Scheduler) Setup(setup wire.EngineSetup) {
-	if s.instance == "" || setup.Instance != s.setup.Instance {
+	if s.instance == "" || setup.Instance != s.setup.Instance && !s.identified() {
 		s.instance = setup.Instance
 	}
 	if setup.Configuration >= s.setup.Configuration || setup.Instance != s.setup.Instance {
@@ -129,9 +131,12 @@
 // Unidentified reports whether the engine has restarted since it last reported
 // its name, and returns the path of the health check that reports it.
 func (s *Scheduler) Unidentified() (path string, ok bool) {
-	return s.setup.HealthPath, s.up && s.setup.HealthPath != "" && s.identifiedStartMS != s.startMS
+	return s.setup.HealthPath, s.up && s.setup.HealthPath != "" && !s.identified()
 }
 
+// identified reports whether the running engine has reported its name.
+func (s *Scheduler) identified() bool { return s.identifiedStartMS == s.startMS && s.startMS != 0 }
+
 // Identify records the name that the engine process with the given start time
 // reported.
 func (s *Scheduler) Identify(instance ident.Target, startMS int64) {
--- a/pkg/grant/scheduler_test.go
+++ b/pkg/grant/scheduler_test.go
@@ -478,3 +478,25 @@
 		})
 	})
 }
+
+// An entry that is behind sends the setup of an engine that has left (load pattern: a
+// server is replaced at its address while processes restart). The name that the
+// running engine has reported itself stays in use.
+func TestSetupOfAnEngineThatHasLeftDoesNotRenameTheRunningOne(t *testing.T) {
+	sched := New()
+	current := setup(2)
+	current.Instance, current.HealthPath, current.Configuration = "i-2", "/health", 7
+	old := current
+	old.Instance, old.Configuration = "i-1", 3
+	sched.Setup(old) // after a restart of this process, the entry that is behind is first
+	sched.Observe(Report{StartMS: 5, Models: []ident.Model{model}}, start)
+	_, due := sched.Unidentified()
+	require.True(t, due)
+	sched.Identify("i-2", 5)
+	sched.Setup(current)
+	sched.Setup(old)
+	require.Equal(t, ident.Target("i-2"), sched.Instance())
+	sched.Observe(Report{StartMS: 6, Models: []ident.Model{model}}, start)
+	_, due = sched.Unidentified()
+	require.True(t, due, "a restarted engine is asked again")
+}
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -340,3 +340,20 @@
 		require.Equal(t, ident.Target("i-2"), reply.Instance)
 	})
 }
+
+// The process starts beside an engine that replaced another one, and an entry that is
+// behind sends the setup of the old one. The engine gets orders under its own name.
+func TestServesUnderTheNameOfTheRunningEngine(t *testing.T) {
+	testOrderer(t, func(t *testing.T, e *fakeEngine, entry func() *link.Conn) {
+		e.restart("i-2")
+		c := entry() // its setup names i-1
+		time.Sleep(2 * idlePoll)
+		late := entry()
+		for _, conn := range []*link.Conn{c, late} {
+			reply, s := requestGrant(t, conn, "a1")
+			require.Equal(t, wire.GrantIssued, reply.Code)
+			require.Equal(t, ident.Target("i-2"), reply.Instance)
+			s.Close()
+		}
+	})
+}
