Prefill by the pause objective of the streams that run

Cause: an engine was given 400 ms of prompts in advance whatever pause its streams may make, and every token waits behind them. Each gateway now reports the longest pause of a stream that ended, and the orderer adapts its window: additive increase, multiplicative decrease.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -49,7 +49,7 @@
 func (g *Gateway) leastLoadedAssignment(targets []fleet.Target, attempt string) *assignment {
 	t := placement.ByLoad(targets, g.loads.perSlot, g.node.Domain, hash(attempt))[0]
 	g.loads.begin(t.Instance)
-	return &assignment{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}}
+	return &assignment{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}, reportPause: func(time.Duration) {}}
 }
 
 // maxAgents bounds the number of agents that are asked for one request, not counting
@@ -198,9 +198,23 @@
 			// A lost report only makes the agent's forecast less accurate.
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
 		},
+		reportPause: func(pause time.Duration) { x.g.reportPause(conn, pause, x.route.GapObjective) },
 	}, reply
 }
 
+// reportPause tells an agent the longest pause of a stream that its engine served.
+func (g *Gateway) reportPause(conn *link.Conn, pause, objective time.Duration) {
+	if objective <= 0 || !conn.Reads(link.KindPauseReport) {
+		return
+	}
+	s, err := conn.Open(link.KindPauseReport, &wire.PauseReport{PauseMS: pause.Milliseconds(), ObjectiveMS: objective.Milliseconds()})
+	if err != nil {
+		g.Debug("msg", "failed to report a pause", "agent", conn.Peer.VM, "err", err)
+		return
+	}
+	s.Close()
+}
+
 // agentReplyTimeout is how long an agent may take to reply or, if the request has to
 // wait, to send a ping. A round trip and its work take a few ms, even on a slow VM.
 const agentReplyTimeout = 250 * time.Millisecond
--- a/pkg/gateway/disruption_test.go
+++ b/pkg/gateway/disruption_test.go
@@ -416,7 +416,9 @@
 		h.script(replies...)
 		var wg sync.WaitGroup
 		for range 20 {
-			wg.Go(func() { require.Equal(t, 502, h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n")).StatusCode) })
+			wg.Go(func() {
+				require.Equal(t, 502, h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n")).StatusCode)
+			})
 		}
 		wg.Wait()
 		h.script(respond(200, "small"))
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -516,6 +516,7 @@
 	acquired         time.Time
 	suspended        time.Duration
 	reportFirstEvent func(time.Duration) // reports the time to the first event to the agent
+	reportPause      func(time.Duration) // reports the longest pause between two events to the agent
 }
 
 // grantLease is how long a grant may be held before the request is sent. The agent
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -100,6 +100,9 @@
 	x.g.pool.Release(res)
 	x.g.recordSuccess(a.target)
 	x.g.eventInterval.record(t.events, t.total-t.grantWait-t.firstEvent)
+	if t.events > 1 {
+		a.reportPause(t.maxGap)
+	}
 	if !x.streamStarted {
 		x.c.beginStream(res)
 	}
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -10,11 +10,6 @@
 )
 
 const (
-	// prefillWindow is the amount of prefill work an engine is given in advance.
-	// More would wait in the engine's queue, where requests cannot be reordered or
-	// redirected. Less would leave the engine idle between two reports of a first
-	// event.
-	prefillWindow = 400 * time.Millisecond
 	// redirectWait is the forecast wait above which a request is redirected. It is
 	// somewhat longer than loading the adapter on another engine.
 	redirectWait = 400 * time.Millisecond
@@ -203,7 +198,7 @@
 	if len(s.running) == 0 {
 		return true
 	}
-	return !s.saturated(req) && (s.pendingPrefill == 0 || s.prefillTime(s.pendingPrefill+req.PromptTokens) <= prefillWindow)
+	return !s.saturated(req) && (s.pendingPrefill == 0 || s.prefillTime(s.pendingPrefill+req.PromptTokens) <= s.window)
 }
 
 // saturated reports whether the engine lacks a slot or KV cache for the request.
@@ -225,7 +220,7 @@
 // queueWait estimates how long the engine's current and queued work delays the
 // request, and returns the reason.
 func (s *Scheduler) queueWait(req *Request, ahead queueAhead) (time.Duration, wire.GrantReason) {
-	wait := max(s.prefillTime(s.pendingPrefill+ahead.promptTokens+req.PromptTokens)-prefillWindow, 0)
+	wait := max(s.prefillTime(s.pendingPrefill+ahead.promptTokens+req.PromptTokens)-s.window, 0)
 	if !s.saturated(req) {
 		return wait, wire.ReasonPrefill
 	}
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -90,6 +90,7 @@
 	running map[RequestID]*runningRequest
 	usage
 	speed
+	pacing
 	loads
 	modelSwitch
 }
@@ -102,7 +103,7 @@
 
 // New returns a scheduler that knows nothing about its engine yet.
 func New() *Scheduler {
-	s := &Scheduler{running: make(map[RequestID]*runningRequest), speed: newSpeed(), loads: newLoads()}
+	s := &Scheduler{running: make(map[RequestID]*runningRequest), speed: newSpeed(), pacing: newPacing(), loads: newLoads()}
 	s.reset()
 	return s
 }
--- a/pkg/grant/scheduler_test.go
+++ b/pkg/grant/scheduler_test.go
@@ -94,6 +94,7 @@
 // later requests are redirected at once.
 func TestRedirectsPromptsBeyondThePrefillWindow(t *testing.T) {
 	sched := schedulerWith(4, 1)
+	sched.window = maxPrefillWindow
 	for id := RequestID(1); id <= 3; id++ {
 		req := request(id, 1, start)
 		req.PromptTokens, req.HasAlternative = 6_000, true
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -136,6 +136,10 @@
 	return newConn(nc, self, handlers, false)
 }
 
+// Reads reports whether the peer reads frames of the kind. A peer of an earlier
+// release closes the connection when it receives one that it does not know.
+func (c *Conn) Reads(k Kind) bool { return uint8(k) <= c.Peer.NewestKind }
+
 // Done returns a channel that is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
 
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -44,6 +44,7 @@
 	KindGrantRequest
 	KindGrantReply
 	KindGrantFirstEvent
+	KindPauseReport
 	kindLimit
 )
 
--- a/pkg/link/handshake.go
+++ b/pkg/link/handshake.go
@@ -39,7 +39,7 @@
 	if err := nc.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return wire.Hello{}, errors.Trace(err)
 	}
-	hello := wire.Hello{Protocol: protocolVersion, Role: self.Role, VM: self.VM, Nonce: make([]byte, nonceBytes)}
+	hello := wire.Hello{Protocol: protocolVersion, Role: self.Role, VM: self.VM, Nonce: make([]byte, nonceBytes), NewestKind: uint8(kindLimit - 1)}
 	if _, err := rand.Read(hello.Nonce); err != nil {
 		return wire.Hello{}, errors.Trace(err)
 	}
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -97,7 +97,7 @@
 }
 
 func (o *Orderer) handlers() link.Handlers {
-	return link.Handlers{link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest}
+	return link.Handlers{link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport}
 }
 
 // Stop closes the listener. Running requests are not affected, since they do not
@@ -167,6 +167,17 @@
 	}
 }
 
+func (o *Orderer) handlePauseReport(_ context.Context, _ *link.Stream, f link.Frame) error {
+	var r wire.PauseReport
+	if _, err := r.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.scheduler.RecordPause(time.Duration(r.PauseMS)*time.Millisecond, time.Duration(r.ObjectiveMS)*time.Millisecond, time.Now())
+	return nil
+}
+
 func (o *Orderer) enqueue(r wire.GrantRequest) (grant.RequestID, <-chan wire.GrantReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -o grant_schema_gen.go -tests=false -io=false
 
-//msgp:tuple EngineSetup ModelSetup GrantRequest GrantReply GrantFirstEvent
+//msgp:tuple EngineSetup ModelSetup GrantRequest GrantReply GrantFirstEvent PauseReport
 
 // EngineSetup tells the agent beside an engine what the engine serves and how
 // much it holds. For the same instance, a setup from an older configuration
@@ -99,3 +99,10 @@
 type GrantFirstEvent struct {
 	FirstEventMS int64
 }
+
+// PauseReport reports the longest pause between two events of a stream that ended,
+// and the route's objective for it, both in ms.
+type PauseReport struct {
+	PauseMS     int64
+	ObjectiveMS int64
+}
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -478,3 +478,45 @@
 	s = 1 + z.Name.Msgsize() + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z PauseReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt64(o, z.PauseMS)
+	o = msgp.AppendInt64(o, z.ObjectiveMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PauseReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.PauseMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PauseMS")
+		return
+	}
+	z.ObjectiveMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ObjectiveMS")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PauseReport) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.Int64Size
+	return
+}
--- a/pkg/wire/schema.go
+++ b/pkg/wire/schema.go
@@ -43,6 +43,9 @@
 	Role     Role
 	VM       ident.VM
 	Nonce    []byte
+	// NewestKind is the highest frame kind that the sender reads; 0 from releases
+	// that do not report it.
+	NewestKind uint8
 }
 
 // Proof completes the handshake with an HMAC over both nonces.
--- a/pkg/wire/schema_gen.go
+++ b/pkg/wire/schema_gen.go
@@ -2703,9 +2703,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "Protocol"
-	o = append(o, 0x84, 0xa8, 0x50, 0x72, 0x6f, 0x74, 0x6f, 0x63, 0x6f, 0x6c)
+	o = append(o, 0x85, 0xa8, 0x50, 0x72, 0x6f, 0x74, 0x6f, 0x63, 0x6f, 0x6c)
 	o = msgp.AppendUint16(o, z.Protocol)
 	// string "Role"
 	o = append(o, 0xa4, 0x52, 0x6f, 0x6c, 0x65)
@@ -2720,6 +2720,9 @@
 	// string "Nonce"
 	o = append(o, 0xa5, 0x4e, 0x6f, 0x6e, 0x63, 0x65)
 	o = msgp.AppendBytes(o, z.Nonce)
+	// string "NewestKind"
+	o = append(o, 0xaa, 0x4e, 0x65, 0x77, 0x65, 0x73, 0x74, 0x4b, 0x69, 0x6e, 0x64)
+	o = msgp.AppendUint8(o, z.NewestKind)
 	return
 }
 
@@ -2769,6 +2772,12 @@
 				err = msgp.WrapError(err, "Nonce")
 				return
 			}
+		case "NewestKind":
+			z.NewestKind, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NewestKind")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2783,7 +2792,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hello) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint16Size + 5 + msgp.Uint8Size + 3 + z.VM.Msgsize() + 6 + msgp.BytesPrefixSize + len(z.Nonce)
+	s = 1 + 9 + msgp.Uint16Size + 5 + msgp.Uint8Size + 3 + z.VM.Msgsize() + 6 + msgp.BytesPrefixSize + len(z.Nonce) + 11 + msgp.Uint8Size
 	return
 }
 
