--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -127,6 +127,9 @@
 func (v *View) Put(t Target) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if _, missing := v.missing[t.Instance]; !missing && v.targets[t.Instance] == t {
+		return
+	}
 	v.put(t)
 	v.rebuild()
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -16,17 +15,10 @@
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
-const (
-	// maxWatchWait bounds the wait of one watch. The platform charges for each
-	// watch and allows at most 30 s. Silent connections are detected by keep-alive
-	// probes, not by the end of the wait.
-	maxWatchWait = 20 * time.Second
-	// minRetryDelay and maxRetryDelay bound the delay after a failed call, before
-	// jitter of up to half of it in either direction. maxRetryDelay is well below
-	// the 2 s within which a new configuration must be in force.
-	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 400 * time.Millisecond
-)
+// maxWatchWait bounds the wait of one watch. The platform charges for each watch and
+// allows at most 30 s. Silent connections are detected by keep-alive probes, not by
+// the end of the wait.
+const maxWatchWait = 20 * time.Second
 
 // Source is the part of the store's client that a follower uses.
 type Source struct {
@@ -47,16 +39,18 @@
 	// OnList receives a complete list, and OnChanges the later changes in order.
 	OnList    func([]platform.Object)
 	OnChanges func([]platform.Event)
-	// OnError is called with the error of each failed call. It may be nil.
-	OnError func(error)
+	// Outage is shared by all followers of the store.
+	Outage *Outage
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	backoff := minRetryDelay
 	listed := false
 	var from platform.Revision
 	for ctx.Err() == nil {
+		if f.Outage.await(ctx) {
+			listed = false // a watch could last long
+		}
 		var err error
 		if !listed {
 			from, err = f.list()
@@ -68,36 +62,21 @@
 		switch {
 		case errors.Is(err, platform.ErrHistoryGone):
 			f.Info("msg", "history not available; listing again", "kind", f.Kind, "revision", from)
+			f.Outage.record(f.Kind, nil)
 			listed, pause = false, 0
 		case err != nil:
 			// A store that cuts off watches may have withheld changes from them,
 			// and may serve later watches from old history. Only a list is
 			// reliable.
-			listed = false
-			f.reportError(err, backoff)
-			// Jitter prevents the processes of a fleet from retrying at the same
-			// time.
-			pause = backoff/2 + rand.N(backoff)
-			backoff = min(2*backoff, maxRetryDelay)
+			f.Outage.record(f.Kind, err)
+			listed, pause = false, 0
 		default:
-			if backoff > minRetryDelay {
-				f.Info("msg", "store reachable again", "kind", f.Kind)
-			}
-			backoff = minRetryDelay
+			f.Outage.record(f.Kind, nil)
 		}
 		sleep(ctx, pause)
 	}
 }
 
-func (f *Follower) reportError(err error, backoff time.Duration) {
-	if backoff == minRetryDelay {
-		f.Warn("msg", "store unavailable; retrying", "kind", f.Kind, "err", err)
-	}
-	if f.OnError != nil {
-		f.OnError(err)
-	}
-}
-
 func (f *Follower) list() (platform.Revision, error) {
 	objects, revision, err := f.Source.List(f.Kind)
 	if err != nil {
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,7 +45,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), d)
 		defer cancel()
 		f := &Follower{
-			Common: common.Discard(), Source: s.source(), Kind: platform.KindConfiguration,
+			Common: common.Discard(), Source: s.source(), Kind: platform.KindConfiguration, Outage: NewOutage(common.Discard(), 400*time.Millisecond, func(error) {}),
 			OnList: func(list []platform.Object) { seen = append(seen, list[0].Revision) },
 			OnChanges: func(events []platform.Event) {
 				for _, e := range events {
@@ -92,31 +93,49 @@
 	}
 }
 
-// During an outage the follower makes few calls, and it recovers soon after the
-// outage.
+// During an outage (load pattern: all processes of a large fleet retry) the followers
+// together make as few calls as one, and all recover soon after the outage.
 func TestBacksOffDuringStoreOutage(t *testing.T) {
-	s := &store{revision: 5}
-	failures := 0
-	source := s.source()
+	const maxDelay = 400 * time.Millisecond
+	kinds := []platform.Kind{platform.KindConfiguration, platform.KindTargets, platform.KindVersions}
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 		defer cancel()
-		began := time.Now()
-		var regained time.Duration
-		f := &Follower{
-			Common: common.Discard(), Kind: platform.KindConfiguration,
-			Source: Source{Watch: source.Watch, List: func(k platform.Kind) ([]platform.Object, platform.Revision, error) {
-				if time.Since(began) < 5*time.Second {
-					return nil, 0, platform.ErrUnavailable
-				}
-				return source.List(k)
-			}},
-			OnList:  func([]platform.Object) { regained = time.Since(began) },
-			OnError: func(error) { failures++ },
+		began, failures := time.Now(), 0
+		down := func() bool { since := time.Since(began); return since > 5*time.Second && since < 10*time.Second }
+		recovered := make([]time.Duration, len(kinds))
+		outage := NewOutage(common.Discard(), maxDelay, func(error) { failures++ })
+		var running sync.WaitGroup
+		for i, kind := range kinds {
+			f := &Follower{
+				Common: common.Discard(), Kind: kind, Outage: outage,
+				Source: Source{
+					List: func(platform.Kind) ([]platform.Object, platform.Revision, error) {
+						time.Sleep(time.Millisecond)
+						if down() {
+							return nil, 0, platform.ErrUnavailable
+						}
+						return nil, 1, nil
+					},
+					Watch: func(_ platform.Kind, from platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+						for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+							if down() {
+								return nil, from, platform.ErrUnavailable
+							}
+						}
+						return nil, from, nil
+					},
+				},
+				OnList: func([]platform.Object) { recovered[i] = time.Since(began) },
+			}
+			running.Go(func() { f.Run(ctx) })
 		}
-		f.Run(ctx)
-		require.Less(t, regained, 5*time.Second+2*maxRetryDelay)
-		require.Less(t, failures, 40)
+		running.Wait()
+		for _, at := range recovered {
+			require.Greater(t, at, 10*time.Second)
+			require.Less(t, at, 10*time.Second+2*maxDelay)
+		}
+		require.Less(t, failures, 30)
 	})
 }
 
--- /dev/null
+++ b/pkg/follow/outage.go
@@ -0,0 +1,87 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// minRetryDelay is the first delay after a failed call, before jitter of up to half of
+// it in either direction.
+const minRetryDelay = 50 * time.Millisecond
+
+// Outage is what the followers of one store know of its failures. It handles an outage
+// during which all processes retry: the first follower that meets it retries with
+// backoff, and the others wait until a call has succeeded.
+type Outage struct {
+	common.Common
+	maxDelay time.Duration
+	onError  func(error)
+
+	mu       sync.Mutex
+	failing  bool
+	retrying bool // a follower is about to retry
+	backoff  time.Duration
+	changed  chan struct{} // closed at the next result of a call during an outage
+}
+
+// NewOutage returns the state of a store without failures. maxDelay bounds the delay
+// between two retries before jitter. onError is called with the error of each failed
+// call.
+func NewOutage(c common.Common, maxDelay time.Duration, onError func(error)) *Outage {
+	return &Outage{Common: c, maxDelay: maxDelay, onError: onError, backoff: minRetryDelay, changed: make(chan struct{})}
+}
+
+// await waits until the follower may make its next call. It reports whether that call
+// shows whether the outage is over. It has to be short then, since the other followers
+// wait for it.
+func (o *Outage) await(ctx context.Context) (probe bool) {
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		if !o.failing {
+			o.mu.Unlock()
+			return false
+		}
+		if !o.retrying {
+			o.retrying = true
+			// Jitter prevents the processes of a fleet from retrying at the same time.
+			delay := o.backoff/2 + rand.N(o.backoff)
+			o.backoff = min(2*o.backoff, o.maxDelay)
+			o.mu.Unlock()
+			sleep(ctx, delay)
+			return true
+		}
+		changed := o.changed
+		o.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// record records the result of a call.
+func (o *Outage) record(kind platform.Kind, err error) {
+	if err != nil {
+		o.onError(err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err != nil && !o.failing:
+		o.Warn("msg", "store unavailable; retrying", "kind", kind, "err", err)
+	case err == nil && o.failing:
+		o.Info("msg", "store reachable again", "kind", kind)
+		o.backoff = minRetryDelay
+	}
+	if o.failing {
+		close(o.changed)
+		o.changed = make(chan struct{})
+	}
+	o.failing, o.retrying = err != nil, false
+}
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -52,10 +53,15 @@
 	return &assignment{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}, reportPause: func(time.Duration) {}}
 }
 
-// maxAgents bounds the number of agents that are asked for one request, not counting
-// those that give no usable answer. More would spread rarely used adapters over many
-// engines and cost a round trip each.
-const maxAgents = 5
+const (
+	// maxAgents bounds the number of agents that are asked for one request, not
+	// counting those that give no usable answer. More would spread rarely used
+	// adapters over many engines and cost a round trip each.
+	maxAgents = 5
+	// maxCrowdedAgents replaces maxAgents while the agents asked are crowded: the
+	// adapter is in more demand than they can serve.
+	maxCrowdedAgents = 12
+)
 
 // acquireGrant requests a grant from the agents of the adapter's homes. If all are
 // busy, it waits for the one with the shortest forecast wait.
@@ -84,7 +90,7 @@
 	why = refusal{reason: "no engine can run it", wait: noTargetRetryAfter}
 	for i := 0; i < limit; i++ {
 		a, reply := x.requestGrant(homes[i], weights, grantOptions{
-			hasAlternative: true, heldElsewhere: heldElsewhere, maySwitchModel: homes[i].Instance == candidate, alternativeHolds: i+1 < len(homes) && x.g.replicas.Holds(weights, homes[i+1].Address, time.Now()),
+			hasAlternative: true, heldElsewhere: heldElsewhere, maySwitchModel: homes[i].Instance == candidate, alternativeHolds: i+1 < len(homes) && x.g.holds(weights, homes[i+1].Address),
 		})
 		if a != nil {
 			return a, refusal{}, nil
@@ -94,6 +100,10 @@
 		}
 		switch {
 		case reply.Code == wire.GrantBusy:
+			if reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull {
+				x.g.spread.Widen(weights, time.Now())
+				limit = max(limit, min(limit+1, maxCrowdedAgents, len(homes)))
+			}
 			heldElsewhere = heldElsewhere || reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull || reply.Reason == wire.ReasonLoading
 			if w := time.Duration(reply.WaitMS) * time.Millisecond; soonest == nil || w < why.wait {
 				soonest, why = &homes[i], refusal{reason: "engines busy", cause: reply.Reason, wait: w}
@@ -105,11 +115,17 @@
 	return nil, why, soonest
 }
 
+// holds reports whether the engine at the address is likely to hold the weights.
+func (g *Gateway) holds(w ident.Weights, address string) bool {
+	return g.replicas.Holds(w, address, time.Now()) || slices.Contains(g.holdings.Holders(w), address)
+}
+
 // homes returns the targets to ask, in order. For a service with several base
 // models these are the holders of the requested model, followed by the candidate
 // that may switch to it.
 func (x *exchange) homes(targets []fleet.Target, w ident.Weights) (list []fleet.Target, candidate ident.Target) {
-	list = x.g.replicas.PreferCopies(w, x.g.homes(targets, w), time.Now())
+	now := time.Now()
+	list = x.g.spread.Rotate(w, x.g.replicas.PreferCopies(w, x.g.homes(targets, w), x.g.holdings.Holders(w), now), now, hash(x.q.attempt))
 	if len(x.service.Engine.Models) < 2 {
 		return list, ""
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -37,6 +37,8 @@
 	fleet     *fleet.View
 	versions  *placement.Versions
 	replicas  *placement.Replicas
+	spread    *placement.Spread
+	holdings  *placement.Holdings
 	pool      *forward.Pool
 	agents    *agentLinks
 	loads     *loadTracker
@@ -83,7 +85,7 @@
 func New(c common.Common, node platform.Node) *Gateway {
 	c = c.With("gateway")
 	return &Gateway{
-		Common: c, metrics: newMetrics(c.Metrics), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(), replicas: placement.NewReplicas(),
+		Common: c, metrics: newMetrics(c.Metrics), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
 		pool:   forward.NewPool(),
 		agents: newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort),
 		bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended,
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -13,22 +13,29 @@
 
 const (
 	// The pauses between two watches batch changes, since the platform charges for
-	// each watch. They stay well below the guaranteed delays: 2 s for the
-	// configuration and for draining targets, 5 s for adapter versions.
-	configurationPause = 100 * time.Millisecond
-	targetsPause       = 1200 * time.Millisecond
-	versionsPause      = 500 * time.Millisecond
+	// each watch. They are shares of the time within which a change has to be in
+	// force.
+	configurationPauseShare = 0.05
+	targetsPauseShare       = 0.6
+	versionsPauseShare      = 0.2
+	// maxRetryShare is the share of the shortest of these times that bounds the delay
+	// after a failed call.
+	maxRetryShare = 0.2
 	// maintenanceInterval is how often setups are sent, idle connections closed and
 	// expired targets removed.
 	maintenanceInterval = 200 * time.Millisecond
 )
 
+func share(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
+
 // followers returns the followers that keep the gateway's copy of the store up to
 // date.
 func (g *Gateway) followers(source follow.Source) []*follow.Follower {
+	bounds := g.node.Bounds
+	outage := follow.NewOutage(g.Common, share(min(bounds.Configuration, bounds.Draining, bounds.Version), maxRetryShare), func(error) { g.fleet.RecordOutage(time.Now()) })
 	return []*follow.Follower{
 		{
-			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Pause: configurationPause,
+			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Pause: share(bounds.Configuration, configurationPauseShare), Outage: outage,
 			OnList: func(list []platform.Object) {
 				for _, o := range list {
 					g.applyConfiguration(o)
@@ -41,13 +48,12 @@
 			}, nil),
 		},
 		{
-			Common: g.Common, Source: source, Kind: platform.KindTargets, Pause: targetsPause,
+			Common: g.Common, Source: source, Kind: platform.KindTargets, Pause: share(bounds.Draining, targetsPauseShare), Outage: outage,
 			OnList:    g.replaceTargets,
 			OnChanges: changeHandler(g.putTarget, func(o platform.Object) { g.fleet.Remove(ident.Target(o.Name), time.Now()) }),
-			OnError:   func(error) { g.fleet.RecordOutage(time.Now()) },
 		},
 		{
-			Common: g.Common, Source: source, Kind: platform.KindVersions, Pause: versionsPause,
+			Common: g.Common, Source: source, Kind: platform.KindVersions, Pause: share(bounds.Version, versionsPauseShare), Outage: outage,
 			OnList: func(list []platform.Object) {
 				for _, o := range list {
 					g.recordVersion(o)
@@ -143,11 +149,14 @@
 
 func (g *Gateway) replaceTargets(list []platform.Object) {
 	var targets []fleet.Target
+	addresses := make(map[string]bool, len(list))
 	for _, o := range list {
 		if t, ok := g.parseTarget(o); ok {
 			targets = append(targets, t)
+			addresses[t.Address] = true
 		}
 	}
+	g.holdings.Retain(addresses)
 	g.fleet.Replace(targets, time.Now())
 	g.markListed(platform.KindTargets)
 }
@@ -167,9 +176,16 @@
 		g.Debug("msg", "ignoring invalid target record", "revision", o.Revision, "err", err)
 		return fleet.Target{}, false
 	}
+	var held []ident.Weights
+	var models []ident.Model
+	for _, m := range i.Models {
+		held = append(held, m.Weights()...)
+		models = append(models, m.Name)
+	}
+	g.holdings.Observe(i.Address, held)
 	return fleet.Target{
 		Instance: i.Instance, Service: i.Service, Address: i.Address, Domain: i.Domain,
-		Slots: i.Slots, Draining: i.Draining, StartMS: i.StartMS, Models: fleet.ModelsOf(i.Models),
+		Slots: i.Slots, Draining: i.Draining, StartMS: i.StartMS, Models: fleet.ModelsOf(models),
 	}, true
 }
 
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -77,10 +77,10 @@
 	r.Record(weights(1, 1), homes[3].Address, start)
 	r.Record(weights(1, 1), homes[2].Address, start)
 	want := []fleet.Target{homes[2], homes[3], homes[0], homes[1], homes[4]}
-	require.Equal(t, want, r.PreferCopies(weights(1, 1), homes, start.Add(copyTTL-1)))
-	require.Equal(t, homes, r.PreferCopies(weights(1, 1), homes, start.Add(copyTTL)), "the copy may have been evicted")
-	require.Equal(t, homes, r.PreferCopies(weights(2, 1), homes, start))
-	require.Equal(t, homes, r.PreferCopies(weights(1, 2), homes, start), "a newer version would have to wait for running requests of the older one")
+	require.Equal(t, want, r.PreferCopies(weights(1, 1), homes, nil, start.Add(copyTTL-1)))
+	require.Equal(t, homes, r.PreferCopies(weights(1, 1), homes, nil, start.Add(copyTTL)), "the copy may have been evicted")
+	require.Equal(t, homes, r.PreferCopies(weights(2, 1), homes, nil, start))
+	require.Equal(t, homes, r.PreferCopies(weights(1, 2), homes, nil, start), "a newer version would have to wait for running requests of the older one")
 }
 
 // Three base models share engines that have memory for one each: requests for a model
--- a/pkg/placement/replicas.go
+++ b/pkg/placement/replicas.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,11 +54,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.seen) >= maxReplicas {
-		clear(s.seen)
+		s.prune(now)
 	}
 	s.seen[replica{w, address}] = now
 }
 
+// prune drops the records that are no longer used, or all if that leaves too many.
+func (s *replicaShard) prune(now time.Time) {
+	maps.DeleteFunc(s.seen, func(_ replica, at time.Time) bool { return now.Sub(at) >= copyTTL })
+	if len(s.seen) >= maxReplicas {
+		clear(s.seen)
+	}
+}
+
 // Holds reports whether the target at the address is likely to hold the weights.
 func (r *Replicas) Holds(w ident.Weights, address string, now time.Time) bool {
 	s := r.shard(w)
@@ -66,21 +76,26 @@
 	return seen && now.Sub(at) < holdTTL
 }
 
-// PreferCopies returns the homes, those that are likely to have a copy of the weights first,
-// and otherwise in the given order. A further copy would have to be loaded from the
-// weight store, which all engines share.
-func (r *Replicas) PreferCopies(w ident.Weights, homes []fleet.Target, now time.Time) []fleet.Target {
+// PreferCopies returns the homes, first those among the holders' addresses, then those
+// that are likely to have a copy of the weights, and otherwise in the given order. A
+// further copy would have to be loaded from the weight store, which all engines
+// share.
+func (r *Replicas) PreferCopies(w ident.Weights, homes []fleet.Target, holders []string, now time.Time) []fleet.Target {
 	s := r.shard(w)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	withCopy := make([]fleet.Target, 0, len(homes))
-	var rest []fleet.Target
+	out := make([]fleet.Target, 0, len(homes))
+	var copies, rest []fleet.Target
 	for _, t := range homes {
-		if at, seen := s.seen[replica{w, t.Address}]; seen && now.Sub(at) < copyTTL {
-			withCopy = append(withCopy, t)
-			continue
+		at, seen := s.seen[replica{w, t.Address}]
+		switch {
+		case slices.Contains(holders, t.Address):
+			out = append(out, t)
+		case seen && now.Sub(at) < copyTTL:
+			copies = append(copies, t)
+		default:
+			rest = append(rest, t)
 		}
-		rest = append(rest, t)
 	}
-	return append(withCopy, rest...)
+	return append(append(out, copies...), rest...)
 }
