--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -120,13 +120,16 @@
 // Setup applies the engine's configuration unless it is older than the current one.
 // The name that the running engine has reported itself takes precedence over the
 // setup's: an entry that is behind may send that of an engine that has left.
-func (s *Scheduler) Setup(setup wire.EngineSetup) {
+// It reports whether it has renamed the engine or applied its first setup.
+func (s *Scheduler) Setup(setup wire.EngineSetup) bool {
+	instance, first := s.instance, s.setup.Instance == ""
 	if s.instance == "" || setup.Instance != s.setup.Instance && !s.identified() {
 		s.instance = setup.Instance
 	}
 	if setup.Configuration >= s.setup.Configuration || setup.Instance != s.setup.Instance {
 		s.setup = setup
 	}
+	return first || s.instance != instance
 }
 
 // Unidentified reports whether the engine has restarted since it last reported
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -111,11 +111,11 @@
 	}
 	o.entries.add(stream.Conn())
 	o.mu.Lock()
-	changed := o.scheduler.Instance() != s.Instance
-	o.scheduler.Setup(s)
+	changed := o.scheduler.Setup(s)
+	instance := o.scheduler.Instance()
 	o.mu.Unlock()
 	if changed {
-		o.Info("msg", "engine configured", "instance", s.Instance, "service", s.Service, "configuration", s.Configuration)
+		o.Info("msg", "engine configured", "instance", instance, "listed", s.Instance, "service", s.Service, "configuration", s.Configuration)
 	}
 	o.signal()
 	return nil
