--- a/pkg/retry/entrycount.go
+++ b/pkg/retry/entrycount.go
@@ -18,7 +18,7 @@
 const (
 	// defaultEntryCount is assumed before any agent has reported. It exceeds the size of
 	// most fleets, so that entries that start together stay within the budget.
-	defaultEntryCount = 32
+	defaultEntryCount = 128
 	// minEntryCount allows for one entry that no agent knows yet.
 	minEntryCount = 2
 	// countPeriod is the time for which a count is used at least. It equals the default
