--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -51,6 +51,9 @@
 	{"target-mute", false, 4 * time.Second, targetFault(standin.WorkerFaults{NoResponseShare: 0.3})},
 	{"target-sheds", false, 4 * time.Second, targetFault(standin.WorkerFaults{ShedShare: 0.4})},
 	{"target-answers-twice", false, 4 * time.Second, targetFault(standin.WorkerFaults{DuplicateShare: 0.3})},
+	{"target-answers-late-twice", false, 4 * time.Second, targetFault(standin.WorkerFaults{LateCopyShare: 0.3})},
+	{"target-sends-without-end", false, 3 * time.Second, targetFault(standin.WorkerFaults{EndlessShare: 0.15})},
+	{"target-clock-jumps", false, 6 * time.Second, jumpTargetClock},
 	{"target-replaced", true, 4500 * time.Millisecond, replaceTarget},
 	{"configuration-changes", true, 0, changeConfiguration},
 	{"version-announced", true, 0, announceVersion},
@@ -144,6 +147,35 @@
 	}
 }
 
+// jumpTargetClock moves the wall clock of a target's VM ahead or back, and restarts the
+// target, so that its start time contradicts the order of the starts at its address.
+func jumpTargetClock(d *deployment, random *rand.Rand) (func() error, error) {
+	t := randomTarget(d, random)
+	offset := maxClockJump
+	if random.IntN(2) == 0 {
+		offset = -maxClockJump
+	}
+	if !t.stopping.CompareAndSwap(false, true) {
+		return nil, errTargetStopping
+	}
+	name := string(t.Instance())
+	if err := t.server.Close(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	t.SetClockOffset(offset)
+	if err := d.restartTarget(t); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return func() error {
+		t.SetClockOffset(0)
+		d.store.Withdraw(platform.KindTargets, name) // its record outlives it by a while
+		return nil
+	}, nil
+}
+
+// maxClockJump is how far a clock jumps.
+const maxClockJump = 30 * time.Second
+
 // errTargetStopping means that the fault cannot be injected: the picked target is
 // already down or draining.
 const errTargetStopping = errors.ConstError("target is already down or draining")
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -39,6 +39,10 @@
 	NoResponseShare float64 // of requests that run but get no response
 	ShedShare       float64 // of requests that are rejected as not run
 	DuplicateShare  float64 // of responses that are sent twice
+	// LateCopyShare is the share of responses of which a second copy is sent when the
+	// connection may be in use again.
+	LateCopyShare float64
+	EndlessShare  float64 // of responses that go on without end, in the head or the body
 }
 
 // WorkerEventKind is the kind of a worker's event.
@@ -83,6 +87,7 @@
 	running     map[ident.Attempt]bool
 	faults      WorkerFaults
 	draining    bool
+	clockOffset time.Duration
 }
 
 type heldAdapter struct {
@@ -104,7 +109,7 @@
 	defer w.mu.Unlock()
 	w.starts++
 	w.instance = ident.Target(string(w.Service) + "-" + strconv.FormatUint(w.Seed, 10) + "-" + strconv.Itoa(w.starts))
-	w.startMS, w.sequence, w.busy, w.modelLoaded, w.draining = time.Now().UnixMilli(), 0, false, false, false
+	w.startMS, w.sequence, w.busy, w.modelLoaded, w.draining = time.Now().Add(w.clockOffset).UnixMilli(), 0, false, false, false
 	w.held, w.pending = make(map[ident.Adapter]*heldAdapter), make(map[ident.Adapter]ident.Version)
 	w.running = make(map[ident.Attempt]bool)
 }
@@ -123,6 +128,14 @@
 	w.faults = f
 }
 
+// SetClockOffset sets how far the wall clock of the worker's VM is off. The start times
+// that the worker reports later follow it.
+func (w *Worker) SetClockOffset(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clockOffset = d
+}
+
 // SetDraining sets whether the worker announces that it is draining.
 func (w *Worker) SetDraining(d bool) {
 	w.mu.Lock()
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -136,13 +138,75 @@
 	switch {
 	case w.drawFault(faults.NoResponseShare):
 		<-r.Context().Done()
+	case w.drawFault(faults.EndlessShare):
+		w.sendWithoutEnd(out, req)
 	case w.drawFault(faults.FailShare):
 		out.WriteHeader(http.StatusInternalServerError)
 	case req.events > 0:
 		w.stream(out, r, req, w.drawFault(faults.TruncateShare))
 	default:
 		w.sendResponse(out, req, faults)
+		if w.drawFault(faults.LateCopyShare) {
+			sendLateCopy(r, req)
+		}
+	}
+}
+
+// plainResponse returns a complete plain response to the attempt.
+func plainResponse(attempt ident.Attempt) string {
+	body := WorkerBody(attempt)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		platform.HeaderAttempt, attempt, platform.HeaderSignature, WorkerSignature(attempt), len(body), body)
+}
+
+// lateCopyDelay is the longest time until a late copy. Connections are used again
+// sooner than that.
+const lateCopyDelay = 50 * time.Millisecond
+
+// sendLateCopy sends a second copy of the response some time later, on the same
+// connection, whatever that carries by then.
+func sendLateCopy(r *http.Request, req workerRequest) {
+	conn, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
+		return
 	}
+	time.AfterFunc(rand.N(lateCopyDelay), func() {
+		_, _ = io.WriteString(conn, plainResponse(req.attempt)) // fails if the caller has disconnected
+	})
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// sendWithoutEnd sends bytes that are no response until the caller disconnects: a head
+// without end, or a body or an event without end.
+func (w *Worker) sendWithoutEnd(out http.ResponseWriter, req workerRequest) {
+	conn := hijack(out)
+	if conn == nil {
+		return
+	}
+	defer conn.Close()
+	start := "HTTP/1.1 200 OK\r\nX-Filler: "
+	if w.drawFault(0.5) {
+		start = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\n", platform.HeaderAttempt, req.attempt, platform.HeaderSignature, WorkerSignature(req.attempt))
+	}
+	_, err := io.WriteString(conn, start)
+	for filler := strings.Repeat("x", 4<<10); err == nil; {
+		_, err = io.WriteString(conn, filler)
+	}
+}
+
+// hijack takes over the connection of a response. It returns nil if it cannot.
+func hijack(out http.ResponseWriter) net.Conn {
+	hijacker, ok := out.(http.Hijacker)
+	if !ok {
+		return nil
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return nil
+	}
+	return conn
 }
 
 // sendResponse sends a plain response.
@@ -153,17 +217,12 @@
 		_, _ = io.WriteString(out, body) // fails if the caller disconnects
 		return
 	}
-	hijacker, ok := out.(http.Hijacker)
-	if !ok {
-		return
-	}
-	conn, _, err := hijacker.Hijack()
-	if err != nil {
+	conn := hijack(out)
+	if conn == nil {
 		return
 	}
 	defer conn.Close()
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-		platform.HeaderAttempt, req.attempt, platform.HeaderSignature, WorkerSignature(req.attempt), len(body), body)
+	response := plainResponse(req.attempt)
 	if w.drawFault(faults.TruncateShare) {
 		response = response[:len(response)-len(body)/2]
 	}
@@ -208,7 +267,7 @@
 
 // Serve serves the worker on the listener until the server is closed.
 func (w *Worker) Serve(l net.Listener) *http.Server {
-	server := &http.Server{Handler: w}
+	server := &http.Server{Handler: w, ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 	go func() { _ = server.Serve(l) }() // ends when the server is closed
 	return server
 }
