--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -70,8 +70,9 @@
 	// missing maps each target that left the list around an outage to the time at
 	// which it is removed from the view if it is not listed again.
 	missing map[ident.Target]time.Time
-	// lastOutage is the last time that the store was unreachable.
-	lastOutage time.Time
+	// lastOutage is the last time that the store was unreachable, and firstList the
+	// time of the first complete list.
+	lastOutage, firstList time.Time
 	// contradicted holds targets whose address answered that it is another target's.
 	contradicted map[ident.Target]bool
 	services     map[ident.Service][]Target
@@ -110,6 +111,9 @@
 func (v *View) Replace(list []Target, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.firstList.IsZero() {
+		v.firstList = now
+	}
 	listed := make(map[ident.Target]bool, len(list))
 	for _, t := range list {
 		listed[t.Instance] = true
@@ -229,6 +233,14 @@
 	return v.services[s]
 }
 
+// Settling reports whether live targets may be missing from the list: the store may
+// have been unreachable until just before the first list, or it was since.
+func (v *View) Settling(now time.Time) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return now.Sub(v.firstList) < relistGrace || now.Sub(v.lastOutage) < relistGrace
+}
+
 // Usable reports whether a target may still receive requests.
 func (v *View) Usable(t Target) bool {
 	v.mu.RLock()
--- a/pkg/forward/exchange_test.go
+++ b/pkg/forward/exchange_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -53,3 +55,18 @@
 		})
 	}
 }
+
+// docs/settings.md tells the limits of targets' responses.
+func TestSettingsPageTellsResponseLimits(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	require.NoError(t, err)
+	for _, row := range []string{
+		fmt.Sprintf("| head of a response | %d |", readBufferBytes),
+		fmt.Sprintf("| informational heads before it | %d heads |", maxInformational),
+		fmt.Sprintf("| responses to earlier requests before it | %d responses of %d |", maxStrayResponses, maxStrayBytes),
+		fmt.Sprintf("| body of a request that was not run | %d |", maxStrayBytes),
+		fmt.Sprintf("| trailer of a chunked body | %d lines |", maxTrailerLines),
+	} {
+		require.Contains(t, string(page), row)
+	}
+}
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -32,7 +32,7 @@
 // acquire returns an assignment to one of the service's eligible targets. It calls
 // grant for a target that needs one.
 func (x *exchange) acquire(grant func([]fleet.Target) (*assignment, refusal)) (*assignment, refusal) {
-	targets := x.g.eligibleTargets(x.service.Name, x.excluded)
+	targets := x.awaitTargets()
 	if len(targets) == 0 {
 		return nil, refusal{reason: "no target", wait: noTargetRetryAfter}
 	}
@@ -42,6 +42,33 @@
 	return grant(targets)
 }
 
+const (
+	// targetPollInterval is how often a request that has no target looks for one.
+	targetPollInterval = 50 * time.Millisecond
+	// targetWaitShare is the share of the remaining time that a request waits for a
+	// target to be listed. The rest has to suffice to serve it.
+	targetWaitShare = 0.4
+)
+
+// awaitTargets returns the service's eligible targets. If there are none while live
+// targets may be missing from the list (load pattern: all processes start right after
+// an outage of the store, and callers have used up their retries), it waits for one.
+func (x *exchange) awaitTargets() []fleet.Target {
+	until := time.Now().Add(min(x.maxGrantWait(), time.Duration(targetWaitShare*float64(x.remaining()))))
+	for {
+		targets := x.g.eligibleTargets(x.service.Name, x.excluded)
+		now := time.Now()
+		if len(targets) > 0 || len(x.excluded) > 0 || !x.g.fleet.Settling(now) || !now.Before(until) {
+			return targets
+		}
+		select {
+		case <-x.ctx.Done():
+			return nil
+		case <-time.After(targetPollInterval):
+		}
+	}
+}
+
 // noTargetRetryAfter is the Retry-After time when no target is available: about one
 // update interval of the target list.
 const noTargetRetryAfter = time.Second
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -245,6 +245,34 @@
 	})
 }
 
+// All processes start right after an outage of the store, whose list of targets is
+// empty: requests wait for the targets to be listed again. Later, or for longer, they
+// are refused.
+func TestRequestWaitsForTargetsToBeListedAgain(t *testing.T) {
+	list := []fleet.Target{{Instance: "p-1", Service: plainService, Address: "10.0.0.1:1"}}
+	for _, test := range []struct {
+		name                 string
+		startedFor, listedIn time.Duration
+		status               int
+	}{
+		{"listed soon", 0, 300 * time.Millisecond, 200},
+		{"listed too late for the request", 0, 700 * time.Millisecond, 503},
+		{"long after the start", 5 * time.Second, 300 * time.Millisecond, 503},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testHarness(t, func(t *testing.T, h *harness) {
+				h.fleet = fleet.New()
+				h.fleet.Replace(nil, time.Now())
+				time.Sleep(test.startedFor)
+				time.AfterFunc(test.listedIn, func() { h.fleet.Replace(list, time.Now()) })
+				h.script(respond(200, "yes"))
+				res := h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+				require.Equal(t, test.status, res.StatusCode)
+			})
+		})
+	}
+}
+
 func TestDrainingTargetGetsNoRequests(t *testing.T) {
 	testHarness(t, func(t *testing.T, h *harness) {
 		h.fleet.Put(fleet.Target{Instance: "p-1", Service: plainService, Address: "10.0.0.1:1", Draining: true})
--- a/pkg/settings/reference.go
+++ b/pkg/settings/reference.go
@@ -26,9 +26,33 @@
 	fmt.Fprint(out, "# Settings\n\nJSON with comments. Made from the code by `hyssoproad-bench settings-reference`.\n")
 	r.program("hyssoproad-entry", reflect.ValueOf(DefaultEntry()))
 	r.program("hyssoproad-agent", reflect.ValueOf(DefaultAgent()))
+	r.printf("%s", responseLimits)
 	return errors.Trace(r.err)
 }
 
+// responseLimits tells the limits of pkg/gateway, pkg/forward and platform, which are no
+// settings. Tests there compare it with their constants.
+const responseLimits = `
+## Limits of targets' responses on the users' platform
+
+hyssoproad-gateway and hyssoproad-orderer read the platform's settings file, whose
+fields the platform defines. These limits are constants. A response beyond one is a
+failure of its target, and its connection is closed.
+
+| what | bytes | time |
+|---|---|---|
+| head of a response | 4096 | the request's deadline; if another target may take the request, 2 latency objectives, at least 300 ms, then again and again until one does |
+| informational heads before it | 8 heads | as the head |
+| responses to earlier requests before it | 2 responses of 65536 | as the head |
+| body of a request that was not run | 65536 | as the head |
+| trailer of a chunked body | 32 lines | as the body |
+| body that is not a stream | 16777216; beyond 65536 all such bodies share an eighth of the VM's memory | the request's deadline |
+| event of a stream | 131072 | the request's deadline; if the stream can resume, 4 pause objectives without a whole event, at least 800 ms, then again and again until another target takes it |
+| engine's answer to its orderer, head | 8192 | 400 ms, for an order 100 ms |
+| engine's answer to its orderer, body | 262144 | 400 ms, for an order 100 ms |
+| page of a list of the store | 8388608 | 2 s, for a watch its wait and 2 s |
+`
+
 type reference struct {
 	out      io.Writer
 	comments map[string]string // by Type.Field
