A place reserved for a stalled stream is given back; the directory forgets engines that left

Found by reading: a request that ended between the grant elsewhere and the resumption kept the place there until the link closed. TestPlaceForAStalledStreamIsGivenBack fails without the release.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -249,6 +249,17 @@
 	return known && !current.Draining && current.Service == t.Service && current.Address == t.Address
 }
 
+// Addresses returns the addresses of the known targets, including draining ones.
+func (v *View) Addresses() map[string]bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	out := make(map[string]bool, len(v.targets))
+	for _, t := range v.targets {
+		out[t.Address] = true
+	}
+	return out
+}
+
 // Size returns the number of known targets, including draining ones.
 func (v *View) Size() int {
 	v.mu.RLock()
--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -25,6 +25,7 @@
 	mu       sync.Mutex
 	links    []*link.Conn
 	requests []string // addresses of the agents that were asked, in order
+	open     int      // grants that have not ended
 }
 
 func testAgentHarness(t *testing.T, f func(t *testing.T, h *agentHarness)) {
@@ -68,7 +69,13 @@
 	require.NoError(h.t, err)
 	h.mu.Lock()
 	h.requests = append(h.requests, address)
+	h.open++
 	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.open--
+	}()
 	if err := s.Conn().Ping(); err != nil {
 		return err
 	}
--- a/pkg/gateway/disruption_test.go
+++ b/pkg/gateway/disruption_test.go
@@ -215,6 +215,35 @@
 	}
 }
 
+// The caller leaves at the moment at which another target has granted a stalled stream:
+// the place there is given back.
+func TestPlaceForAStalledStreamIsGivenBack(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.script(func(w net.Conn, _ receivedRequest) bool {
+			_, _ = io.WriteString(w, streamHead+chunk(events(1, 1)))
+			time.Sleep(time.Minute)
+			return false
+		})
+		c := h.connect()
+		h.suspended = func() time.Duration {
+			if h.grantRequests() == 2 { // the gateway has just received the second grant
+				_ = c.Close()
+				time.Sleep(time.Millisecond)
+			}
+			return 0
+		}
+		go func() {
+			_, _ = io.WriteString(c, strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+			_, _ = io.Copy(io.Discard, c)
+		}()
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 2, h.grantRequests())
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		require.Zero(t, h.open)
+	})
+}
+
 // Case: a machine that is only silent. The link to the agent breaks, and the target
 // leaves the store's list, while a request runs: it runs to its end, once.
 func TestRunningRequestSurvivesASilentMachine(t *testing.T) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -147,6 +147,7 @@
 // run sends the request to targets until the caller has a response. It reports
 // whether the connection can be used further.
 func (x *exchange) run() bool {
+	defer x.releaseReserved()
 	for {
 		assigned, refusal := x.nextAssignment()
 		if assigned == nil {
@@ -187,6 +188,13 @@
 	return x.acquireAssignment()
 }
 
+// releaseReserved releases a reserved assignment that was not used.
+func (x *exchange) releaseReserved() {
+	if x.reserved != nil {
+		x.reserved.release()
+	}
+}
+
 // retryRefusal is the refusal of a request that its target did not run and that may
 // not be sent to another one.
 func (x *exchange) retryRefusal() refusal {
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -50,7 +50,7 @@
 		{
 			Common: g.Common, Source: source, Kind: platform.KindTargets, Pause: share(bounds.Draining, targetsPauseShare), Outage: outage,
 			OnList:    g.replaceTargets,
-			OnChanges: changeHandler(g.putTarget, func(o platform.Object) { g.fleet.Remove(ident.Target(o.Name), time.Now()) }),
+			OnChanges: changeHandler(g.putTarget, g.removeTarget),
 		},
 		{
 			Common: g.Common, Source: source, Kind: platform.KindVersions, Pause: share(bounds.Version, versionsPauseShare), Outage: outage,
@@ -149,22 +149,25 @@
 
 func (g *Gateway) replaceTargets(list []platform.Object) {
 	var targets []fleet.Target
-	addresses := make(map[string]bool, len(list))
 	for _, o := range list {
 		if t, ok := g.parseTarget(o); ok {
 			targets = append(targets, t)
-			addresses[t.Address] = true
 		}
 	}
-	g.holdings.Retain(addresses)
 	g.fleet.Replace(targets, time.Now())
+	g.holdings.Retain(g.fleet.Addresses())
 	g.markListed(platform.KindTargets)
 }
 
+func (g *Gateway) removeTarget(o platform.Object) {
+	g.fleet.Remove(ident.Target(o.Name), time.Now())
+	g.holdings.Retain(g.fleet.Addresses())
+}
+
 func (g *Gateway) putTarget(o platform.Object) {
 	t, ok := g.parseTarget(o)
 	if !ok {
-		g.fleet.Remove(ident.Target(o.Name), time.Now())
+		g.removeTarget(o)
 		return
 	}
 	g.fleet.Put(t)
