--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -307,6 +307,10 @@
 	return x.c.writeError(status, "timed out, outcome "+result, 0) == nil
 }
 
+// muteObjectives is the number of latency objectives after which a target that has not
+// answered by the deadline counts as failed.
+const muteObjectives = 4
+
 // attemptStep is a step of a send to a target, for the log.
 type attemptStep struct {
 	target ident.Target
@@ -329,11 +333,11 @@
 	x.last = attemptStep{target: a.target.Instance, step: step}
 }
 
-// fail records and logs the failure of a step, unless the request has timed out or its
-// caller has disconnected.
+// fail records and logs the failure of a step, unless the caller has disconnected or
+// the request has timed out too soon to blame the target.
 func (x *exchange) fail(a *assignment, step string, err error) {
 	x.last = attemptStep{target: a.target.Instance, step: step, err: err}
-	if x.expired() {
+	if x.callerDisconnected() || x.expired() && (step != stepAnswer || time.Since(x.began) < muteObjectives*x.route.Objective) {
 		return
 	}
 	ejected := x.g.detector(a.target.Service).Record(a.target.Instance, true, time.Now())
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -152,6 +152,35 @@
 	})
 }
 
+// A target has turned mute (load pattern: requests that must not be repeated wait for it
+// until their deadline). After a few of them the other target gets the requests.
+func TestMuteTargetIsEjected(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		answers := func(w net.Conn, call receivedRequest) bool {
+			if call.Address == "10.0.0.1:1" {
+				time.Sleep(time.Minute)
+				return false
+			}
+			return respond(200, "yes")(w, call)
+		}
+		var replies []reply
+		for range 100 {
+			replies = append(replies, answers)
+		}
+		h.script(replies...)
+		h.fleet.Put(fleet.Target{Instance: "p-3", Service: plainService, Address: "10.0.0.5:1"})
+		timedOut := 0
+		for i := range 60 {
+			raw := strings.Replace(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"), "a-1", fmt.Sprint("a-", i), 1)
+			if h.send(raw).StatusCode == 504 {
+				timedOut++
+			}
+		}
+		require.Positive(t, timedOut)
+		require.LessOrEqual(t, timedOut, 10)
+	})
+}
+
 // The route's timeout ends a request even if its caller would wait longer.
 func TestRouteTimeoutEndsRequest(t *testing.T) {
 	testHarness(t, func(t *testing.T, h *harness) {
