--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,10 +102,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 		defer cancel()
-		began, failures := time.Now(), 0
+		began := time.Now()
+		var failures atomic.Int64
 		down := func() bool { since := time.Since(began); return since > 5*time.Second && since < 10*time.Second }
 		recovered := make([]time.Duration, len(kinds))
-		outage := NewOutage(common.Discard(), maxDelay, func(error) { failures++ })
+		outage := NewOutage(common.Discard(), maxDelay, func(error) { failures.Add(1) })
 		var running sync.WaitGroup
 		for i, kind := range kinds {
 			f := &Follower{
@@ -135,7 +137,7 @@
 			require.Greater(t, at, 10*time.Second)
 			require.Less(t, at, 10*time.Second+2*maxDelay)
 		}
-		require.Less(t, failures, 30)
+		require.Less(t, failures.Load(), int64(30))
 	})
 }
 
--- a/pkg/follow/outage.go
+++ b/pkg/follow/outage.go
@@ -31,7 +31,7 @@
 
 // NewOutage returns the state of a store without failures. maxDelay bounds the delay
 // between two retries before jitter. onError is called with the error of each failed
-// call.
+// call, also concurrently.
 func NewOutage(c common.Common, maxDelay time.Duration, onError func(error)) *Outage {
 	return &Outage{Common: c, maxDelay: maxDelay, onError: onError, backoff: minRetryDelay, changed: make(chan struct{})}
 }
