--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -48,7 +48,8 @@
 	listed := false
 	var from platform.Revision
 	for ctx.Err() == nil {
-		if f.Outage.await(ctx) {
+		probe := f.Outage.await(ctx)
+		if probe {
 			listed = false // a watch could last long
 		}
 		var err error
@@ -62,16 +63,16 @@
 		switch {
 		case errors.Is(err, platform.ErrHistoryGone):
 			f.Info("msg", "history not available; listing again", "kind", f.Kind, "revision", from)
-			f.Outage.record(f.Kind, nil)
+			f.Outage.record(f.Kind, probe, nil)
 			listed, pause = false, 0
 		case err != nil:
 			// A store that cuts off watches may have withheld changes from them,
 			// and may serve later watches from old history. Only a list is
 			// reliable.
-			f.Outage.record(f.Kind, err)
+			f.Outage.record(f.Kind, probe, err)
 			listed, pause = false, 0
 		default:
-			f.Outage.record(f.Kind, nil)
+			f.Outage.record(f.Kind, probe, nil)
 		}
 		sleep(ctx, pause)
 	}
--- a/pkg/follow/outage.go
+++ b/pkg/follow/outage.go
@@ -65,8 +65,9 @@
 	return false
 }
 
-// record records the result of a call.
-func (o *Outage) record(kind platform.Kind, err error) {
+// record records the result of a call, and whether that was the one that the other
+// followers wait for.
+func (o *Outage) record(kind platform.Kind, probe bool, err error) {
 	if err != nil {
 		o.onError(err)
 	}
@@ -83,5 +84,8 @@
 		close(o.changed)
 		o.changed = make(chan struct{})
 	}
-	o.failing, o.retrying = err != nil, false
+	o.failing = err != nil
+	if probe {
+		o.retrying = false
+	}
 }
