--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
@@ -246,104 +243,6 @@
 // callerDisconnected reports whether the caller has closed its connection.
 func (x *exchange) callerDisconnected() bool { return context.Cause(x.ctx) == errCallerDisconnected }
 
-// finishUnserved ends a request for which no target returned a complete response.
-func (x *exchange) finishUnserved(why refusal) bool {
-	if x.callerDisconnected() {
-		return false
-	}
-	if x.streamStarted {
-		x.g.metrics.abortedStreams.Inc(1)
-		// The body is left unterminated, so that the caller cannot mistake it for
-		// complete.
-		x.logFailed("stream aborted", "unfinished", 0)
-		return false
-	}
-	if x.failedResponse != nil {
-		return x.deliverFailure()
-	}
-	if x.runs > 0 {
-		x.logFailed("request failed", "unknown", fasthttp.StatusBadGateway)
-		return x.c.writeError(fasthttp.StatusBadGateway, "target failed, outcome unknown", 0) == nil
-	}
-	x.g.metrics.refused.Inc(1)
-	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "forecast", why.wait, "sends", x.sends, "target", x.last.target, "step", x.last.step, "after", time.Since(x.began))
-	return x.c.writeError(fasthttp.StatusServiceUnavailable, why.reason, x.g.addJitter(max(why.wait, minRetryAfter))) == nil
-}
-
-// deliverFailure forwards the error response of a target.
-func (x *exchange) deliverFailure() bool {
-	x.logFailed("request failed", "failed", x.failedResponse.Status)
-	return x.c.writeResponse(x.failedResponse, x.failedBody, x.q.method) == nil
-}
-
-// logFailed logs the last row of a request that was sent to a target and failed. A
-// status of 0 means that the response ends without its end.
-func (x *exchange) logFailed(msg, outcome string, status int) {
-	x.g.Info("msg", msg, "request", x.q.attempt, "service", x.service.Name, "target", x.last.target, "step", x.last.step, "err", x.last.err,
-		"outcome", outcome, "status", status, "sends", x.sends, "last-event", x.lastEvent, "after", time.Since(x.began))
-}
-
-// minRetryAfter is the least Retry-After time of a refused request.
-const minRetryAfter = 200 * time.Millisecond
-
-// finishTimedOut ends a request that timed out or whose caller disconnected.
-func (x *exchange) finishTimedOut(o outcome) bool {
-	if x.callerDisconnected() {
-		return false
-	}
-	if x.failedResponse != nil && !x.streamStarted {
-		return x.deliverFailure()
-	}
-	x.g.metrics.timedOut.Inc(1)
-	status, result := fasthttp.StatusServiceUnavailable, "not-run"
-	if x.runs > 0 || o == outcomeUnknown {
-		status, result = fasthttp.StatusGatewayTimeout, "unknown"
-	}
-	if x.streamStarted {
-		x.logFailed("stream timed out", "unfinished", 0)
-		return false
-	}
-	x.logFailed("timed out", result, status)
-	return x.c.writeError(status, "timed out, outcome "+result, 0) == nil
-}
-
-// muteObjectives is the number of latency objectives after which a target that has not
-// answered by the deadline counts as failed.
-const muteObjectives = 4
-
-// attemptStep is a step of a send to a target, for the log.
-type attemptStep struct {
-	target ident.Target
-	step   string
-	err    error
-}
-
-// The steps of a send.
-const (
-	stepDial   = "dial"
-	stepSend   = "send"
-	stepAnswer = "answer"
-	stepStatus = "status"
-	stepBody   = "body"
-	stepStream = "stream"
-)
-
-// begin records the step that is taken next.
-func (x *exchange) begin(a *assignment, step string) {
-	x.last = attemptStep{target: a.target.Instance, step: step}
-}
-
-// fail records and logs the failure of a step, unless the caller has disconnected or
-// the request has timed out too soon to blame the target.
-func (x *exchange) fail(a *assignment, step string, err error) {
-	x.last = attemptStep{target: a.target.Instance, step: step, err: err}
-	if x.callerDisconnected() || x.expired() && (step != stepAnswer || time.Since(x.began) < muteObjectives*x.route.Objective) {
-		return
-	}
-	ejected := x.g.detector(a.target.Service).Record(a.target.Instance, true, time.Now())
-	x.g.Info("msg", "target failed", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", step, "err", err, "passed-over", ejected)
-}
-
 // sendOnce sends the request to the assigned target once.
 func (x *exchange) sendOnce(a *assignment) outcome {
 	maxIdle := forward.MaxIdle
@@ -411,103 +310,6 @@
 	minFirstByteWait    = 300 * time.Millisecond
 )
 
-// handleResponse forwards a response to the caller, or classifies it as a failure.
-func (x *exchange) handleResponse(a *assignment, res *forward.Response, sent time.Time) outcome {
-	if load, ok := platform.ParseLoad([]byte(res.Value(platform.HeaderLoad))); ok {
-		x.g.loads.record(a.target.Instance, load, time.Now())
-	}
-	if res.Status == fasthttp.StatusMisdirectedRequest || res.Value(platform.HeaderNotExecuted) != "" {
-		x.logNotRun(a, res)
-		x.finish(res, res.Discard())
-		return outcomeNotRun
-	}
-	if res.Status < 300 && res.Value(platform.HeaderSignature) == "" {
-		x.finish(res, forward.ErrInvalidResponse)
-		x.fail(a, stepAnswer, errors.Annotate(forward.ErrInvalidResponse, "missing signature"))
-		return outcomeUnknown
-	}
-	if x.route.RetryPolicy == platform.RunStream && res.Status < 300 {
-		return x.forwardStream(a, res, sent)
-	}
-	x.begin(a, stepBody)
-	body, err := x.readBody(res)
-	defer x.g.bodies.release(cap(body))
-	x.finish(res, err)
-	if err != nil {
-		x.fail(a, stepBody, err)
-		return outcomeUnknown
-	}
-	if res.Status >= 500 {
-		x.fail(a, stepStatus, errors.Errorf("status %d", res.Status))
-		if x.streamStarted {
-			return outcomeUnknown
-		}
-		x.failedResponse, x.failedBody = res, bytes.Clone(body)
-		return outcomeFailed
-	}
-	x.g.recordSuccess(a.target)
-	if x.streamStarted {
-		return outcomeUnknown // the target did not resume the stream
-	}
-	if err := x.c.writeResponse(res, body, x.q.method); err != nil {
-		x.c.closeAfterResponse = true
-	}
-	return outcomeDelivered
-}
-
-// logNotRun logs that a target did not run the request.
-func (x *exchange) logNotRun(a *assignment, res *forward.Response) {
-	x.g.Info("msg", "target did not run the request", "request", x.q.attempt, "target", a.target.Instance, "status", res.Status, "version", a.version)
-	if res.Status == fasthttp.StatusMisdirectedRequest && x.g.fleet.Contradict(a.target) {
-		x.g.Info("msg", "another target has this address", "target", a.target.Instance, "address", a.target.Address)
-	}
-}
-
-// finish returns the connection to the pool, or closes it after an error.
-func (x *exchange) finish(res *forward.Response, err error) {
-	if err != nil {
-		res.Close()
-		return
-	}
-	x.g.pool.Release(res)
-}
-
-const (
-	// maxResponseBytes bounds a response that is buffered before it is forwarded.
-	maxResponseBytes = 16 << 20
-	firstBodyBytes   = 4 << 10
-)
-
-// readBody reads a complete body. The caller releases the buffer's capacity to the
-// body buffers, also after an error.
-func (x *exchange) readBody(res *forward.Response) ([]byte, error) {
-	res.SetReadDeadline(x.deadline)
-	if res.Length() > maxResponseBytes {
-		return nil, errors.Annotatef(forward.ErrInvalidResponse, "response of %d bytes exceeds %d", res.Length(), maxResponseBytes)
-	}
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			larger, ok := x.g.bodies.grow(body, res.Length())
-			if !ok {
-				return body, errors.Annotatef(forward.ErrInvalidResponse, "no memory for more than %d bytes of the response", len(body))
-			}
-			body = larger
-		}
-		n, err := res.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return body, errors.Wrap(err, forward.ErrInvalidResponse)
-		}
-		if len(body) > maxResponseBytes {
-			return body, errors.Annotatef(forward.ErrInvalidResponse, "response exceeds %d bytes", maxResponseBytes)
-		}
-	}
-}
-
 // refusal is the reason why no target takes a request, and when to retry.
 type refusal struct {
 	reason string
--- /dev/null
+++ b/pkg/gateway/finish.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+)
+
+// finishUnserved ends a request for which no target returned a complete response.
+func (x *exchange) finishUnserved(why refusal) bool {
+	if x.callerDisconnected() {
+		return false
+	}
+	if x.streamStarted {
+		x.g.metrics.abortedStreams.Inc(1)
+		// The body is left unterminated, so that the caller cannot mistake it for
+		// complete.
+		x.logFailed("stream aborted", "unfinished", 0)
+		return false
+	}
+	if x.failedResponse != nil {
+		return x.deliverFailure()
+	}
+	if x.runs > 0 {
+		x.logFailed("request failed", "unknown", fasthttp.StatusBadGateway)
+		return x.c.writeError(fasthttp.StatusBadGateway, "target failed, outcome unknown", 0) == nil
+	}
+	x.g.metrics.refused.Inc(1)
+	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "forecast", why.wait, "sends", x.sends, "target", x.last.target, "step", x.last.step, "after", time.Since(x.began))
+	return x.c.writeError(fasthttp.StatusServiceUnavailable, why.reason, x.g.addJitter(max(why.wait, minRetryAfter))) == nil
+}
+
+// deliverFailure forwards the error response of a target.
+func (x *exchange) deliverFailure() bool {
+	x.logFailed("request failed", "failed", x.failedResponse.Status)
+	return x.c.writeResponse(x.failedResponse, x.failedBody, x.q.method) == nil
+}
+
+// logFailed logs the last row of a request that was sent to a target and failed. A
+// status of 0 means that the response ends without its end.
+func (x *exchange) logFailed(msg, outcome string, status int) {
+	x.g.Info("msg", msg, "request", x.q.attempt, "service", x.service.Name, "target", x.last.target, "step", x.last.step, "err", x.last.err,
+		"outcome", outcome, "status", status, "sends", x.sends, "last-event", x.lastEvent, "after", time.Since(x.began))
+}
+
+// minRetryAfter is the least Retry-After time of a refused request.
+const minRetryAfter = 200 * time.Millisecond
+
+// finishTimedOut ends a request that timed out or whose caller disconnected.
+func (x *exchange) finishTimedOut(o outcome) bool {
+	if x.callerDisconnected() {
+		return false
+	}
+	if x.failedResponse != nil && !x.streamStarted {
+		return x.deliverFailure()
+	}
+	x.g.metrics.timedOut.Inc(1)
+	status, result := fasthttp.StatusServiceUnavailable, "not-run"
+	if x.runs > 0 || o == outcomeUnknown {
+		status, result = fasthttp.StatusGatewayTimeout, "unknown"
+	}
+	if x.streamStarted {
+		x.logFailed("stream timed out", "unfinished", 0)
+		return false
+	}
+	x.logFailed("timed out", result, status)
+	return x.c.writeError(status, "timed out, outcome "+result, 0) == nil
+}
+
+// muteObjectives is the number of latency objectives after which a target that has not
+// answered by the deadline counts as failed.
+const muteObjectives = 4
+
+// attemptStep is a step of a send to a target, for the log.
+type attemptStep struct {
+	target ident.Target
+	step   string
+	err    error
+}
+
+// The steps of a send.
+const (
+	stepDial   = "dial"
+	stepSend   = "send"
+	stepAnswer = "answer"
+	stepStatus = "status"
+	stepBody   = "body"
+	stepStream = "stream"
+)
+
+// begin records the step that is taken next.
+func (x *exchange) begin(a *assignment, step string) {
+	x.last = attemptStep{target: a.target.Instance, step: step}
+}
+
+// fail records and logs the failure of a step, unless the caller has disconnected or
+// the request has timed out too soon to blame the target.
+func (x *exchange) fail(a *assignment, step string, err error) {
+	x.last = attemptStep{target: a.target.Instance, step: step, err: err}
+	if x.callerDisconnected() || x.expired() && (step != stepAnswer || time.Since(x.began) < muteObjectives*x.route.Objective) {
+		return
+	}
+	ejected := x.g.detector(a.target.Service).Record(a.target.Instance, true, time.Now())
+	x.g.Info("msg", "target failed", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", step, "err", err, "passed-over", ejected)
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -85,11 +85,13 @@
 func New(c common.Common, node platform.Node) *Gateway {
 	c = c.With("gateway")
 	return &Gateway{
-		Common: c, metrics: newMetrics(c.Metrics), node: node, directory: directory.New(), fleet: fleet.New(), versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
-		pool:   forward.NewPool(),
+		Common: c, metrics: newMetrics(c.Metrics), node: node,
+		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
+		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
+		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended,
 		agents: newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort),
-		bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended,
-		loads: newLoadTracker(), synced: newSyncState(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector), idleConns: make(map[*callerConn]bool),
+		loads:  newLoadTracker(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
+		idleConns: make(map[*callerConn]bool),
 	}
 }
 
--- /dev/null
+++ b/pkg/gateway/response.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/forward"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// handleResponse forwards a response to the caller, or classifies it as a failure.
+func (x *exchange) handleResponse(a *assignment, res *forward.Response, sent time.Time) outcome {
+	if load, ok := platform.ParseLoad([]byte(res.Value(platform.HeaderLoad))); ok {
+		x.g.loads.record(a.target.Instance, load, time.Now())
+	}
+	if res.Status == fasthttp.StatusMisdirectedRequest || res.Value(platform.HeaderNotExecuted) != "" {
+		x.logNotRun(a, res)
+		x.finish(res, res.Discard())
+		return outcomeNotRun
+	}
+	if res.Status < 300 && res.Value(platform.HeaderSignature) == "" {
+		x.finish(res, forward.ErrInvalidResponse)
+		x.fail(a, stepAnswer, errors.Annotate(forward.ErrInvalidResponse, "missing signature"))
+		return outcomeUnknown
+	}
+	if x.route.RetryPolicy == platform.RunStream && res.Status < 300 {
+		return x.forwardStream(a, res, sent)
+	}
+	x.begin(a, stepBody)
+	body, err := x.readBody(res)
+	defer x.g.bodies.release(cap(body))
+	x.finish(res, err)
+	if err != nil {
+		x.fail(a, stepBody, err)
+		return outcomeUnknown
+	}
+	if res.Status >= 500 {
+		x.fail(a, stepStatus, errors.Errorf("status %d", res.Status))
+		if x.streamStarted {
+			return outcomeUnknown
+		}
+		x.failedResponse, x.failedBody = res, bytes.Clone(body)
+		return outcomeFailed
+	}
+	x.g.recordSuccess(a.target)
+	if x.streamStarted {
+		return outcomeUnknown // the target did not resume the stream
+	}
+	if err := x.c.writeResponse(res, body, x.q.method); err != nil {
+		x.c.closeAfterResponse = true
+	}
+	return outcomeDelivered
+}
+
+// logNotRun logs that a target did not run the request.
+func (x *exchange) logNotRun(a *assignment, res *forward.Response) {
+	x.g.Info("msg", "target did not run the request", "request", x.q.attempt, "target", a.target.Instance, "status", res.Status, "version", a.version)
+	if res.Status == fasthttp.StatusMisdirectedRequest && x.g.fleet.Contradict(a.target) {
+		x.g.Info("msg", "another target has this address", "target", a.target.Instance, "address", a.target.Address)
+	}
+}
+
+// finish returns the connection to the pool, or closes it after an error.
+func (x *exchange) finish(res *forward.Response, err error) {
+	if err != nil {
+		res.Close()
+		return
+	}
+	x.g.pool.Release(res)
+}
+
+const (
+	// maxResponseBytes bounds a response that is buffered before it is forwarded.
+	maxResponseBytes = 16 << 20
+	firstBodyBytes   = 4 << 10
+)
+
+// readBody reads a complete body. The caller releases the buffer's capacity to the
+// body buffers, also after an error.
+func (x *exchange) readBody(res *forward.Response) ([]byte, error) {
+	res.SetReadDeadline(x.deadline)
+	if res.Length() > maxResponseBytes {
+		return nil, errors.Annotatef(forward.ErrInvalidResponse, "response of %d bytes exceeds %d", res.Length(), maxResponseBytes)
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			larger, ok := x.g.bodies.grow(body, res.Length())
+			if !ok {
+				return body, errors.Annotatef(forward.ErrInvalidResponse, "no memory for more than %d bytes of the response", len(body))
+			}
+			body = larger
+		}
+		n, err := res.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return body, errors.Wrap(err, forward.ErrInvalidResponse)
+		}
+		if len(body) > maxResponseBytes {
+			return body, errors.Annotatef(forward.ErrInvalidResponse, "response exceeds %d bytes", maxResponseBytes)
+		}
+	}
+}
