--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -26,6 +26,6 @@
 done
 git show "HEAD:$out" > "$work/before" 2>/dev/null || true
 awk -F '\t' -v OFS='\t' 'BEGIN { print "site", "day", "before", "now" }
-  FNR == NR { before[$1, $2] = $3; next }
+  FILENAME == ARGV[1] { before[$1, $2] = $3; next }
   { print $1, $2, (($1, $2) in before) ? before[$1, $2] : "-", $3 }' "$work/before" "$work/table" | column -t -s $'\t'
 cp "$work/table" "$out"
