--- a/pkg/gateway/body_buffers.go
+++ b/pkg/gateway/body_buffers.go
@@ -35,8 +35,7 @@
 	if length >= 0 && length < freeBodyBytes {
 		size = length + 1
 	}
-	if size > freeBodyBytes && b.used.Add(int64(size)) > b.limit {
-		b.used.Add(-int64(size))
+	if size > freeBodyBytes && !b.reserve(int64(size)) {
 		return body, false
 	}
 	larger := append(make([]byte, 0, size), body...)
@@ -44,6 +43,20 @@
 	return larger, true
 }
 
+// reserve takes memory and reports whether there was enough. The sum never exceeds the
+// limit, not even until a failed attempt is taken back.
+func (b bodyBuffers) reserve(size int64) bool {
+	for {
+		used := b.used.Load()
+		if used+size > b.limit {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+size) {
+			return true
+		}
+	}
+}
+
 // release returns the memory of a buffer of the given capacity.
 func (b bodyBuffers) release(capacity int) {
 	if capacity > freeBodyBytes {
