Gateway: rows that tell how old the list of targets is

New: the time for which the copy was not confirmed, at each send (debug row, histogram target_list_age) and in the first row of an outage; when a target begins to drain or leaves the list, and for how long it is kept after that; how long an outage lasted. No decision changes. Tests of follow, fleet and gateway pass.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -127,15 +127,17 @@
 	v.rebuild()
 }
 
-// Put adds or updates a target.
-func (v *View) Put(t Target) {
+// Put adds or updates a target. It reports whether the target begins to drain.
+func (v *View) Put(t Target) (drains bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if _, missing := v.missing[t.Instance]; !missing && v.targets[t.Instance] == t {
-		return
+	old, known := v.targets[t.Instance]
+	if _, missing := v.missing[t.Instance]; !missing && old == t {
+		return false
 	}
 	v.put(t)
 	v.rebuild()
+	return known && t.Draining && !old.Draining
 }
 
 func (v *View) put(t Target) {
@@ -146,12 +148,20 @@
 	delete(v.missing, t.Instance)
 }
 
-// Remove records that a target is no longer listed.
-func (v *View) Remove(id ident.Target, now time.Time) {
+// Remove records that a target is no longer listed. It returns how long the view keeps
+// the target, and whether it knew it.
+func (v *View) Remove(id ident.Target, now time.Time) (kept time.Duration, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if _, known = v.targets[id]; !known {
+		return 0, false
+	}
 	v.drop(id, now)
 	v.rebuild()
+	if until, missing := v.missing[id]; missing {
+		kept = until.Sub(now)
+	}
+	return kept, true
 }
 
 func (v *View) drop(id ident.Target, now time.Time) {
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -41,6 +41,8 @@
 	OnChanges func([]platform.Event)
 	// Outage is shared by all followers of the store.
 	Outage *Outage
+	// Freshness is updated at each successful call.
+	Freshness *Freshness
 }
 
 // Run follows until ctx ends.
@@ -53,12 +55,16 @@
 			listed = false // a watch could last long
 		}
 		var err error
+		began := time.Now()
 		if !listed {
 			from, err = f.list()
 			listed = err == nil
 		} else {
 			from, err = f.watch(from)
 		}
+		if err == nil {
+			f.Freshness.confirm(from, began)
+		}
 		pause := f.Pause
 		switch {
 		case errors.Is(err, platform.ErrHistoryGone):
@@ -69,7 +75,7 @@
 			// A store that cuts off watches may have withheld changes from them,
 			// and may serve later watches from old history. Only a list is
 			// reliable.
-			f.Outage.record(f.Kind, probe, err)
+			f.Outage.record(f.Kind, probe, err, "unconfirmed", f.Freshness.Age(time.Now()), "revision", f.Freshness.Revision())
 			listed, pause = false, 0
 		default:
 			f.Outage.record(f.Kind, probe, nil)
--- a/pkg/follow/outage.go
+++ b/pkg/follow/outage.go
@@ -24,7 +24,8 @@
 
 	mu       sync.Mutex
 	failing  bool
-	retrying bool // a follower is about to retry
+	since    time.Time // when the first call failed
+	retrying bool      // a follower is about to retry
 	backoff  time.Duration
 	changed  chan struct{} // closed at the next result of a call during an outage
 }
@@ -66,8 +67,8 @@
 }
 
 // record records the result of a call, and whether that was the one that the other
-// followers wait for.
-func (o *Outage) record(kind platform.Kind, probe bool, err error) {
+// followers wait for. keyvals are added to the row of a first error.
+func (o *Outage) record(kind platform.Kind, probe bool, err error, keyvals ...any) {
 	if err != nil {
 		o.onError(err)
 	}
@@ -75,9 +76,10 @@
 	defer o.mu.Unlock()
 	switch {
 	case err != nil && !o.failing:
-		o.Warn("msg", "store unavailable; retrying", "kind", kind, "err", err)
+		o.since = time.Now()
+		o.Warn(append([]any{"msg", "store unavailable; retrying", "kind", kind, "err", err}, keyvals...)...)
 	case err == nil && o.failing:
-		o.Info("msg", "store reachable again", "kind", kind)
+		o.Info("msg", "store reachable again", "kind", kind, "after", time.Since(o.since))
 		o.backoff = minRetryDelay
 	}
 	if o.failing {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -261,6 +261,7 @@
 	buffer := bytebufferpool.Get()
 	buffer.B = x.q.encode(buffer.B, sendParams{remaining: x.remaining(), instance: a.instance, version: a.version, lastEvent: x.lastEvent})
 	sent := time.Now()
+	x.logSend(a, sent)
 	x.begin(a, stepSend)
 	err = conn.Send(buffer.B, x.deadline)
 	bytebufferpool.Put(buffer)
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -90,6 +90,14 @@
 	stepStream = "stream"
 )
 
+// logSend logs a send with what is known of the list of targets that allows it.
+func (x *exchange) logSend(a *assignment, now time.Time) {
+	list := x.g.targetList
+	age := list.Age(now)
+	x.g.metrics.listAge.RecordDuration(age)
+	x.g.Debug("msg", "sending", "request", x.q.attempt, "target", a.target.Instance, "list-revision", list.Revision(), "list-age", age, "held", now.Sub(x.began))
+}
+
 // begin records the step that is taken next.
 func (x *exchange) begin(a *assignment, step string) {
 	x.last = attemptStep{target: a.target.Instance, step: step}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/directory"
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
+	"github.com/hyssoproad/hyssoproad/pkg/follow"
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
@@ -46,6 +47,8 @@
 	bodies    bodyBuffers
 	// suspended returns how long the VM was suspended since it started. Tests replace it.
 	suspended func() time.Duration
+	// targetList is how current the list of targets is.
+	targetList *follow.Freshness
 
 	budgetMu   sync.Mutex
 	budgets    map[ident.Service]*budget
@@ -88,7 +91,7 @@
 		Common: c, metrics: newMetrics(c.Metrics), node: node,
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
-		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended,
+		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
 		agents: newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort),
 		loads:  newLoadTracker(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		idleConns: make(map[*callerConn]bool),
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -16,6 +16,7 @@
 	retries        tally.Counter
 	grantWait      tally.Histogram // of streams: from a request's arrival to its send
 	firstEvent     tally.Histogram // of streams: from a send to the first event
+	listAge        tally.Histogram // of sends: time for which the list of targets was not confirmed
 }
 
 // latencyBuckets double from the time of a round trip to a caller's longest wait.
@@ -26,6 +27,7 @@
 		requests: scope.Counter("requests"), refused: scope.Counter("refused"), timedOut: scope.Counter("timed_out"),
 		abortedStreams: scope.Counter("streams_broken_off"), retries: scope.Counter("repeated_sends"),
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
+		listAge: scope.Histogram("target_list_age", latencyBuckets),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -35,7 +35,7 @@
 	outage := follow.NewOutage(g.Common, share(min(bounds.Configuration, bounds.Draining, bounds.Version), maxRetryShare), func(error) { g.fleet.RecordOutage(time.Now()) })
 	return []*follow.Follower{
 		{
-			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Pause: share(bounds.Configuration, configurationPauseShare), Outage: outage,
+			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Freshness: new(follow.Freshness), Pause: share(bounds.Configuration, configurationPauseShare), Outage: outage,
 			OnList: func(list []platform.Object) {
 				for _, o := range list {
 					g.applyConfiguration(o)
@@ -48,12 +48,12 @@
 			}, nil),
 		},
 		{
-			Common: g.Common, Source: source, Kind: platform.KindTargets, Pause: share(bounds.Draining, targetsPauseShare), Outage: outage,
+			Common: g.Common, Source: source, Kind: platform.KindTargets, Freshness: g.targetList, Pause: share(bounds.Draining, targetsPauseShare), Outage: outage,
 			OnList:    g.replaceTargets,
 			OnChanges: changeHandler(g.putTarget, g.removeTarget),
 		},
 		{
-			Common: g.Common, Source: source, Kind: platform.KindVersions, Pause: share(bounds.Version, versionsPauseShare), Outage: outage,
+			Common: g.Common, Source: source, Kind: platform.KindVersions, Freshness: new(follow.Freshness), Pause: share(bounds.Version, versionsPauseShare), Outage: outage,
 			OnList: func(list []platform.Object) {
 				for _, o := range list {
 					g.recordVersion(o)
@@ -160,7 +160,9 @@
 }
 
 func (g *Gateway) removeTarget(o platform.Object) {
-	g.fleet.Remove(ident.Target(o.Name), time.Now())
+	if kept, known := g.fleet.Remove(ident.Target(o.Name), time.Now()); known {
+		g.Info("msg", "target no longer listed", "target", o.Name, "revision", o.Revision, "kept", kept)
+	}
 	g.holdings.Retain(g.fleet.Addresses())
 }
 
@@ -170,7 +172,9 @@
 		g.removeTarget(o)
 		return
 	}
-	g.fleet.Put(t)
+	if g.fleet.Put(t) {
+		g.Info("msg", "target is draining", "target", t.Instance, "revision", o.Revision)
+	}
 }
 
 func (g *Gateway) parseTarget(o platform.Object) (fleet.Target, bool) {
