No call to the store waits longer than a disruption may hide changes

Callers saw: requests sent to targets that were about to exit. Cause: a waiting watch can't tell no change from no connection. One that was sent into a cut of the path (watch at 6.35 s, cut from 5.81 to 9.43 s) waited for a retransmission until 12.67 s; meanwhile requests were placed by a list 7.5 s old (debug rows list-age, same revision 91 throughout). Keep-alive probes aren't sent while bytes are unacknowledged, and came after 4 s otherwise. Ruled out for these plays: kept removals (kept=0s), time between decision and send (held= a few ms), old records (revisions rise).

Class: a wait without a bound that follows from the guarantee. So a watch waits for 0.65 of stable-ms (20 s before), is given up 0.2 of it later, and unacknowledged bytes end the connection after 0.2 of it (TCP_USER_TIMEOUT, also for the dial); a failed call closes idle connections, which may be silent too. It holds for configuration, targets and versions alike, and for the store client of the product's own programs (pkg/objects).

--- a/pkg/follow/disruption_test.go
+++ b/pkg/follow/disruption_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,19 +14,19 @@
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
-// inForce is the time within which a change has to be known, and settled the time after
-// a disruption from which on that holds.
-const inForce, settled = 2 * time.Second, 3 * time.Second
-
 // disruptedStore is a store that changes at an interval, behind a path that is disrupted
 // from one time to another after its start. Either no bytes pass meanwhile, or
 // connections opened before the disruption carry none for good.
 type disruptedStore struct {
 	interval time.Duration // between two changes
-	start    time.Time
-	from, to time.Duration
-	halfOpen bool
-	opened   time.Time // of the connection in use
+	// inForce is the time within which a change has to be known, and settled the time
+	// after a disruption from which on that holds.
+	inForce, settled time.Duration
+	pauseShare       float64
+	start            time.Time
+	from, to         time.Duration
+	halfOpen         bool
+	opened           time.Time // of the connection in use
 }
 
 func (s *disruptedStore) cut(at time.Time) bool {
@@ -53,9 +54,14 @@
 }
 
 // call sleeps until the answer to a call arrives, which the store sends at the time that
-// answered returns, or until the call is given up.
+// answered returns, or until the call is given up: at the given time, or as soon as it
+// was not acknowledged in time.
 func (s *disruptedStore) call(giveUp time.Time, answered func(received time.Time) time.Time) error {
-	answer := s.deliver(answered(s.deliver(time.Now())))
+	received := s.deliver(time.Now())
+	answer := s.deliver(answered(received))
+	if acknowledged := time.Now().Add(AnswerTime(s.settled)); received.After(acknowledged) {
+		answer, giveUp = received, acknowledged
+	}
 	if answer.After(giveUp) {
 		time.Sleep(time.Until(giveUp))
 		s.opened = time.Now()
@@ -79,7 +85,7 @@
 		},
 		Watch: func(_ platform.Kind, from platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
 			var revision platform.Revision
-			err := s.call(time.Now().Add(wait+callTimeout), func(received time.Time) time.Time {
+			err := s.call(time.Now().Add(wait+AnswerTime(s.settled)), func(received time.Time) time.Time {
 				for end := received.Add(wait); s.revision(received) <= from && received.Before(end); {
 					received = received.Add(10 * time.Millisecond)
 				}
@@ -95,12 +101,21 @@
 // targets leave. A request that is sent into the cut is sent again only seconds after its
 // end.
 func TestChangesAreKnownInTimeAfterADisruption(t *testing.T) {
-	for _, interval := range []time.Duration{300 * time.Millisecond, 2300 * time.Millisecond} {
-		for length := time.Duration(0); length <= 7*time.Second; length += 250 * time.Millisecond {
-			for phase := time.Duration(0); phase < 1200*time.Millisecond; phase += 200 * time.Millisecond {
-				from := 5*time.Second + phase
-				s := &disruptedStore{interval: interval, from: from, to: from + length, halfOpen: length == 0}
-				t.Run(fmt.Sprintf("changes every %s, half-open %t, from %s for %s", interval, s.halfOpen, from, length), s.test)
+	for _, bounds := range []disruptedStore{
+		{inForce: 2 * time.Second, settled: 3 * time.Second, pauseShare: 0.6},
+		{inForce: 2 * time.Second, settled: 3 * time.Second, pauseShare: 0.05},
+		{inForce: 5 * time.Second, settled: 3 * time.Second, pauseShare: 0.2},
+		{inForce: 3 * time.Second, settled: 4 * time.Second, pauseShare: 0.6},
+		{inForce: 4 * time.Second, settled: 5 * time.Second, pauseShare: 0.6},
+	} {
+		for _, interval := range []time.Duration{300 * time.Millisecond, 2300 * time.Millisecond} {
+			for length := time.Duration(0); length <= 7*time.Second; length += 250 * time.Millisecond {
+				for phase := time.Duration(0); phase < 1200*time.Millisecond; phase += 200 * time.Millisecond {
+					s := bounds
+					s.interval, s.from, s.halfOpen = interval, 5*time.Second+phase, length == 0
+					s.to = s.from + length
+					t.Run(fmt.Sprintf("in force within %s, pause %g, changes every %s, half-open %t, from %s for %s", s.inForce, s.pauseShare, interval, s.halfOpen, s.from, length), s.test)
+				}
 			}
 		}
 	}
@@ -110,12 +125,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		s.start = time.Now()
 		s.opened = s.start
-		var known platform.Revision
+		var known atomic.Uint64
 		f := &Follower{
-			Common: common.Discard(), Source: s.source(), Kind: platform.KindTargets, Freshness: new(Freshness), Pause: 1200 * time.Millisecond,
+			Common: common.Discard(), Source: s.source(), Kind: platform.KindTargets, Freshness: new(Freshness), Timing: NewTiming(s.inForce, s.pauseShare, s.settled),
 			Outage:    NewOutage(common.Discard(), 400*time.Millisecond, func(error) {}),
-			OnList:    func(list []platform.Object) { known = list[0].Revision },
-			OnChanges: func(events []platform.Event) { known = events[0].Object.Revision },
+			OnList:    func(list []platform.Object) { known.Store(uint64(list[0].Revision)) },
+			OnChanges: func(events []platform.Event) { known.Store(uint64(events[0].Object.Revision)) },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
@@ -124,13 +139,13 @@
 		for now := 100 * time.Millisecond; now < 20*time.Second; now += 50 * time.Millisecond {
 			time.Sleep(time.Until(s.start.Add(now)))
 			synctest.Wait()
-			if (now < s.from || now >= s.to+settled) && known < s.revision(s.start.Add(max(now-inForce, 0))) {
+			if (now < s.from || now >= s.to+s.settled) && platform.Revision(known.Load()) < s.revision(s.start.Add(max(now-s.inForce, 0))) {
 				behind++
-				t.Logf("%s after the disruption: revision %d", now-s.to, known)
+				t.Logf("%s after the disruption: revision %d", now-s.to, known.Load())
 			}
 		}
 		cancel()
 		<-ended
-		require.Zero(t, behind, "times at which changes older than %s were not known", inForce)
+		require.Zero(t, behind, "times at which changes older than %s were not known", s.inForce)
 	})
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -15,11 +15,6 @@
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
-// maxWatchWait bounds the wait of one watch. The platform charges for each watch and
-// allows at most 30 s. Silent connections are detected by keep-alive probes, not by
-// the end of the wait.
-const maxWatchWait = 20 * time.Second
-
 // Source is the part of the store's client that a follower uses.
 type Source struct {
 	List  func(platform.Kind) ([]platform.Object, platform.Revision, error)
@@ -34,8 +29,7 @@
 	common.Common
 	Source Source
 	Kind   platform.Kind
-	// Pause is the time between two watches, in which changes are batched.
-	Pause time.Duration
+	Timing
 	// OnList receives a complete list, and OnChanges the later changes in order.
 	OnList    func([]platform.Object)
 	OnChanges func([]platform.Event)
@@ -94,7 +88,7 @@
 }
 
 func (f *Follower) watch(from platform.Revision) (platform.Revision, error) {
-	events, next, err := f.Source.Watch(f.Kind, from, maxWatchWait)
+	events, next, err := f.Source.Watch(f.Kind, from, f.Wait)
 	if err != nil {
 		return from, errors.Trace(err)
 	}
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -46,7 +46,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), d)
 		defer cancel()
 		f := &Follower{
-			Common: common.Discard(), Source: s.source(), Kind: platform.KindConfiguration, Freshness: new(Freshness), Outage: NewOutage(common.Discard(), 400*time.Millisecond, func(error) {}),
+			Common: common.Discard(), Source: s.source(), Timing: Timing{Wait: 20 * time.Second}, Kind: platform.KindConfiguration, Freshness: new(Freshness), Outage: NewOutage(common.Discard(), 400*time.Millisecond, func(error) {}),
 			OnList: func(list []platform.Object) { seen = append(seen, list[0].Revision) },
 			OnChanges: func(events []platform.Event) {
 				for _, e := range events {
@@ -110,7 +110,7 @@
 		var running sync.WaitGroup
 		for i, kind := range kinds {
 			f := &Follower{
-				Common: common.Discard(), Kind: kind, Freshness: new(Freshness), Outage: outage,
+				Common: common.Discard(), Timing: Timing{Wait: 20 * time.Second}, Kind: kind, Freshness: new(Freshness), Outage: outage,
 				Source: Source{
 					List: func(platform.Kind) ([]platform.Object, platform.Revision, error) {
 						time.Sleep(time.Millisecond)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -9,11 +9,9 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/hyssoproad/hyssoproad/pkg/socket"
 )
@@ -91,23 +89,10 @@
 }
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.UserTimeout(unackedTimeout)}
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, the time that sent bytes may stay
-// unacknowledged.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return setErr
-}
-
 // Get returns a pooled connection to address that was idle for at most idleLimit,
 // or else a new one.
 func (p *Pool) Get(ctx context.Context, address string, idleLimit time.Duration) (*Conn, error) {
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	// The pauses between two watches batch changes, since the platform charges for
-	// each watch. They are shares of the time within which a change has to be in
-	// force.
+	// The pauses between two watches are shares of the time within which a change has
+	// to be in force. The platform charges for each watch.
 	configurationPauseShare = 0.05
 	targetsPauseShare       = 0.6
 	versionsPauseShare      = 0.2
@@ -32,10 +31,13 @@
 // date.
 func (g *Gateway) followers(source follow.Source) []*follow.Follower {
 	bounds := g.node.Bounds
+	timing := func(inForce time.Duration, pauseShare float64) follow.Timing {
+		return follow.NewTiming(inForce, pauseShare, bounds.Settled)
+	}
 	outage := follow.NewOutage(g.Common, share(min(bounds.Configuration, bounds.Draining, bounds.Version), maxRetryShare), func(error) { g.fleet.RecordOutage(time.Now()) })
 	return []*follow.Follower{
 		{
-			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Freshness: new(follow.Freshness), Pause: share(bounds.Configuration, configurationPauseShare), Outage: outage,
+			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Freshness: new(follow.Freshness), Timing: timing(bounds.Configuration, configurationPauseShare), Outage: outage,
 			OnList: func(list []platform.Object) {
 				for _, o := range list {
 					g.applyConfiguration(o)
@@ -48,12 +50,12 @@
 			}, nil),
 		},
 		{
-			Common: g.Common, Source: source, Kind: platform.KindTargets, Freshness: g.targetList, Pause: share(bounds.Draining, targetsPauseShare), Outage: outage,
+			Common: g.Common, Source: source, Kind: platform.KindTargets, Freshness: g.targetList, Timing: timing(bounds.Draining, targetsPauseShare), Outage: outage,
 			OnList:    g.replaceTargets,
 			OnChanges: changeHandler(g.putTarget, g.removeTarget),
 		},
 		{
-			Common: g.Common, Source: source, Kind: platform.KindVersions, Freshness: new(follow.Freshness), Pause: share(bounds.Version, versionsPauseShare), Outage: outage,
+			Common: g.Common, Source: source, Kind: platform.KindVersions, Freshness: new(follow.Freshness), Timing: timing(bounds.Version, versionsPauseShare), Outage: outage,
 			OnList: func(list []platform.Object) {
 				for _, o := range list {
 					g.recordVersion(o)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/exposition"
+	"github.com/hyssoproad/hyssoproad/pkg/follow"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -97,7 +98,9 @@
 	c.Info("msg", "starting", "program", p.Name, "vm", node.VM, "domain", node.Domain)
 	err := kernel.Run(ctx,
 		func() platform.Node { return node },
-		func() *platform.Store { return platform.NewStore(node.StoreAddress) },
+		func() *platform.Store {
+			return platform.NewStore(node.StoreAddress, follow.AnswerTime(node.Bounds.Settled))
+		},
 		exposition.New,
 		func(m exposition.Metrics) common.Common { return common.Common{Log: logger, Metrics: m.Scope} },
 	)
--- a/pkg/objects/client.go
+++ b/pkg/objects/client.go
@@ -26,7 +26,7 @@
 // NewClient returns a client of the platform at the base URL, such as
 // http://10.0.0.1:7000.
 func NewClient(base string) *Client {
-	return &Client{store: platform.NewStore(strings.TrimPrefix(base, "http://"))}
+	return &Client{store: platform.NewStore(strings.TrimPrefix(base, "http://"), platform.DefaultAnswerTime)}
 }
 
 // Objects returns the object API of the client.
--- a/pkg/settings/reference.go
+++ b/pkg/settings/reference.go
@@ -50,7 +50,7 @@
 | event of a stream | 131072 | the request's deadline; if the stream can resume, 4 pause objectives without a whole event, at least 800 ms, then again and again until another target takes it |
 | engine's answer to its orderer, head | 8192 | 400 ms, for an order 100 ms |
 | engine's answer to its orderer, body | 262144 | 400 ms, for an order 100 ms |
-| page of a list of the store | 8388608 | 2 s, for a watch its wait and 2 s |
+| page of a list of the store | 8388608 | 2 s, for a watch its wait and a fifth of the time to settle |
 `
 
 type reference struct {
--- a/pkg/socket/socket.go
+++ b/pkg/socket/socket.go
@@ -1,9 +1,10 @@
-// Package socket inspects TCP connections below the level of package net.
+// Package socket inspects and configures TCP connections below the level of package net.
 package socket
 
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -27,3 +28,18 @@
 	})
 	return err == nil && quiet
 }
+
+// UserTimeout returns a dialer's control function that sets TCP_USER_TIMEOUT, the time
+// that sent bytes may stay unacknowledged.
+func UserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return setErr
+	}
+}
--- a/pkg/standin/objects_test.go
+++ b/pkg/standin/objects_test.go
@@ -27,7 +27,7 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { require.NoError(t, listener.Close()) })
 	address := listener.Addr().String()
-	return o, platform.NewStore(address), objects.NewClient("http://" + address).Objects()
+	return o, platform.NewStore(address, platform.DefaultAnswerTime), objects.NewClient("http://" + address).Objects()
 }
 
 func TestConditionalWrites(t *testing.T) {
