A target that leaves beside a single failed call is not kept

Now only an outage counts in which a retry failed too and the store gave no answer for two of the targets' heartbeats: a live target's record expires after three. TestBacksOffDuringStoreOutage counts the store's failures itself, bound as before.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -100,11 +100,12 @@
 	return false
 }
 
-// RecordOutage records that the store could not be reached.
-func (v *View) RecordOutage(now time.Time) {
+// RecordOutage records that the store could not be reached until the given time, for so
+// long that the records of live targets may have expired.
+func (v *View) RecordOutage(until time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.lastOutage = now
+	v.lastOutage = until
 }
 
 // Replace replaces the view's targets with a complete list.
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -51,7 +51,7 @@
 		var err error
 		began := time.Now()
 		if !listed {
-			from, err = f.list()
+			from, err = f.list(probe)
 			listed = err == nil
 		} else {
 			from, err = f.watch(from)
@@ -78,11 +78,13 @@
 	}
 }
 
-func (f *Follower) list() (platform.Revision, error) {
+func (f *Follower) list(retry bool) (platform.Revision, error) {
 	objects, revision, err := f.Source.List(f.Kind)
 	if err != nil {
+		f.Outage.failed(retry)
 		return 0, errors.Trace(err)
 	}
+	f.Outage.succeeded()
 	f.OnList(objects)
 	return revision, nil
 }
@@ -90,8 +92,12 @@
 func (f *Follower) watch(from platform.Revision) (platform.Revision, error) {
 	events, next, err := f.Source.Watch(f.Kind, from, f.Wait)
 	if err != nil {
+		if !errors.Is(err, platform.ErrHistoryGone) {
+			f.Outage.failed(false)
+		}
 		return from, errors.Trace(err)
 	}
+	f.Outage.succeeded()
 	if events = newerThan(from, events); len(events) > 0 {
 		f.OnChanges(events)
 	}
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -46,7 +46,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), d)
 		defer cancel()
 		f := &Follower{
-			Common: common.Discard(), Source: s.source(), Timing: Timing{Wait: 20 * time.Second}, Kind: platform.KindConfiguration, Freshness: new(Freshness), Outage: NewOutage(common.Discard(), 400*time.Millisecond, func(error) {}),
+			Common: common.Discard(), Source: s.source(), Timing: Timing{Wait: 20 * time.Second}, Kind: platform.KindConfiguration, Freshness: new(Freshness), Outage: NewOutage(common.Discard(), OutageLimits{RetryDelay: 400 * time.Millisecond}, func(time.Time) {}),
 			OnList: func(list []platform.Object) { seen = append(seen, list[0].Revision) },
 			OnChanges: func(events []platform.Event) {
 				for _, e := range events {
@@ -106,7 +106,7 @@
 		var failures atomic.Int64
 		down := func() bool { since := time.Since(began); return since > 5*time.Second && since < 10*time.Second }
 		recovered := make([]time.Duration, len(kinds))
-		outage := NewOutage(common.Discard(), maxDelay, func(error) { failures.Add(1) })
+		outage := NewOutage(common.Discard(), OutageLimits{RetryDelay: maxDelay}, func(time.Time) {})
 		var running sync.WaitGroup
 		for i, kind := range kinds {
 			f := &Follower{
@@ -115,6 +115,7 @@
 					List: func(platform.Kind) ([]platform.Object, platform.Revision, error) {
 						time.Sleep(time.Millisecond)
 						if down() {
+							failures.Add(1)
 							return nil, 0, platform.ErrUnavailable
 						}
 						return nil, 1, nil
@@ -122,6 +123,7 @@
 					Watch: func(_ platform.Kind, from platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
 						for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 							if down() {
+								failures.Add(1)
 								return nil, from, platform.ErrUnavailable
 							}
 						}
--- a/pkg/follow/outage.go
+++ b/pkg/follow/outage.go
@@ -19,22 +19,65 @@
 // backoff, and the others wait until a call has succeeded.
 type Outage struct {
 	common.Common
-	maxDelay time.Duration
-	onError  func(error)
+	limits   OutageLimits
+	onOutage func(lastFailure time.Time)
 
-	mu       sync.Mutex
-	failing  bool
-	since    time.Time // when the first call failed
-	retrying bool      // a follower is about to retry
-	backoff  time.Duration
-	changed  chan struct{} // closed at the next result of a call during an outage
+	mu          sync.Mutex
+	failing     bool
+	since       time.Time // when the first call failed
+	answered    time.Time // when the store last answered
+	lastFailure time.Time
+	evident     bool // a retry has failed since then
+	retrying    bool // a follower is about to retry
+	backoff     time.Duration
+	changed     chan struct{} // closed at the next result of a call during an outage
 }
 
-// NewOutage returns the state of a store without failures. maxDelay bounds the delay
-// between two retries before jitter. onError is called with the error of each failed
-// call, also concurrently.
-func NewOutage(c common.Common, maxDelay time.Duration, onError func(error)) *Outage {
-	return &Outage{Common: c, maxDelay: maxDelay, onError: onError, backoff: minRetryDelay, changed: make(chan struct{})}
+// OutageLimits are the parameters of an Outage.
+type OutageLimits struct {
+	// RetryDelay bounds the delay between two retries, before jitter.
+	RetryDelay time.Duration
+	// Expiry is the least time without an answer in which the store may have lost the
+	// records of live targets, which they renew at intervals.
+	Expiry time.Duration
+}
+
+// NewOutage returns the state of a store without failures. onOutage is called, also
+// concurrently, with the time of the last failure of an outage that was long enough for
+// records to expire, before a list that may lack them is passed on.
+func NewOutage(c common.Common, l OutageLimits, onOutage func(lastFailure time.Time)) *Outage {
+	return &Outage{Common: c, limits: l, onOutage: onOutage, backoff: minRetryDelay, changed: make(chan struct{})}
+}
+
+// succeeded records an answer of the store, before it is passed on.
+func (o *Outage) succeeded() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	if o.evident {
+		o.reportLocked(now)
+	}
+	o.answered, o.evident = now, false
+}
+
+// failed records a call without an answer. A connection that goes silent or is cut off
+// does not show that the store was away; a retry that fails as well does.
+func (o *Outage) failed(retry bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	o.lastFailure, o.evident = now, o.evident || retry
+	if o.evident {
+		o.reportLocked(now)
+	}
+}
+
+// reportLocked reports an outage that was long enough for records to expire. The caller
+// holds mu.
+func (o *Outage) reportLocked(now time.Time) {
+	if now.Sub(o.answered) >= o.limits.Expiry {
+		o.onOutage(o.lastFailure)
+	}
 }
 
 // await waits until the follower may make its next call. It reports whether that call
@@ -51,7 +94,7 @@
 			o.retrying = true
 			// Jitter prevents the processes of a fleet from retrying at the same time.
 			delay := o.backoff/2 + rand.N(o.backoff)
-			o.backoff = min(2*o.backoff, o.maxDelay)
+			o.backoff = min(2*o.backoff, o.limits.RetryDelay)
 			o.mu.Unlock()
 			sleep(ctx, delay)
 			return true
@@ -69,9 +112,6 @@
 // record records the result of a call, and whether that was the one that the other
 // followers wait for. keyvals are added to the row of a first error.
 func (o *Outage) record(kind platform.Kind, probe bool, err error, keyvals ...any) {
-	if err != nil {
-		o.onError(err)
-	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -20,6 +20,10 @@
 	// maxRetryShare is the share of the shortest of these times that bounds the delay
 	// after a failed call.
 	maxRetryShare = 0.2
+	// expiryHeartbeats is the least number of heartbeats that a live target can't write
+	// before its record expires: it expires after three, and the last one may have been
+	// written just before the first of them was due.
+	expiryHeartbeats = 2
 	// maintenanceInterval is how often setups are sent, idle connections closed and
 	// expired targets removed.
 	maintenanceInterval = 200 * time.Millisecond
@@ -34,7 +38,10 @@
 	timing := func(inForce time.Duration, pauseShare float64) follow.Timing {
 		return follow.NewTiming(inForce, pauseShare, bounds.Settled)
 	}
-	outage := follow.NewOutage(g.Common, share(min(bounds.Configuration, bounds.Draining, bounds.Version), maxRetryShare), func(error) { g.fleet.RecordOutage(time.Now()) })
+	outage := follow.NewOutage(g.Common, follow.OutageLimits{
+		RetryDelay: share(min(bounds.Configuration, bounds.Draining, bounds.Version), maxRetryShare),
+		Expiry:     expiryHeartbeats * g.node.TargetHeartbeat,
+	}, g.fleet.RecordOutage)
 	return []*follow.Follower{
 		{
 			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Freshness: new(follow.Freshness), Timing: timing(bounds.Configuration, configurationPauseShare), Outage: outage,
