The list of targets is read once more when the connection stands

The check is now made with the connection at hand, just before the send; the request goes to another target and is not counted as sent. TestTargetThatDrainsDuringTheDialGetsNoRequest failed before.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -27,9 +27,11 @@
 	outcomeFailed
 	// outcomeUnknown: the request was sent, but no complete response arrived.
 	outcomeUnknown
+	// outcomeUnsent: the target left before the request was sent to it.
+	outcomeUnsent
 )
 
-var outcomeNames = [...]string{"delivered", "not-run", "failed", "unknown"}
+var outcomeNames = [...]string{"delivered", "not-run", "failed", "unknown", "unsent"}
 
 // String returns the outcome's name.
 func (o outcome) String() string { return outcomeNames[o] }
@@ -166,6 +168,10 @@
 		if x.expired() {
 			return x.finishTimedOut(o)
 		}
+		if o == outcomeUnsent {
+			x.sends--
+			continue
+		}
 		x.excluded = append(x.excluded, assigned.target.Instance)
 		if o != outcomeNotRun {
 			x.runs++
@@ -255,6 +261,11 @@
 		x.fail(a, stepDial, err)
 		return outcomeNotRun
 	}
+	if !x.g.fleet.Usable(a.target) {
+		conn.Close()
+		x.g.Info("msg", "target left before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
+		return outcomeUnsent
+	}
 	// Closing the connection makes the target stop its work on the request.
 	stop := context.AfterFunc(x.ctx, conn.Close)
 	defer stop()
--- a/pkg/gateway/store_test.go
+++ b/pkg/gateway/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,3 +100,24 @@
 		})
 	}
 }
+
+// A target begins to drain while a connection to it is set up, which may take as long as
+// its leaving may take to be known.
+func TestTargetThatDrainsDuringTheDialGetsNoRequest(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			time.Sleep(100 * time.Millisecond)
+			for _, target := range h.fleet.Available(plainService) {
+				if target.Address == address && len(h.fleet.Available(plainService)) > 1 {
+					target.Draining = true
+					h.fleet.Put(target)
+				}
+			}
+			return h.dialTarget(ctx, address)
+		}
+		h.script(respond(200, "yes"))
+		require.Equal(t, 200, h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n")).StatusCode)
+		require.Len(t, h.receivedRequests(), 1)
+		require.Equal(t, h.fleet.Available(plainService)[0].Address, h.receivedRequests()[0].Address)
+	})
+}
