An engine that reports that it drains is granted no requests

DRAIN, second mechanism: until now only the store's list told that an engine leaves, and a gateway whose copy is behind goes on. The orderer now refuses grants and gives no more orders; gateways ask the next home. It does not depend on the path to the store. Plain services have no orderer and follow the list only. TestDrainingEngineGrantsNothing fails without it (make prove).

--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -107,6 +107,9 @@
 	if !s.up {
 		return wire.GrantReply{Code: wire.GrantUnable, Reason: wire.ReasonEngineDown}, true
 	}
+	if s.draining {
+		return wire.GrantReply{Code: wire.GrantUnable, Reason: wire.ReasonDraining}, true
+	}
 	if s.instance == "" {
 		return wire.GrantReply{Code: wire.GrantBusy}, now.After(req.deadline())
 	}
--- a/pkg/grant/order.go
+++ b/pkg/grant/order.go
@@ -9,7 +9,7 @@
 
 // Order returns the next order to send, if any. At most one may be outstanding.
 func (s *Scheduler) Order(now time.Time) (Order, bool) {
-	if !s.up || s.instance == "" || s.busy {
+	if !s.up || s.draining || s.instance == "" || s.busy {
 		return Order{}, false
 	}
 	s.updateSwitch(now)
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -70,6 +70,7 @@
 	identifiedStartMS int64 // startMS (Unix ms) of the engine process that last reported its name
 	startMS           int64
 	up                bool
+	draining          bool // the engine reports that it is about to leave
 	// unknownSince is the time since which the engine runs requests that were not
 	// granted here, or zero if there are none. unknownLastSeen is the time at which
 	// such requests were last seen.
--- a/pkg/grant/scheduler_test.go
+++ b/pkg/grant/scheduler_test.go
@@ -75,6 +75,26 @@
 	require.Equal(t, Order{Weights: weightsOf(3, 0), Sequence: 1, Instance: "i-1"}, order)
 }
 
+// Entries may learn from the store only later that the engine drains.
+func TestDrainingEngineGrantsNothing(t *testing.T) {
+	sched := schedulerWith(4, 1)
+	sched.Enqueue(request(1, 2, start)) // waits for its adapter
+	require.Empty(t, sched.Decide(start))
+	sched.Observe(Report{StartMS: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}, Draining: true}, start)
+	sched.Enqueue(request(2, 1, start))
+	for _, reply := range sched.Decide(start) {
+		require.Equal(t, wire.GrantReply{Code: wire.GrantUnable, Reason: wire.ReasonDraining}, reply.GrantReply)
+	}
+	waiting, running := sched.RequestCounts()
+	require.Zero(t, waiting)
+	require.Zero(t, running)
+	_, due := sched.Order(start)
+	require.False(t, due)
+	sched.Observe(Report{StartMS: 2, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}}, start)
+	sched.Enqueue(request(3, 1, start))
+	require.Equal(t, wire.GrantIssued, sched.Decide(start)[0].Code)
+}
+
 func TestRefusesWhenAllAdaptersAreInUse(t *testing.T) {
 	sched := schedulerWith(1, 1)
 	sched.Enqueue(request(1, 1, start))
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -316,6 +316,9 @@
 		o.replyLocked()
 		return false
 	}
+	if report.Draining && !o.report.Draining {
+		o.Info("msg", "engine is draining", "born", report.StartMS)
+	}
 	if o.misses >= downAfter {
 		o.Info("msg", "engine answers again", "born", report.StartMS)
 	}
@@ -357,7 +360,7 @@
 }
 
 func grantReport(r platform.EngineReport) grant.Report {
-	out := grant.Report{StartMS: r.StartMS, Sequence: r.Sequence, Busy: r.Busy, OnDisk: r.OnDisk, InMemory: r.InMemory}
+	out := grant.Report{StartMS: r.StartMS, Sequence: r.Sequence, Busy: r.Busy, Draining: r.Draining, OnDisk: r.OnDisk, InMemory: r.InMemory}
 	for _, m := range r.Models {
 		out.Models = append(out.Models, m.Name)
 		for _, a := range m.Adapters {
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -81,6 +81,7 @@
 	ReasonLoading                     // the adapter is being loaded
 	ReasonAdaptersInUse               // every adapter on the engine is in use, so none can be evicted
 	ReasonOldVersionInUse             // an older version of the adapter is in use
+	ReasonDraining                    // the engine is about to leave
 )
 
 // GrantReply answers a GrantRequest.
