Failed sends tell whether an event had come and the parts of the prompt

For the incident of a prompt part that crashes engines: no row connected the failed requests of two engines. The header with the parts is read now; nothing decides by it yet.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -62,6 +62,8 @@
 	// target succeeds.
 	failedResponse *forward.Response
 	failedBody     []byte
+	// eventSeen says that the last target has sent an event.
+	eventSeen bool
 	// State of a streamed response.
 	streamStarted bool // the head of a streamed response was forwarded
 	lastEvent     string
@@ -255,6 +257,7 @@
 	if !x.retryable() {
 		maxIdle = maxIdleNonRetryable
 	}
+	x.eventSeen = false
 	x.begin(a, stepDial)
 	conn, err := x.g.pool.Get(x.ctx, a.target.Address, maxIdle)
 	if err != nil {
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -111,5 +112,5 @@
 		return
 	}
 	ejected := x.g.detector(a.target.Service).Record(a.target.Instance, true, time.Now())
-	x.g.Info("msg", "target failed", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", step, "err", err, "passed-over", ejected)
+	x.g.Info("msg", "target failed", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", step, "err", err, "passed-over", ejected, "first-event", x.eventSeen, "parts", fmt.Sprint(x.q.parts))
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -31,8 +31,9 @@
 	callerTimeout   time.Duration // set by the caller; 0 if none
 	lastEvent       string
 	weights         ident.Weights
-	promptTokens    int // 0 if unknown
-	maxOutputTokens int // 0 if unknown
+	parts           []ident.PromptPart // that other requests may share
+	promptTokens    int                // 0 if unknown
+	maxOutputTokens int                // 0 if unknown
 }
 
 // rejection is the error response to an unreadable request. The connection closes
@@ -184,6 +185,8 @@
 		q.lastEvent = string(value)
 	case strings.EqualFold(name, platform.HeaderModel):
 		q.weights.Model, q.weights.Adapter = platform.ParseModel(value)
+	case strings.EqualFold(name, platform.HeaderPromptParts):
+		q.parts = platform.ParsePromptParts(value)
 	case strings.EqualFold(name, platform.HeaderTokenCount):
 		q.promptTokens, q.maxOutputTokens = platform.ParseTokenCount(value)
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -57,7 +57,7 @@
 				timing.firstEvent = time.Since(sent)
 				x.g.metrics.grantWait.RecordDuration(timing.grantWait)
 				x.g.metrics.firstEvent.RecordDuration(timing.firstEvent)
-				first = false
+				first, x.eventSeen = false, true
 			} else {
 				timing.maxGap = max(timing.maxGap, time.Since(last))
 			}
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -26,6 +26,8 @@
 	Service string
 	// Model names a base model.
 	Model string
+	// PromptPart names a part of a prompt that requests share.
+	PromptPart string
 	// Adapter names a LoRA adapter, without a version.
 	Adapter string
 	// Request identifies one request of one caller. It is unique in the fleet.
