Parts of prompts that crash engines are refused

Cause: nothing connected the crashes; a request that had ended its engine was sent on to the next one, and new ones with the same part followed.

Now a gateway tells the engine's orderer the parts of a request lost before its first event, if no request with an event has had them; the orderer, which sees whether the engine ended, tells all gateways; three crashes at different times ban a part (pkg/quarantine).

--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -21,6 +21,8 @@
 	*harness
 	// grant decides each grant request. It may sleep.
 	grant func(address string, r wire.GrantRequest) wire.GrantReply
+	// lost is called for each request that is reported as lost, if it is set.
+	lost func(c *link.Conn, address string, r wire.RequestLost)
 
 	mu       sync.Mutex
 	links    []*link.Conn
@@ -53,6 +55,14 @@
 			link.KindGrantRequest: func(ctx context.Context, s *link.Stream, f link.Frame) error {
 				return h.serveGrant(ctx, s, f, address)
 			},
+			link.KindRequestLost: func(_ context.Context, s *link.Stream, f link.Frame) error {
+				var r wire.RequestLost
+				_, err := r.UnmarshalMsg(f.Body)
+				if h.lost != nil {
+					h.lost(s.Conn(), address, r)
+				}
+				return err
+			},
 		})
 		if err == nil {
 			h.mu.Lock()
--- a/pkg/gateway/agents.go
+++ b/pkg/gateway/agents.go
@@ -37,8 +37,8 @@
 	instance      ident.Target
 }
 
-func newAgentLinks(self link.Identity, port int) *agentLinks {
-	return &agentLinks{pool: link.NewPool(self, nil), port: port, sentSetups: make(map[*link.Conn]setupID), backoffUntil: make(map[string]time.Time)}
+func newAgentLinks(self link.Identity, port int, handlers link.Handlers) *agentLinks {
+	return &agentLinks{pool: link.NewPool(self, handlers), port: port, sentSetups: make(map[*link.Conn]setupID), backoffUntil: make(map[string]time.Time)}
 }
 
 // agentBackoff is how long no request is sent to an agent that did not answer, so
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"strconv"
@@ -32,6 +33,9 @@
 // acquire returns an assignment to one of the service's eligible targets. It calls
 // grant for a target that needs one.
 func (x *exchange) acquire(grant func([]fleet.Target) (*assignment, refusal)) (*assignment, refusal) {
+	if ban, banned := x.g.quarantine.Banned(x.q.parts, time.Now()); banned {
+		return nil, refusal{reason: "part of the prompt crashes engines", wait: time.Until(ban.Until), detail: fmt.Sprintf("part %s, crashes %v", ban.Part, ban.Crashes)}
+	}
 	targets := x.awaitTargets()
 	if len(targets) == 0 {
 		return nil, refusal{reason: "no target", wait: noTargetRetryAfter}
@@ -77,7 +81,7 @@
 func (g *Gateway) leastLoadedAssignment(targets []fleet.Target, attempt string) *assignment {
 	t := placement.ByLoad(targets, g.loads.perSlot, g.node.Domain, hash(attempt))[0]
 	g.loads.begin(t.Instance)
-	return &assignment{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}, reportPause: func(time.Duration) {}}
+	return &assignment{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}, reportPause: func(time.Duration) {}, reportLost: func([]ident.PromptPart) {}}
 }
 
 const (
@@ -242,6 +246,7 @@
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
 		},
 		reportPause: func(pause time.Duration) { x.g.reportPause(conn, pause, x.route.GapObjective) },
+		reportLost:  func(parts []ident.PromptPart) { x.g.reportLost(conn, reply.Instance, parts) },
 	}, reply
 }
 
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -27,7 +27,8 @@
 	outcomeFailed
 	// outcomeUnknown: the request was sent, but no complete response arrived.
 	outcomeUnknown
-	// outcomeUnsent: the target left before the request was sent to it.
+	// outcomeUnsent: the target left, or a part of the prompt was banned, before the
+	// request was sent.
 	outcomeUnsent
 )
 
@@ -221,6 +222,9 @@
 // mayRetry reports whether the request may be sent to another target after the
 // outcome. If so, it has taken the retry from the service's retry budget.
 func (x *exchange) mayRetry(o outcome) bool {
+	if o == outcomeUnknown && !x.eventSeen && x.g.quarantine.Suspected(x.q.parts) {
+		return false // it may have ended its engine, as others with the part did
+	}
 	if o != outcomeNotRun && (!x.retryable() || x.runs >= x.route.MaxTargets) {
 		return false
 	}
@@ -264,6 +268,10 @@
 		x.fail(a, stepDial, err)
 		return outcomeNotRun
 	}
+	if _, banned := x.g.quarantine.Banned(x.q.parts, time.Now()); banned {
+		conn.Close()
+		return outcomeUnsent
+	}
 	if !x.g.fleet.Usable(a.target) {
 		conn.Close()
 		x.g.Info("msg", "target left before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
@@ -330,6 +338,7 @@
 	reason string
 	cause  wire.GrantReason // reason of the engine with the shortest wait
 	wait   time.Duration
+	detail string // evidence for the log
 }
 
 // assignment is the target that a request is sent to.
@@ -346,6 +355,9 @@
 	suspended        time.Duration
 	reportFirstEvent func(time.Duration) // reports the time to the first event to the agent
 	reportPause      func(time.Duration) // reports the longest pause between two events to the agent
+	// reportLost reports the loss of the request before its first event to the agent,
+	// with the suspected parts of its prompt.
+	reportLost func([]ident.PromptPart)
 }
 
 // grantLease is how long a grant may be held before the request is sent. The agent
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -29,7 +29,7 @@
 		return x.c.writeError(fasthttp.StatusBadGateway, "target failed, outcome unknown", 0) == nil
 	}
 	x.g.metrics.refused.Inc(1)
-	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "forecast", why.wait, "sends", x.sends, "target", x.last.target, "step", x.last.step, "after", time.Since(x.began))
+	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "detail", why.detail, "forecast", why.wait, "sends", x.sends, "target", x.last.target, "step", x.last.step, "after", time.Since(x.began))
 	return x.c.writeError(fasthttp.StatusServiceUnavailable, why.reason, x.g.addJitter(max(why.wait, minRetryAfter))) == nil
 }
 
@@ -111,6 +111,7 @@
 	if x.callerDisconnected() || x.expired() && (step != stepAnswer || time.Since(x.began) < muteObjectives*x.route.Objective) {
 		return
 	}
+	x.reportLost(a, step, err)
 	ejected := x.g.detector(a.target.Service).Record(a.target.Instance, true, time.Now())
 	x.g.Info("msg", "target failed", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", step, "err", err, "passed-over", ejected, "first-event", x.eventSeen, "parts", fmt.Sprint(x.q.parts))
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/outlier"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 	"github.com/hyssoproad/hyssoproad/pkg/retry"
 	"github.com/hyssoproad/hyssoproad/pkg/uptime"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
@@ -45,6 +46,10 @@
 	loads     *loadTracker
 	synced    *syncState
 	bodies    bodyBuffers
+	// quarantine holds the parts of prompts that are refused, and bans their records in
+	// the store.
+	quarantine *quarantine.Table
+	bans       *banStore
 	// suspended returns how long the VM was suspended since it started. Tests replace it.
 	suspended func() time.Duration
 	// targetList is how current the list of targets is.
@@ -87,15 +92,18 @@
 // New returns a gateway without a configuration.
 func New(c common.Common, node platform.Node) *Gateway {
 	c = c.With("gateway")
-	return &Gateway{
+	g := &Gateway{
 		Common: c, metrics: newMetrics(c.Metrics), node: node,
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
 		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
-		agents: newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort),
-		loads:  newLoadTracker(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
-		idleConns: make(map[*callerConn]bool),
+		loads: newLoadTracker(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
+		idleConns:  make(map[*callerConn]bool),
+		quarantine: quarantine.New(), bans: newBanStore(),
 	}
+	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort,
+		link.Handlers{link.KindCrashReport: g.handleCrashReport})
+	return g
 }
 
 func (g *Gateway) budget(s ident.Service) *budget {
--- a/pkg/gateway/plugin.go
+++ b/pkg/gateway/plugin.go
@@ -22,6 +22,7 @@
 			life.Append(kernel.Hook{
 				Name: "followers",
 				Start: func(context.Context) error {
+					g.bans.use(store)
 					for _, f := range g.followers(follow.StoreSource(store)) {
 						go f.Run(ctx)
 					}
--- /dev/null
+++ b/pkg/gateway/quarantine_test.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/follow"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// promptRequest is a request whose prompt has the parts and a last one of its own.
+func promptRequest(parts string) string {
+	return rawRequest("POST", "/stream/x", "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "X-Token-Count: 100,10\r\n", "X-Prompt-Prefix: "+parts+",own:5\r\n")
+}
+
+// crashingEngines makes the engines end, and their agents report it, when they begin to
+// answer a request with the part "bad".
+func crashingEngines(h *agentHarness) {
+	crashes := int64(0)
+	h.lost = func(c *link.Conn, address string, r wire.RequestLost) {
+		crashes++
+		if s, err := c.Open(link.KindCrashReport, &wire.CrashReport{VM: ident.VM(address), StartMS: crashes, Parts: r.Parts}); err == nil {
+			s.Close()
+		}
+	}
+	answer := func(w net.Conn, call receivedRequest) bool {
+		if strings.Contains(call.Header.Get("X-Prompt-Prefix"), "bad") {
+			time.Sleep(100 * time.Millisecond)
+			return respondRaw(streamHead)(w, call)
+		}
+		return respondRaw(streamHead+chunk(events(1, 2))+"0\r\n\r\n")(w, call)
+	}
+	for range 100 {
+		h.replies[""] = append(h.replies[""], answer)
+	}
+}
+
+func (h *agentHarness) receivedWith(part string) int {
+	n := 0
+	for _, r := range h.receivedRequests() {
+		if strings.Contains(r.Header.Get("X-Prompt-Prefix"), part) {
+			n++
+		}
+	}
+	return n
+}
+
+// Requests with one part in common end each engine that begins to answer them. Sound
+// ones share their first part.
+func TestPartThatCrashesEnginesIsRefused(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		crashingEngines(h)
+		recorded := make(map[ident.PromptPart]string)
+		h.bans.put = func(part ident.PromptPart, spec json.RawMessage) error {
+			recorded[part] = string(spec)
+			return nil
+		}
+		require.Equal(t, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", body(t, h.send(promptRequest("caller:9"))))
+		statuses := make(map[int]int)
+		for range 20 {
+			res := h.send(promptRequest("caller:9,bad:8"))
+			statuses[res.StatusCode]++
+			if res.StatusCode == 503 {
+				require.NotEmpty(t, res.Header.Get("Retry-After"))
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.Equal(t, 3, h.receivedWith("bad"), "requests that reached an engine: one, its retry, one more")
+		require.Equal(t, map[int]int{502: 2, 503: 18}, statuses)
+		require.Equal(t, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", body(t, h.send(promptRequest("caller:9,other:8"))))
+		synctest.Wait()
+		require.Len(t, recorded, 1)
+		require.Contains(t, recorded["bad"], "start-ms")
+	})
+}
+
+// A gateway that starts learns of bans from the store, and an operator lifts one by
+// deleting its record.
+func TestBansOfTheStoreHold(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		crashingEngines(h)
+		f := h.banFollower(follow.Source{}, nil)
+		ban := platform.Object{Name: "bad", Revision: 7, Spec: json.RawMessage(`{"crashes":[{"vm":"vm-1","start-ms":1}],"gateway":"vm-2"}`)}
+		f.OnList([]platform.Object{ban, {Name: "broken", Spec: json.RawMessage(`[`)}})
+		require.Equal(t, 503, h.send(promptRequest("bad:8")).StatusCode)
+		require.Zero(t, h.receivedWith("bad"))
+		f.OnChanges([]platform.Event{{Object: ban, Removed: true}})
+		require.Equal(t, 502, h.send(promptRequest("bad:8")).StatusCode)
+		require.NotZero(t, h.receivedWith("bad"))
+		f.OnList([]platform.Object{ban})
+		f.OnList(nil)
+		_, banned := h.quarantine.Banned([]ident.PromptPart{"bad"}, time.Now())
+		require.False(t, banned, "no longer listed")
+	})
+}
+
+// A part that was banned wrongly, as its requests show elsewhere, is no longer.
+func TestWrongBanIsRemovedFromTheStore(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		var removed []ident.PromptPart
+		h.bans.remove = func(part ident.PromptPart, revision platform.Revision) error {
+			require.Equal(t, platform.Revision(7), revision)
+			removed = append(removed, part)
+			return nil
+		}
+		f := h.banFollower(follow.Source{}, nil)
+		f.OnList([]platform.Object{{Name: "sound", Revision: 7, Spec: json.RawMessage(`{}`)}})
+		h.clearParts([]ident.PromptPart{"sound"})
+		synctest.Wait()
+		require.Equal(t, []ident.PromptPart{"sound"}, removed)
+	})
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -47,6 +47,7 @@
 		return outcomeFailed
 	}
 	x.g.recordSuccess(a.target)
+	x.g.clearParts(x.q.parts)
 	if x.streamStarted {
 		return outcomeUnknown // the target did not resume the stream
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -54,6 +54,7 @@
 			}
 			if first {
 				a.reportFirstEvent(time.Since(sent))
+				x.g.clearParts(x.q.parts)
 				timing.firstEvent = time.Since(sent)
 				x.g.metrics.grantWait.RecordDuration(timing.grantWait)
 				x.g.metrics.firstEvent.RecordDuration(timing.firstEvent)
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -45,6 +45,8 @@
 	KindGrantReply
 	KindGrantFirstEvent
 	KindPauseReport
+	KindRequestLost
+	KindCrashReport
 	kindLimit
 )
 
--- a/pkg/orderer/entries.go
+++ b/pkg/orderer/entries.go
@@ -14,14 +14,15 @@
 	byVM map[ident.VM]*link.Conn
 }
 
-// add records the entry at the other end of a link and returns the number of
-// linked entries.
-func (e *entrySet) add(c *link.Conn) int {
+// add records the entry at the other end of a link. It returns the number of linked
+// entries and whether the link is new.
+func (e *entrySet) add(c *link.Conn) (n int, isNew bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.byVM == nil {
 		e.byVM = make(map[ident.VM]*link.Conn)
 	}
+	isNew = e.byVM[c.Peer.VM] != c
 	e.byVM[c.Peer.VM] = c
 	for vm, other := range e.byVM {
 		select {
@@ -30,5 +31,16 @@
 		default:
 		}
 	}
-	return len(e.byVM)
+	return len(e.byVM), isNew
+}
+
+// all returns the links to the entries.
+func (e *entrySet) all() []*link.Conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]*link.Conn, 0, len(e.byVM))
+	for _, c := range e.byVM {
+		out = append(out, c)
+	}
+	return out
 }
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -58,6 +58,7 @@
 	wake      chan struct{}
 
 	entries entrySet
+	crashes crashLog
 
 	misses       int
 	startMS      int64                 // start of the engine process in Unix milliseconds
@@ -97,7 +98,7 @@
 }
 
 func (o *Orderer) handlers() link.Handlers {
-	return link.Handlers{link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport}
+	return link.Handlers{link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost}
 }
 
 // Stop closes the listener. Running requests are not affected, since they do not
@@ -109,7 +110,9 @@
 	if _, err := s.UnmarshalMsg(f.Body); err != nil {
 		return errors.Trace(err)
 	}
-	o.entries.add(stream.Conn())
+	if _, isNew := o.entries.add(stream.Conn()); isNew {
+		o.sendCrashReports(stream.Conn())
+	}
 	o.mu.Lock()
 	changed := o.scheduler.Setup(s)
 	instance := o.scheduler.Instance()
@@ -143,7 +146,7 @@
 			return nil
 		}
 	}
-	reply.LinkedEntries = o.entries.add(s.Conn())
+	reply.LinkedEntries, _ = o.entries.add(s.Conn())
 	if err := s.Send(link.KindGrantReply, &reply); err != nil {
 		return errors.Trace(err)
 	}
@@ -313,9 +316,15 @@
 			o.Warn("msg", "engine does not answer", "err", err)
 			o.scheduler.Down()
 		}
+		if o.misses >= downAfter && !o.report.Draining {
+			o.engineEndedLocked(o.startMS)
+		}
 		o.replyLocked()
 		return false
 	}
+	if o.startMS != 0 && report.StartMS != o.startMS && !o.report.Draining {
+		o.engineEndedLocked(o.startMS)
+	}
 	if report.Draining && !o.report.Draining {
 		o.Info("msg", "engine is draining", "born", report.StartMS)
 	}
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -37,6 +37,8 @@
 	reportDelay time.Duration   // delay of a report, which shows the state at its start
 	lostReplies int             // number of replies to lose
 	lateOrders  int             // number of orders to execute 3 s later without a reply
+	down        bool            // reports fail
+	draining    bool
 	senders     map[platform.Order]bool
 }
 
@@ -65,11 +67,14 @@
 func (e *fakeEngine) currentReport() (platform.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down {
+		return platform.EngineReport{}, errors.New("connection refused")
+	}
 	var runs [][]any
 	for _, id := range e.runs {
 		runs = append(runs, []any{id, 100, 1, 1})
 	}
-	body, err := json.Marshal(map[string]any{"born": e.startMS, "seq": e.sequence, "runs": runs})
+	body, err := json.Marshal(map[string]any{"born": e.startMS, "seq": e.sequence, "runs": runs, "state": map[bool]string{false: "ready", true: "draining"}[e.draining]})
 	if err != nil {
 		return platform.EngineReport{}, err
 	}
@@ -148,17 +153,7 @@
 // entry that it passes to f links a new entry.
 func testOrderer(t *testing.T, f func(t *testing.T, e *fakeEngine, entry func() *link.Conn)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		e := newFakeEngine()
-		o := New(common.Discard(), platform.Node{VM: "vm-1", EngineAddress: "127.0.0.1:1"})
-		o.engine = Engine{Report: e.report, Send: e.send, Identity: func(string) (ident.Target, error) {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			return e.name, nil
-		}}
-		ctx, cancel := context.WithCancel(t.Context())
-		go o.Run(ctx)
-		synctest.Wait() // wait for the engine's first report
+	testOrdererWith(t, func(t *testing.T, o *Orderer, e *fakeEngine) {
 		var conns []*link.Conn
 		f(t, e, func() *link.Conn {
 			near, far := net.Pipe()
@@ -171,13 +166,31 @@
 				Models: []wire.ModelSetup{{Name: "m", MB: 90, AdapterMB: 1}},
 			})
 			require.NoError(t, err)
-			_, _ = s.Receive(ctx)
+			_, _ = s.Receive(t.Context())
 			return c
 		})
-		cancel()
 		for _, c := range conns {
 			c.Close()
 		}
+	})
+}
+
+// testOrdererWith runs an orderer beside a fake engine.
+func testOrdererWith(t *testing.T, f func(t *testing.T, o *Orderer, e *fakeEngine)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		e := newFakeEngine()
+		o := New(common.Discard(), platform.Node{VM: "vm-1", EngineAddress: "127.0.0.1:1"})
+		o.engine = Engine{Report: e.report, Send: e.send, Identity: func(string) (ident.Target, error) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.name, nil
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go o.Run(ctx)
+		synctest.Wait() // wait for the engine's first report
+		f(t, o, e)
+		cancel()
 		time.Sleep(time.Minute)
 	})
 }
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -o grant_schema_gen.go -tests=false -io=false
 
-//msgp:tuple EngineSetup ModelSetup GrantRequest GrantReply GrantFirstEvent PauseReport
+//msgp:tuple EngineSetup ModelSetup GrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport
 
 // EngineSetup tells the agent beside an engine what the engine serves and how
 // much it holds. For the same instance, a setup from an older configuration
@@ -107,3 +107,18 @@
 	PauseMS     int64
 	ObjectiveMS int64
 }
+
+// RequestLost reports that the connection of a granted request ended before its first
+// event, with the parts of its prompt that no request with an event has shared.
+type RequestLost struct {
+	Instance ident.Target
+	Parts    []ident.PromptPart
+}
+
+// CrashReport reports that an engine ended while requests with these parts of prompts
+// waited for their first events.
+type CrashReport struct {
+	VM      ident.VM
+	StartMS int64 // start of the engine process that ended, in Unix ms
+	Parts   []ident.PromptPart
+}
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -3,9 +3,85 @@
 package wire
 
 import (
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *CrashReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o, err = z.VM.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "VM")
+		return
+	}
+	o = msgp.AppendInt64(o, z.StartMS)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		o, err = z.Parts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	bts, err = z.VM.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "VM")
+		return
+	}
+	z.StartMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartMS")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	if cap(z.Parts) >= int(zb0002) {
+		z.Parts = (z.Parts)[:zb0002]
+	} else {
+		z.Parts = make([]ident.PromptPart, zb0002)
+	}
+	for za0001 := range z.Parts {
+		bts, err = z.Parts[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CrashReport) Msgsize() (s int) {
+	s = 1 + z.VM.Msgsize() + msgp.Int64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Parts {
+		s += z.Parts[za0001].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *EngineSetup) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -520,3 +596,72 @@
 	s = 1 + msgp.Int64Size + msgp.Int64Size
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RequestLost) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o, err = z.Instance.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		o, err = z.Parts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RequestLost) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	bts, err = z.Instance.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	if cap(z.Parts) >= int(zb0002) {
+		z.Parts = (z.Parts)[:zb0002]
+	} else {
+		z.Parts = make([]ident.PromptPart, zb0002)
+	}
+	for za0001 := range z.Parts {
+		bts, err = z.Parts[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RequestLost) Msgsize() (s int) {
+	s = 1 + z.Instance.Msgsize() + msgp.ArrayHeaderSize
+	for za0001 := range z.Parts {
+		s += z.Parts[za0001].Msgsize()
+	}
+	return
+}
