A stream that ends inside an event was broken off

Such a stream, whatever its framing, now counts as broken off: it is resumed after its last complete event, or left without its end for the caller to see. A reset of such a body was handled before (new TestResetEndsABodyWithoutLength passed at once).

--- a/pkg/forward/exchange_test.go
+++ b/pkg/forward/exchange_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,3 +71,35 @@
 		require.Contains(t, string(page), row)
 	}
 }
+
+// A body with neither a length nor chunks ends with its connection. One whose connection
+// is reset is incomplete.
+func TestResetEndsABodyWithoutLength(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	read := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, head+"\r\nabc")
+		<-read
+		_ = c.(*net.TCPConn).SetLinger(0) // the close sends a reset
+		_ = c.Close()
+	}()
+	near, err := net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	defer near.Close()
+	c := &Conn{nc: near, r: bufio.NewReaderSize(near, readBufferBytes)}
+	res, err := c.Receive("POST", "a-1", time.Now().Add(time.Minute))
+	require.NoError(t, err)
+	require.True(t, res.EndsWithConnection())
+	_, err = io.ReadFull(res, make([]byte, 3))
+	require.NoError(t, err)
+	close(read)
+	_, err = io.ReadAll(res)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.False(t, res.complete)
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -45,7 +45,12 @@
 		pending = pending[:len(pending)+n]
 		complete := completeEvents(pending)
 		if err == io.EOF {
-			complete = len(pending)
+			if insideEvent(pending[complete:]) {
+				// The end of the connection may be all that ends the response.
+				err = io.ErrUnexpectedEOF
+			} else {
+				complete = len(pending)
+			}
 		}
 		if complete > 0 {
 			if hasEvent(pending[:complete]) {
@@ -187,6 +192,16 @@
 	return false
 }
 
+// insideEvent reports whether the text after the last complete event begins another one.
+func insideEvent(text []byte) bool {
+	for line := range bytes.Lines(text) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // completeEvents returns the length of the complete events at the start of b.
 func completeEvents(b []byte) int {
 	i := bytes.LastIndex(b, eventEnd)
