Soak: a part of prompts that ends engines

A kind of fault in which a share of the streams has a part that ends the stand-in engine that begins to answer, and a guarantee: later than 3 s (and 1 s of margin) after the fifth end no more than three such requests reach an engine. TestOracleDetectsViolations has both sides.

--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -102,10 +102,26 @@
 	}
 	if r.stream = r.path == draftPrefix || r.path == notePrefix; r.stream {
 		r.Service, r.Adapter, r.timeout = draftService, randomAdapter(c.random), streamTimeout
+		if part := c.d.deadlyPart.Load(); part != nil && c.random.Float64() < deadlyShare {
+			r.DeadlyPart = *part
+		}
 	}
 	return r
 }
 
+// deadlyShare is the share of streams whose prompts have the deadly part, while there is one.
+const deadlyShare = 0.15
+
+// promptParts returns the parts of a prompt: one for the client, one that other clients
+// share or the deadly one, and one of its own.
+func promptParts(client int, r clientRequest) string {
+	shared := ident.PromptPart("topic")
+	if r.DeadlyPart != "" {
+		shared = r.DeadlyPart
+	}
+	return fmt.Sprintf("c%d:40,%s:40,%s:20", client, shared, r.Attempt)
+}
+
 // randomAdapter picks an adapter. A tenth of the adapters get most requests.
 func randomAdapter(random *rand.Rand) ident.Adapter {
 	n := random.IntN(adapters)
@@ -138,6 +154,7 @@
 	if r.stream {
 		req.Header.Set(platform.HeaderModel, string(model)+"/"+string(r.Adapter))
 		req.Header.Set(platform.HeaderTokenCount, "100,"+strconv.Itoa(streamLength))
+		req.Header.Set(platform.HeaderPromptParts, promptParts(c.number, r))
 	}
 	r.At = time.Now()
 	c.d.oracle.RecordRequest(r.Request)
--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -98,6 +98,7 @@
 	targets   []*target
 	processes []*process
 
+	deadlyPart    atomic.Pointer[ident.PromptPart] // part of prompts that ends engines, if any
 	mu            sync.Mutex
 	version       uint64
 	versions      map[ident.Adapter]ident.Version
@@ -161,6 +162,7 @@
 func (d *deployment) addTarget(i int, w standin.WorkerSettings, direct, proxied subnet) error {
 	w.Seed, w.OnEvent = d.Seed*100+uint64(len(d.targets)), d.oracle.RecordEvent
 	t := &target{Worker: standin.NewWorker(w), listen: d.address(direct, i, workerPort), proxyAddress: d.address(proxied, i, workerPort)}
+	t.OnCrash = func() { d.crashAndRestart(t) }
 	link, err := standin.NewProxy(t.proxyAddress, t.listen)
 	if err != nil {
 		return errors.Trace(err)
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/standin"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -46,6 +47,7 @@
 	{"store-slow", false, 5 * time.Second, storeFault(standin.ObjectFaults{DelayMS: 250})},
 	{"store-forgets", false, 0, discardHistory},
 	{"target-crashes", false, 2 * time.Second, crashTarget},
+	{"prompt-part-ends-targets", false, 8 * time.Second, deadlyPromptPart},
 	{"target-fails", false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
 	{"target-cuts-answers", false, 4 * time.Second, targetFault(standin.WorkerFaults{TruncateShare: 0.3})},
 	{"target-mute", false, 4 * time.Second, targetFault(standin.WorkerFaults{NoResponseShare: 0.3})},
@@ -197,6 +199,46 @@
 	}, nil
 }
 
+// deadlyPromptPart makes one part of prompts end each engine that begins to answer a
+// request with it.
+func deadlyPromptPart(d *deployment, random *rand.Rand) (func() error, error) {
+	part := ident.PromptPart(fmt.Sprintf("%x", random.Uint64()))
+	set := func(f standin.WorkerFaults) {
+		for _, t := range d.targets {
+			if t.Service == draftService {
+				t.SetFaults(f)
+			}
+		}
+	}
+	set(standin.WorkerFaults{DeadlyPart: part})
+	d.deadlyPart.Store(&part)
+	return func() error {
+		d.deadlyPart.Store(nil)
+		set(standin.WorkerFaults{})
+		return nil
+	}, nil
+}
+
+// crashTime is how long a target that a request has ended stays down.
+const crashTime = 2 * time.Second
+
+// crashAndRestart ends a target, and starts it again after crashTime.
+func (d *deployment) crashAndRestart(t *target) {
+	if !t.stopping.CompareAndSwap(false, true) {
+		return
+	}
+	name := string(t.Instance())
+	if err := t.server.Close(); err != nil {
+		d.oracle.RecordViolation(Violation{GuaranteeRecovery, "", err.Error()})
+	}
+	time.AfterFunc(crashTime, func() {
+		d.store.Withdraw(platform.KindTargets, name)
+		if err := d.restartTarget(t); err != nil {
+			d.oracle.RecordViolation(Violation{GuaranteeRecovery, "", err.Error()})
+		}
+	})
+}
+
 // replaceTarget drains a target: it announces draining, keeps serving for a while,
 // and then shuts down and restarts as its successor.
 func replaceTarget(d *deployment, random *rand.Rand) (func() error, error) {
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -29,6 +29,7 @@
 	GuaranteeService        Guarantee = "routed-service"     // a request runs on a service of its route
 	GuaranteePlannedStop    Guarantee = "planned-stop"       // a planned stop interrupts no request
 	GuaranteeRecovery       Guarantee = "serves-after-fault" // most requests are served once all faults have ended
+	GuaranteeCrashes        Guarantee = "crashing-part"      // requests that end engines are stopped
 	GuaranteeRoutes         Guarantee = "configuration"      // all gateways serve a new route and keep serving it
 )
 
@@ -60,7 +61,8 @@
 	Attempt    ident.Attempt
 	Service    ident.Service
 	Adapter    ident.Adapter
-	Idempotent bool // it may run more than once or be resumed
+	Idempotent bool             // it may run more than once or be resumed
+	DeadlyPart ident.PromptPart // part of its prompt that ends engines, if any
 	At         time.Time
 }
 
@@ -85,6 +87,7 @@
 	runs       map[ident.Attempt][]standin.WorkerEvent
 	holders    map[ident.Target]ident.VM
 	versions   map[ident.Adapter][]announcement
+	crashes    map[ident.PromptPart][]time.Time // ends of targets under each part, in order
 	draining   map[ident.Target]time.Time
 	faults     []*faultInterval
 	violations []Violation
@@ -99,7 +102,7 @@
 func NewOracle() *Oracle {
 	return &Oracle{
 		requests: make(map[ident.Attempt]Request), answers: make(map[ident.Attempt]Answer), runs: make(map[ident.Attempt][]standin.WorkerEvent),
-		holders: make(map[ident.Target]ident.VM), versions: make(map[ident.Adapter][]announcement), draining: make(map[ident.Target]time.Time),
+		holders: make(map[ident.Target]ident.VM), versions: make(map[ident.Adapter][]announcement), draining: make(map[ident.Target]time.Time), crashes: make(map[ident.PromptPart][]time.Time),
 	}
 }
 
@@ -159,6 +162,9 @@
 	switch e.Kind {
 	case standin.WorkerRan:
 		o.runs[e.Attempt] = append(o.runs[e.Attempt], e)
+	case standin.WorkerCrashed:
+		part := o.requests[e.Attempt].DeadlyPart
+		o.crashes[part] = append(o.crashes[part], e.At)
 	case standin.WorkerOrderAccepted:
 		if before, ordered := o.holders[e.Instance]; ordered && before != e.Holder {
 			o.violations = append(o.violations, Violation{GuaranteeSoleHolder, "", fmt.Sprintf("%s ordered by %s and %s", e.Instance, before, e.Holder)})
@@ -185,12 +191,39 @@
 		}
 		out = append(out, o.checkRuns(request, runs)...)
 	}
+	for part, crashes := range o.crashes {
+		out = append(out, checkCrashes(part, crashes)...)
+	}
 	for attempt, a := range o.answers {
 		out = append(out, o.checkAnswer(o.requests[attempt], a, planned)...)
 	}
 	return out
 }
 
+const (
+	// evidentCrashes is the number of ends of targets under one part after which
+	// requests with it have to be stopped, within recoveryGrace.
+	evidentCrashes = 5
+	// maxLaterCrashes is how many more may come then.
+	maxLaterCrashes = 3
+)
+
+func checkCrashes(part ident.PromptPart, crashes []time.Time) []Violation {
+	if len(crashes) < evidentCrashes {
+		return nil
+	}
+	later := 0
+	for _, at := range crashes {
+		if at.Sub(crashes[evidentCrashes-1]) > recoveryGrace+schedulingMargin {
+			later++
+		}
+	}
+	if later <= maxLaterCrashes {
+		return nil
+	}
+	return []Violation{{GuaranteeCrashes, "", fmt.Sprintf("%d requests with part %s came later than %s after the %dth crash", later, part, recoveryGrace, evidentCrashes)}}
+}
+
 func (o *Oracle) checkRuns(r Request, runs []standin.WorkerEvent) []Violation {
 	var out []Violation
 	if !r.Idempotent && len(runs) > 1 {
--- a/pkg/soak/oracle_test.go
+++ b/pkg/soak/oracle_test.go
@@ -25,6 +25,23 @@
 	}
 }
 
+// recordCrashes records ends of targets under one part of prompts: five at once, and the
+// others ten seconds later.
+func recordCrashes(o *Oracle, n int) {
+	r := newRequest("1", true)
+	r.DeadlyPart = "p"
+	o.RecordRequest(r)
+	o.RecordAnswer("1", Answer{})
+	for i := range n {
+		e := runEvent("1", 10)
+		e.Kind = standin.WorkerCrashed
+		if i >= evidentCrashes {
+			e.At = at(20)
+		}
+		o.RecordEvent(e)
+	}
+}
+
 // TestOracleDetectsViolations checks that the oracle reports exactly the guarantee
 // that a history violates, and nothing for a history that violates none.
 func TestOracleDetectsViolations(t *testing.T) {
@@ -49,6 +66,8 @@
 			o.RecordRequest(newRequest("1", false))
 			o.RecordAnswer("1", correct)
 		}, []Guarantee{GuaranteeCompleteAnswer}},
+		{"requests that end targets go on", false, func(o *Oracle) { recordCrashes(o, 9) }, []Guarantee{GuaranteeCrashes}},
+		{"requests that end targets are stopped", false, func(o *Oracle) { recordCrashes(o, 8) }, nil},
 		{"request that no caller sent", false, func(o *Oracle) { o.RecordEvent(runEvent("7", 10)) }, []Guarantee{GuaranteeCompleteAnswer}},
 		{"non-idempotent request runs twice", false, func(o *Oracle) {
 			o.RecordRequest(newRequest("1", false))
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -28,6 +28,7 @@
 	// Newest returns the newest announced version of an adapter.
 	Newest func(ident.Adapter) ident.Version
 	// OnEvent is called for each event of the worker. It must not call the worker.
+	OnCrash func() // ends the worker
 	OnEvent func(WorkerEvent)
 }
 
@@ -43,6 +44,9 @@
 	// connection may be in use again.
 	LateCopyShare float64
 	EndlessShare  float64 // of responses that go on without end, in the head or the body
+	// DeadlyPart is a part of prompts: OnCrash is called when the worker begins to answer
+	// a request with it.
+	DeadlyPart ident.PromptPart
 }
 
 // WorkerEventKind is the kind of a worker's event.
@@ -55,6 +59,7 @@
 	WorkerOrderAccepted                            // an order was accepted
 	WorkerOvercommitted                            // an order asked for more adapters than there are slots
 	WorkerEvictedInUse                             // an order unloads or replaces an adapter in use
+	WorkerCrashed                                  // a request with the deadly part ends the worker
 )
 
 // WorkerEvent is an event that a worker reports to OnEvent.
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,6 +30,7 @@
 	adapter        ident.Adapter
 	expectInstance ident.Target
 	expectVersion  ident.Version
+	parts          []ident.PromptPart
 	lastEvent      int
 	events         int // number of events of a stream; 0 for a plain response
 }
@@ -41,6 +43,7 @@
 		lastEvent:      parseNumber(h.Get(platform.HeaderLastEvent)),
 		expectVersion:  ident.Version(parseNumber(h.Get(platform.HeaderExpectVersion))),
 	}
+	req.parts = platform.ParsePromptParts([]byte(h.Get(platform.HeaderPromptParts)))
 	req.model, req.adapter = platform.ParseModel([]byte(h.Get(platform.HeaderModel)))
 	if _, output := platform.ParseTokenCount([]byte(h.Get(platform.HeaderTokenCount))); req.model != "" {
 		req.events = output
@@ -135,6 +138,12 @@
 	event.Kind, event.Adapter = WorkerRan, ident.AdapterVersion{Adapter: req.adapter, Version: a.version}
 	w.notify(event)
 	out.Header().Set(platform.HeaderSignature, WorkerSignature(req.attempt))
+	if slices.Contains(req.parts, faults.DeadlyPart) && w.OnCrash != nil {
+		event.Kind = WorkerCrashed
+		w.notify(event)
+		w.OnCrash()
+		return
+	}
 	switch {
 	case w.drawFault(faults.NoResponseShare):
 		<-r.Context().Done()
