Crashes in quick succession count as several times

The 50 ms now run from the first of them. TestBansAPartUnderWhichEnginesEndOneRightAfterTheOther failed before.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -47,7 +47,8 @@
 // evidence is what speaks against a part.
 type evidence struct {
 	crashes []Crash
-	moments int // crashes at different times
+	moments int       // crashes at different times
+	began   time.Time // of the last of these times
 	last    time.Time
 }
 
@@ -163,13 +164,14 @@
 			return false
 		}
 	}
-	apart := e.moments == 0 || now.Sub(e.last) > moment
+	apart := e.moments == 0 || now.Sub(e.began) > moment
 	e.last = now
 	if len(e.crashes) < 2*banAfter {
 		e.crashes = append(e.crashes, c)
 	}
 	if apart {
 		e.moments++
+		e.began = now
 	}
 	return apart
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -70,6 +70,17 @@
 	}
 }
 
+// On a large fleet such requests come so often that engines end every few ms.
+func TestBansAPartUnderWhichEnginesEndOneRightAfterTheOther(t *testing.T) {
+	table, now := New(), start
+	for i := range 20 {
+		table.Record(crash(i), parts("bad"), now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	_, banned := table.Banned(parts("bad"), now)
+	require.True(t, banned)
+}
+
 func TestBanEndsWithOneTrial(t *testing.T) {
 	table, now := New(), start
 	for i := range banAfter {
