A ban that another gateway knows to be wrong is removed

Found while reading: a gateway that has just started knows no event, and may ban a sound part after three crashes right after a loss of power; it then refuses all requests that could clear the part. Another gateway that had an event with the part took no notice of the record. It removes the record now, which lifts the ban. TestWrongBanIsRemovedFromTheStore failed in its second half before.

--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -189,6 +189,11 @@
 	}
 	now, part := time.Now(), ident.PromptPart(o.Name)
 	g.bans.set(part, o.Revision)
+	if len(g.quarantine.Uncleared([]ident.PromptPart{part})) == 0 {
+		g.Warn("msg", "ban of a part of prompts ended: a request with it had an event", "part", part, "by", r.Gateway)
+		g.removeBan(part)
+		return
+	}
 	if g.quarantine.Adopt(quarantine.Ban{Part: part, Crashes: r.Crashes, Until: now.Add(quarantine.BanTime)}, now) {
 		g.Warn("msg", "part of prompts banned", "part", part, "by", r.Gateway, "revision", o.Revision, "crashes", fmt.Sprint(r.Crashes))
 	}
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -117,5 +117,9 @@
 		h.clearParts([]ident.PromptPart{"sound"})
 		synctest.Wait()
 		require.Equal(t, []ident.PromptPart{"sound"}, removed)
+		// A gateway that has just started and knows no event yet bans it again.
+		f.OnChanges([]platform.Event{{Object: platform.Object{Name: "sound", Revision: 7, Spec: json.RawMessage(`{}`)}}})
+		synctest.Wait()
+		require.Equal(t, []ident.PromptPart{"sound", "sound"}, removed)
 	})
 }
