Reading of the change: one share function, no unused field, orderer by subject

The instance of a lost request was sent and never read; the gateway's function for shares of a duration is the followers' one; reading the engine's report has its own file.

--- a/pkg/follow/timing.go
+++ b/pkg/follow/timing.go
@@ -27,11 +27,12 @@
 // has to be in force, pauseShare the share of it between two watches, and settled the
 // time after a disruption from which on that holds again.
 func NewTiming(inForce time.Duration, pauseShare float64, settled time.Duration) Timing {
-	return Timing{Pause: share(inForce, pauseShare), Wait: share(settled, waitShare)}
+	return Timing{Pause: Share(inForce, pauseShare), Wait: Share(settled, waitShare)}
 }
 
 // AnswerTime returns how long the store may take to acknowledge a call, and to answer
 // it beyond the call's own wait.
-func AnswerTime(settled time.Duration) time.Duration { return share(settled, answerShare) }
+func AnswerTime(settled time.Duration) time.Duration { return Share(settled, answerShare) }
 
-func share(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
+// Share returns a share of a duration.
+func Share(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -246,7 +246,7 @@
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
 		},
 		reportPause: func(pause time.Duration) { x.g.reportPause(conn, pause, x.route.GapObjective) },
-		reportLost:  func(parts []ident.PromptPart) { x.g.reportLost(conn, reply.Instance, parts) },
+		reportLost:  func(parts []ident.PromptPart) { x.g.reportLost(conn, parts) },
 	}, reply
 }
 
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -217,11 +217,11 @@
 	}
 }
 
-func (g *Gateway) reportLost(conn *link.Conn, instance ident.Target, parts []ident.PromptPart) {
+func (g *Gateway) reportLost(conn *link.Conn, parts []ident.PromptPart) {
 	if !conn.Reads(link.KindRequestLost) {
 		return
 	}
-	s, err := conn.Open(link.KindRequestLost, &wire.RequestLost{Instance: instance, Parts: parts})
+	s, err := conn.Open(link.KindRequestLost, &wire.RequestLost{Parts: parts})
 	if err != nil {
 		g.Info("msg", "failed to report a lost request", "agent", conn.Peer.VM, "err", err)
 		return
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -29,8 +29,6 @@
 	maintenanceInterval = 200 * time.Millisecond
 )
 
-func share(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
-
 // followers returns the followers that keep the gateway's copy of the store up to
 // date.
 func (g *Gateway) followers(source follow.Source) []*follow.Follower {
@@ -39,7 +37,7 @@
 		return follow.NewTiming(inForce, pauseShare, bounds.Settled)
 	}
 	outage := follow.NewOutage(g.Common, follow.OutageLimits{
-		RetryDelay: share(min(bounds.Configuration, bounds.Draining, bounds.Version), maxRetryShare),
+		RetryDelay: follow.Share(min(bounds.Configuration, bounds.Draining, bounds.Version), maxRetryShare),
 		Expiry:     expiryHeartbeats * g.node.TargetHeartbeat,
 	}, g.fleet.RecordOutage)
 	return []*follow.Follower{
--- a/pkg/orderer/crash_test.go
+++ b/pkg/orderer/crash_test.go
@@ -57,7 +57,7 @@
 
 func (l *listener) lose(t *testing.T, parts ...ident.PromptPart) {
 	t.Helper()
-	s, err := l.Open(link.KindRequestLost, &wire.RequestLost{Instance: "i-1", Parts: parts})
+	s, err := l.Open(link.KindRequestLost, &wire.RequestLost{Parts: parts})
 	require.NoError(t, err)
 	s.Close()
 }
--- /dev/null
+++ b/pkg/orderer/observe.go
@@ -0,0 +1,87 @@
+package orderer
+
+import (
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/grant"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// observe reads the engine's report. It reports whether there was one.
+func (o *Orderer) observe() bool {
+	requestedAt := time.Now()
+	report, err := o.engine.Report()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		o.misses++
+		if o.misses == downAfter {
+			o.Warn("msg", "engine does not answer", "err", err)
+			o.scheduler.Down()
+		}
+		if o.misses >= downAfter && !o.report.Draining {
+			o.engineEndedLocked(o.startMS)
+		}
+		o.replyLocked()
+		return false
+	}
+	if o.startMS != 0 && report.StartMS != o.startMS && !o.report.Draining {
+		o.engineEndedLocked(o.startMS)
+	}
+	if report.Draining && !o.report.Draining {
+		o.Info("msg", "engine is draining", "born", report.StartMS)
+	}
+	if o.misses >= downAfter {
+		o.Info("msg", "engine answers again", "born", report.StartMS)
+	}
+	o.misses, o.startMS, o.report, o.reportedAt = 0, report.StartMS, report, requestedAt
+	o.scheduler.Observe(grantReport(report), time.Now())
+	if o.scheduler.Pinned() {
+		o.checkRuns()
+	}
+	waiting, running := o.scheduler.RequestCounts()
+	held, loading := o.scheduler.AdapterCounts()
+	o.metrics.waiting.Update(float64(waiting))
+	o.metrics.running.Update(float64(running))
+	o.metrics.held.Update(float64(held))
+	o.metrics.loading.Update(float64(loading))
+	o.replyLocked()
+	return true
+}
+
+// identify asks an engine that has restarted for its instance name. Entries learn the
+// name from the store only later.
+func (o *Orderer) identify() {
+	o.mu.Lock()
+	path, due := o.scheduler.Unidentified()
+	startMS := o.startMS
+	o.mu.Unlock()
+	if !due || time.Now().Before(o.nextIdentify) {
+		return
+	}
+	o.nextIdentify = time.Now().Add(identifyInterval)
+	instance, err := o.engine.Identity(path)
+	if err != nil {
+		o.Info("msg", "engine identity check failed", "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.scheduler.Identify(instance, startMS)
+	o.Info("msg", "engine identified", "instance", instance, "born", startMS)
+}
+
+func grantReport(r platform.EngineReport) grant.Report {
+	out := grant.Report{StartMS: r.StartMS, Sequence: r.Sequence, Busy: r.Busy, Draining: r.Draining, OnDisk: r.OnDisk, InMemory: r.InMemory}
+	for _, m := range r.Models {
+		out.Models = append(out.Models, m.Name)
+		for _, a := range m.Adapters {
+			out.Held = append(out.Held, ident.Weights{Model: m.Name, AdapterVersion: a})
+		}
+	}
+	for _, p := range r.Pending {
+		out.Loading = append(out.Loading, ident.Weights{Model: p.Model, AdapterVersion: p.AdapterVersion})
+	}
+	return out
+}
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -111,8 +111,7 @@
 // RequestLost reports that the connection of a granted request ended before its first
 // event, with the parts of its prompt that no request with an event has shared.
 type RequestLost struct {
-	Instance ident.Target
-	Parts    []ident.PromptPart
+	Parts []ident.PromptPart
 }
 
 // CrashReport reports that an engine ended while requests with these parts of prompts
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -600,13 +600,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RequestLost) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o, err = z.Instance.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
+	// array header, size 1
+	o = append(o, 0x91)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
 	for za0001 := range z.Parts {
 		o, err = z.Parts[za0001].MarshalMsg(o)
@@ -626,13 +621,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	bts, err = z.Instance.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -659,7 +649,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RequestLost) Msgsize() (s int) {
-	s = 1 + z.Instance.Msgsize() + msgp.ArrayHeaderSize
+	s = 1 + msgp.ArrayHeaderSize
 	for za0001 := range z.Parts {
 		s += z.Parts[za0001].Msgsize()
 	}
