Test of the quarantine allows both orders of two simultaneous events

Traced: in virtual time the crash report and the end of the connection have the same moment, and the first request is retried or not.

--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -74,8 +74,10 @@
 			}
 			time.Sleep(200 * time.Millisecond)
 		}
-		require.Equal(t, 3, h.receivedWith("bad"), "requests that reached an engine: one, its retry, one more")
-		require.Equal(t, map[int]int{502: 2, 503: 18}, statuses)
+		require.Equal(t, 3, h.receivedWith("bad"), "sends that reached an engine")
+		// The first report of a crash comes just before or just after the first request
+		// is retried: three requests are sent once, or one twice and one once.
+		require.Contains(t, []map[int]int{{502: 2, 503: 18}, {502: 3, 503: 17}}, statuses)
 		require.Equal(t, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", body(t, h.send(promptRequest("caller:9,other:8"))))
 		synctest.Wait()
 		require.Len(t, recorded, 1)
