--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -13,6 +13,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/follow"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -85,6 +86,23 @@
 	})
 }
 
+// An engine has ended under a part before. A request with it that is lost the same way is
+// not sent to the next engine; other lost requests are.
+func TestLostRequestWithASuspectedPartIsNotSentOn(t *testing.T) {
+	for _, test := range []struct {
+		part  ident.PromptPart // under which an engine has ended
+		sends int
+	}{{"bad", 1}, {"other", 2}} {
+		testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+			crashingEngines(h)
+			h.lost = nil
+			h.quarantine.Record(quarantine.Crash{VM: "vm-1", StartMS: 1}, []ident.PromptPart{test.part}, time.Now())
+			require.Equal(t, 502, h.send(promptRequest("caller:9,bad:8")).StatusCode)
+			require.Equal(t, test.sends, h.receivedWith("bad"))
+		})
+	}
+}
+
 // A gateway that starts learns of bans from the store, and an operator lifts one by
 // deleting its record.
 func TestBansOfTheStoreHold(t *testing.T) {
