Rows and a counter for the rate limits that targets state

A gateway's rows did not show whether it knew the limit of a target when it sent to it. Nothing is decided by the limit yet.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -260,6 +260,14 @@
 	return known && !current.Draining && current.Service == t.Service && current.Address == t.Address
 }
 
+// Known reports whether a target is listed or was until recently.
+func (v *View) Known(id ident.Target) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	_, known := v.targets[id]
+	return known
+}
+
 // Addresses returns the addresses of the known targets, including draining ones.
 func (v *View) Addresses() map[string]bool {
 	v.mu.RLock()
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -96,7 +96,12 @@
 	list := x.g.targetList
 	age := list.Age(now)
 	x.g.metrics.listAge.RecordDuration(age)
-	x.g.Debug("msg", "sending", "request", x.q.attempt, "target", a.target.Instance, "list-revision", list.Revision(), "list-age", age, "held", now.Sub(x.began))
+	limit, limited := x.g.notices.Limit(a.target.Instance)
+	if limited {
+		x.g.metrics.limitedSends.Inc(1)
+	}
+	x.g.Debug("msg", "sending", "request", x.q.attempt, "target", a.target.Instance, "list-revision", list.Revision(), "list-age", age, "held", now.Sub(x.began),
+		"limited", limited, "limit", limit.PerSecond, "limit-age", limit.Age(now))
 }
 
 // begin records the step that is taken next.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/notice"
 	"github.com/hyssoproad/hyssoproad/pkg/outlier"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
 	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
@@ -44,6 +45,7 @@
 	pool      *forward.Pool
 	agents    *agentLinks
 	loads     *loadTracker
+	notices   *notice.Table
 	synced    *syncState
 	bodies    bodyBuffers
 	// quarantine holds the parts of prompts that are refused, and bans their records in
@@ -97,7 +99,7 @@
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
 		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
-		loads: newLoadTracker(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
+		loads: newLoadTracker(), notices: notice.New(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		idleConns:  make(map[*callerConn]bool),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -14,6 +14,7 @@
 	timedOut       tally.Counter
 	abortedStreams tally.Counter
 	retries        tally.Counter
+	limitedSends   tally.Counter   // to targets that state a rate limit
 	grantWait      tally.Histogram // of streams: from a request's arrival to its send
 	firstEvent     tally.Histogram // of streams: from a send to the first event
 	listAge        tally.Histogram // of sends: time for which the list of targets was not confirmed
@@ -25,7 +26,7 @@
 func newMetrics(scope tally.Scope) metrics {
 	m := metrics{
 		requests: scope.Counter("requests"), refused: scope.Counter("refused"), timedOut: scope.Counter("timed_out"),
-		abortedStreams: scope.Counter("streams_broken_off"), retries: scope.Counter("repeated_sends"),
+		abortedStreams: scope.Counter("streams_broken_off"), retries: scope.Counter("repeated_sends"), limitedSends: scope.Counter("sends_to_limited_targets"),
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
 		listAge: scope.Histogram("target_list_age", latencyBuckets),
 	}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -14,6 +14,7 @@
 
 // handleResponse forwards a response to the caller, or classifies it as a failure.
 func (x *exchange) handleResponse(a *assignment, res *forward.Response, sent time.Time) outcome {
+	x.observeNotice(a, res, sent)
 	if load, ok := platform.ParseLoad([]byte(res.Value(platform.HeaderLoad))); ok {
 		x.g.loads.record(a.target.Instance, load, time.Now())
 	}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -230,6 +230,7 @@
 		if g.fleet.Expire(time.Now()) {
 			g.Info("msg", "removed expired targets", "targets", g.fleet.Size())
 		}
+		g.notices.Retain(g.fleet.Known)
 		g.pool.Sweep()
 		g.sendEngineSetups(ctx)
 	}
