--- a/pkg/orderer/crash_test.go
+++ b/pkg/orderer/crash_test.go
@@ -44,7 +44,7 @@
 func connect(t *testing.T, o *Orderer, vm ident.VM) *listener {
 	t.Helper()
 	near, far := net.Pipe()
-	go func() { _, _ = link.Server(far, o.identity(), o.handlers()) }()
+	go func() { _, _ = o.ServeLink(far) }()
 	l := &listener{}
 	c, err := link.Client(near, link.Identity{Role: wire.RoleEntry, VM: vm, Liveness: link.GrantLiveness}, l.handlers())
 	require.NoError(t, err)
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -11,7 +11,7 @@
 // observe reads the engine's report. It reports whether there was one.
 func (o *Orderer) observe() bool {
 	requestedAt := time.Now()
-	report, err := o.engine.Report()
+	report, err := o.Engine.Report()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err != nil {
@@ -61,7 +61,7 @@
 		return
 	}
 	o.nextIdentify = time.Now().Add(identifyInterval)
-	instance, err := o.engine.Identity(path)
+	instance, err := o.Engine.Identity(path)
 	if err != nil {
 		o.Info("msg", "engine identity check failed", "err", err)
 		return
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -49,7 +49,8 @@
 	common.Common
 	metrics metrics
 	node    platform.Node
-	engine  Engine
+	// Engine is the client of the engine. Tests replace it.
+	Engine Engine
 
 	mu        sync.Mutex
 	scheduler *grant.Scheduler
@@ -73,7 +74,7 @@
 	client := platform.NewEngine(node.EngineAddress)
 	c = c.With("orderer")
 	return &Orderer{
-		Common: c, metrics: newMetrics(c.Metrics), node: node, engine: Engine{Report: client.Report, Send: client.Send, Identity: client.Identity},
+		Common: c, metrics: newMetrics(c.Metrics), node: node, Engine: Engine{Report: client.Report, Send: client.Send, Identity: client.Identity},
 		scheduler: grant.New(), pending: make(map[grant.RequestID]chan wire.GrantReply), wake: make(chan struct{}, 1),
 	}
 }
@@ -93,6 +94,13 @@
 	return nil
 }
 
+// ServeLink serves the link of an entry over a connection. It returns once the link
+// stands or has failed.
+func (o *Orderer) ServeLink(nc net.Conn) (*link.Conn, error) {
+	c, err := link.Server(nc, o.identity(), o.handlers())
+	return c, errors.Trace(err)
+}
+
 func (o *Orderer) identity() link.Identity {
 	return link.Identity{Role: wire.RoleAgent, VM: o.node.VM, Liveness: link.GrantLiveness}
 }
@@ -311,7 +319,7 @@
 
 // sendOrder sends one order and reports whether it was accepted.
 func (o *Orderer) sendOrder(g grant.Order) bool {
-	result, err := o.engine.Send(platform.Order{
+	result, err := o.Engine.Send(platform.Order{
 		Unload: g.Unload, Model: g.Weights.Model, Adapter: g.Weights.AdapterVersion,
 		ExpectedSequence: g.Sequence, Holder: o.node.VM, FencingToken: fencingToken, Instance: g.Instance,
 	})
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -157,7 +157,7 @@
 		var conns []*link.Conn
 		f(t, e, func() *link.Conn {
 			near, far := net.Pipe()
-			go func() { _, _ = link.Server(far, o.identity(), o.handlers()) }()
+			go func() { _, _ = o.ServeLink(far) }()
 			c, err := link.Client(near, link.Identity{Role: wire.RoleEntry, VM: "vm-2", Liveness: link.GrantLiveness}, nil)
 			require.NoError(t, err)
 			conns = append(conns, c)
@@ -181,7 +181,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := newFakeEngine()
 		o := New(common.Discard(), platform.Node{VM: "vm-1", EngineAddress: "127.0.0.1:1"})
-		o.engine = Engine{Report: e.report, Send: e.send, Identity: func(string) (ident.Target, error) {
+		o.Engine = Engine{Report: e.report, Send: e.send, Identity: func(string) (ident.Target, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			return e.name, nil
