One function for messages without a reply; an assignment names its agent's link

Three places opened a stream, logged a failure and closed it again; three closures of an assignment only held the link.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -81,7 +81,7 @@
 func (g *Gateway) leastLoadedAssignment(targets []fleet.Target, attempt string) *assignment {
 	t := placement.ByLoad(targets, g.loads.perSlot, g.node.Domain, hash(attempt))[0]
 	g.loads.begin(t.Instance)
-	return &assignment{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}, reportPause: func(time.Duration) {}, reportLost: func([]ident.PromptPart) {}}
+	return &assignment{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}}
 }
 
 const (
@@ -240,27 +240,25 @@
 		x.g.versions.Update(w)
 	}
 	return &assignment{
-		target: t, instance: reply.Instance, version: reply.Version, release: stream.Close, acquired: time.Now(), suspended: x.g.suspended(),
+		target: t, agent: conn, instance: reply.Instance, version: reply.Version, release: stream.Close, acquired: time.Now(), suspended: x.g.suspended(),
 		reportFirstEvent: func(d time.Duration) {
 			// A lost report only makes the agent's forecast less accurate.
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
 		},
-		reportPause: func(pause time.Duration) { x.g.reportPause(conn, pause, x.route.GapObjective) },
-		reportLost:  func(parts []ident.PromptPart) { x.g.reportLost(conn, parts) },
 	}, reply
 }
 
-// reportPause tells an agent the longest pause of a stream that its engine served.
-func (g *Gateway) reportPause(conn *link.Conn, pause, objective time.Duration) {
-	if objective <= 0 || !conn.Reads(link.KindPauseReport) {
+// reportPause tells the target's agent, if it has one, the longest pause of a stream
+// that its engine served.
+func (x *exchange) reportPause(a *assignment, pause time.Duration) {
+	objective := x.route.GapObjective
+	if a.agent == nil || objective <= 0 {
 		return
 	}
-	s, err := conn.Open(link.KindPauseReport, &wire.PauseReport{PauseMS: pause.Milliseconds(), ObjectiveMS: objective.Milliseconds()})
+	err := a.agent.Notify(link.KindPauseReport, &wire.PauseReport{PauseMS: pause.Milliseconds(), ObjectiveMS: objective.Milliseconds()})
 	if err != nil {
-		g.Debug("msg", "failed to report a pause", "agent", conn.Peer.VM, "err", err)
-		return
+		x.g.Debug("msg", "failed to report a pause", "agent", a.agent.Peer.VM, "err", err)
 	}
-	s.Close()
 }
 
 // agentReplyTimeout is how long an agent may take to reply or, if the request has to
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -344,6 +345,8 @@
 // assignment is the target that a request is sent to.
 type assignment struct {
 	target fleet.Target
+	// agent is the link to the target's agent; nil for a target without one.
+	agent *link.Conn
 	// instance is the target's instance name: as its agent reports it, or else as
 	// listed in the store.
 	instance ident.Target
@@ -354,10 +357,6 @@
 	acquired         time.Time
 	suspended        time.Duration
 	reportFirstEvent func(time.Duration) // reports the time to the first event to the agent
-	reportPause      func(time.Duration) // reports the longest pause between two events to the agent
-	// reportLost reports the loss of the request before its first event to the agent,
-	// with the suspected parts of its prompt.
-	reportLost func([]ident.PromptPart)
 }
 
 // grantLease is how long a grant may be held before the request is sent. The agent
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -206,25 +206,17 @@
 	}
 }
 
-// reportLost tells the agent of a request that was lost before its first event, if a
-// part of its prompt is not known to be sound.
+// reportLost tells the target's agent, if it has one, of a request that was lost before
+// its first event, if a part of its prompt is not known to be sound.
 func (x *exchange) reportLost(a *assignment, step string, err error) {
-	if x.eventSeen || step != stepAnswer && step != stepStream || isTimeout(err) {
+	if a.agent == nil || x.eventSeen || step != stepAnswer && step != stepStream || isTimeout(err) {
 		return
 	}
-	if parts := x.g.quarantine.Uncleared(x.q.parts); len(parts) > 0 {
-		a.reportLost(parts)
-	}
-}
-
-func (g *Gateway) reportLost(conn *link.Conn, parts []ident.PromptPart) {
-	if !conn.Reads(link.KindRequestLost) {
+	parts := x.g.quarantine.Uncleared(x.q.parts)
+	if len(parts) == 0 {
 		return
 	}
-	s, err := conn.Open(link.KindRequestLost, &wire.RequestLost{Parts: parts})
-	if err != nil {
-		g.Info("msg", "failed to report a lost request", "agent", conn.Peer.VM, "err", err)
-		return
+	if err := a.agent.Notify(link.KindRequestLost, &wire.RequestLost{Parts: parts}); err != nil {
+		x.g.Info("msg", "failed to report a lost request", "agent", a.agent.Peer.VM, "err", err)
 	}
-	s.Close()
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -107,7 +107,7 @@
 	x.g.recordSuccess(a.target)
 	x.g.eventInterval.record(t.events, t.total-t.grantWait-t.firstEvent)
 	if t.events > 1 {
-		a.reportPause(t.maxGap)
+		x.reportPause(a, t.maxGap)
 	}
 	if !x.streamStarted {
 		x.c.beginStream(res)
--- a/pkg/orderer/crash.go
+++ b/pkg/orderer/crash.go
@@ -125,13 +125,7 @@
 }
 
 func (o *Orderer) sendCrashReport(c *link.Conn, r wire.CrashReport) {
-	if !c.Reads(link.KindCrashReport) {
-		return
-	}
-	s, err := c.Open(link.KindCrashReport, &r)
-	if err != nil {
+	if err := c.Notify(link.KindCrashReport, &r); err != nil {
 		o.Info("msg", "failed to report a crash of the engine", "entry", c.Peer.VM, "err", err)
-		return
 	}
-	s.Close()
 }
