Engines get no more requests than the limit that they state

Cause: nothing acts on what a target says of itself. Before an engine one process grants all requests, so it can hold the sum exactly, whatever the number of gateways. Change: the orderer takes the limit from the heads of its engine's reports and from what gateways pass on of responses; each counts until it ends, and the lower one holds. Grants are taken from a token bucket; what exceeds it is redirected at once, first to homes without a limit. A response without a limit ends it only if its request was sent after the limit was last heard of. A target that states zero is probed once in 4 s. Ruled out: requests granted before the limit was heard (gone within the first second of three).

--- a/pkg/gateway/agents.go
+++ b/pkg/gateway/agents.go
@@ -10,6 +10,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/notice"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -21,8 +22,9 @@
 // agentLinks keeps a link to the agent beside each engine and sends it the engine's
 // setup.
 type agentLinks struct {
-	pool *link.Pool
-	port int
+	pool    *link.Pool
+	port    int
+	notices *notice.Table
 
 	mu         sync.Mutex
 	sentSetups map[*link.Conn]setupID
@@ -37,8 +39,8 @@
 	instance      ident.Target
 }
 
-func newAgentLinks(self link.Identity, port int, handlers link.Handlers) *agentLinks {
-	return &agentLinks{pool: link.NewPool(self, handlers), port: port, sentSetups: make(map[*link.Conn]setupID), backoffUntil: make(map[string]time.Time)}
+func newAgentLinks(self link.Identity, port int, notices *notice.Table, handlers link.Handlers) *agentLinks {
+	return &agentLinks{pool: link.NewPool(self, handlers), port: port, notices: notices, sentSetups: make(map[*link.Conn]setupID), backoffUntil: make(map[string]time.Time)}
 }
 
 // agentBackoff is how long no request is sent to an agent that did not answer, so
@@ -76,7 +78,7 @@
 }
 
 // connWithSetup returns the link to the target's agent. It first sends the engine's
-// setup, unless that was sent over this link before.
+// setup, and the rate limit that it states, unless they were sent over this link before.
 func (a *agentLinks) connWithSetup(ctx context.Context, t fleet.Target, c *platform.Configuration, s platform.Service) (*link.Conn, error) {
 	conn, err := a.conn(ctx, t)
 	if err != nil {
@@ -93,6 +95,9 @@
 	if sent {
 		return conn, nil
 	}
+	if _, limited := a.notices.Limit(t.Instance); limited {
+		a.sendNotice(conn, t.Instance)
+	}
 	setup := engineSetup(t, c, s)
 	stream, err := conn.Open(link.KindEngineSetup, &setup)
 	if err != nil {
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -89,8 +89,8 @@
 	// counting those that give no usable answer. More would spread rarely used
 	// adapters over many engines and cost a round trip each.
 	maxAgents = 5
-	// maxCrowdedAgents replaces maxAgents while the agents asked are crowded: the
-	// adapter is in more demand than they can serve.
+	// maxCrowdedAgents replaces maxAgents while the agents asked are crowded or at their
+	// rate limits: the adapter is in more demand than they can serve.
 	maxCrowdedAgents = 12
 )
 
@@ -131,11 +131,14 @@
 		}
 		switch {
 		case reply.Code == wire.GrantBusy:
-			if reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull {
+			crowded := reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull
+			if crowded {
 				x.g.spread.Widen(weights, time.Now())
+			}
+			if crowded || reply.Reason == wire.ReasonRateLimited {
 				limit = max(limit, min(limit+1, maxCrowdedAgents, len(homes)))
 			}
-			heldElsewhere = heldElsewhere || reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull || reply.Reason == wire.ReasonLoading
+			heldElsewhere = heldElsewhere || crowded || reply.Reason == wire.ReasonLoading
 			if w := time.Duration(reply.WaitMS) * time.Millisecond; soonest == nil || w < why.wait {
 				soonest, why = &homes[i], refusal{reason: "engines busy", cause: reply.Reason, wait: w}
 			}
@@ -158,7 +161,7 @@
 	now := time.Now()
 	list = x.g.spread.Rotate(w, x.g.replicas.PreferCopies(w, x.g.homes(targets, w), x.g.holdings.Holders(w), now), now, hash(x.q.attempt))
 	if len(x.service.Engine.Models) < 2 {
-		return list, ""
+		return x.limitedLast(list), ""
 	}
 	list = placement.Holders(list, w.Model)
 	list = list[:min(len(list), maxAgents-1)]
@@ -168,6 +171,25 @@
 	return list, ""
 }
 
+// limitedLast moves homes that state a rate limit behind the others, all but the first
+// one: what that one does not take is better sent to engines that take more.
+func (x *exchange) limitedLast(homes []fleet.Target) []fleet.Target {
+	if len(homes) == 0 {
+		return homes
+	}
+	out := make([]fleet.Target, 1, len(homes))
+	out[0] = homes[0]
+	var limited []fleet.Target
+	for _, t := range homes[1:] {
+		if _, ok := x.g.notices.Limit(t.Instance); ok {
+			limited = append(limited, t)
+			continue
+		}
+		out = append(out, t)
+	}
+	return append(out, limited...)
+}
+
 const (
 	// By the platform's protocol, callers abandon a stream without an event after
 	// the longest of abandonObjectives latency objectives, abandonGaps gap
--- a/pkg/gateway/fleet_harness_test.go
+++ b/pkg/gateway/fleet_harness_test.go
@@ -35,10 +35,10 @@
 // fleetTarget is an engine or a plain service.
 type fleetTarget struct {
 	fleet.Target
-	work time.Duration
 
 	mu       sync.Mutex
 	headers  string // header lines of each response
+	reported string // header lines of each report
 	status   int    // of each response; 200 if 0
 	arrivals []arrival
 }
@@ -50,6 +50,13 @@
 	t.headers = headers
 }
 
+// report makes the target, an engine, add header lines to its reports.
+func (t *fleetTarget) report(headers string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reported = headers
+}
+
 // arrived returns the requests that reached the target between two times.
 func (t *fleetTarget) arrived(from, to time.Time) []arrival {
 	t.mu.Lock()
@@ -73,6 +80,7 @@
 // services, over pipes in virtual time.
 type fleetHarness struct {
 	t        *testing.T
+	ctx      context.Context // ends with the gateways
 	random   *rand.Rand
 	gateways []*Gateway
 	engines  []*fleetTarget
@@ -91,7 +99,10 @@
 
 const (
 	fleetPeerPort = 7380
-	fleetAdapters = 12
+	fleetAdapters = 120
+	// fleetWork is the time of a plain request, and until the first event of a stream.
+	fleetWork       = 10 * time.Millisecond
+	fleetStreamTime = 200 * time.Millisecond // from the first to the last event
 )
 
 func testFleet(t *testing.T, size fleetSize, f func(t *testing.T, h *fleetHarness)) {
@@ -99,19 +110,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := &fleetHarness{t: t, random: rand.New(rand.NewPCG(1, 2)), agents: make(map[string]*fleetAgent), answered: make(map[int]int)}
 		for i := range size.engines {
-			e := &fleetTarget{work: 200 * time.Millisecond, Target: fleet.Target{Instance: ident.Target(fmt.Sprintf("e-%d", i)), Service: streamService, Address: fmt.Sprintf("10.0.1.%d:1", i+1), Slots: 32, StartMS: 1, Models: fleet.ModelsOf([]ident.Model{streamModel})}}
+			e := &fleetTarget{Target: fleet.Target{Instance: ident.Target(fmt.Sprintf("e-%d", i)), Service: streamService, Address: fmt.Sprintf("10.0.1.%d:1", i+1), Slots: 32, StartMS: 1, Models: fleet.ModelsOf([]ident.Model{streamModel})}}
 			h.engines = append(h.engines, e)
 			h.startAgent(e)
 		}
 		for i := range size.plain {
-			h.plain = append(h.plain, &fleetTarget{work: 10 * time.Millisecond, Target: fleet.Target{Instance: ident.Target(fmt.Sprintf("p-%d", i)), Service: plainService, Address: fmt.Sprintf("10.0.2.%d:1", i+1), Slots: 8, StartMS: 1}})
+			h.plain = append(h.plain, &fleetTarget{Target: fleet.Target{Instance: ident.Target(fmt.Sprintf("p-%d", i)), Service: plainService, Address: fmt.Sprintf("10.0.2.%d:1", i+1), Slots: 8, StartMS: 1}})
 		}
 		for range size.gateways {
 			h.gateways = append(h.gateways, nil)
 		}
-		ctx, cancel := context.WithCancel(t.Context())
+		var cancel context.CancelFunc
+		h.ctx, cancel = context.WithCancel(t.Context())
 		for i := range h.gateways {
-			h.startGateway(ctx, i)
+			h.startGateway(i)
 		}
 		defer func() {
 			cancel()
@@ -128,7 +140,7 @@
 }
 
 // startGateway starts gateway i, or replaces it by a new process that knows nothing.
-func (h *fleetHarness) startGateway(ctx context.Context, i int) {
+func (h *fleetHarness) startGateway(i int) {
 	g := New(common.Discard(), platform.Node{VM: ident.VM(fmt.Sprintf("gateway-%d", i)), PeerPort: fleetPeerPort, Bounds: platform.Bounds{RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second, StopGrace: 8 * time.Second}})
 	g.pool.Dial = func(_ context.Context, address string) (net.Conn, error) { return h.dialTarget(i, address) }
 	g.agents.pool.Dial = func(_ context.Context, address string) (net.Conn, error) { return h.dialAgent(address) }
@@ -148,8 +160,22 @@
 	for _, k := range requiredKinds {
 		g.markListed(k)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.gateways[i] = g
-	go g.maintain(ctx)
+	go g.maintain(h.ctx)
+}
+
+// parseNotice parses the notice in header lines.
+func parseNotice(headers string) platform.TargetNotice {
+	return platform.ParseNotice(func(yield func([]byte, []byte) bool) {
+		for line := range strings.Lines(headers) {
+			name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+			if !yield([]byte(name), []byte(value)) {
+				return
+			}
+		}
+	})
 }
 
 // startAgent starts the orderer of an engine, or replaces it by a new process.
@@ -158,7 +184,7 @@
 	require.NoError(h.t, err)
 	o := orderer.New(common.Discard(), platform.Node{VM: ident.VM("side-" + e.Instance), EngineAddress: e.Address})
 	o.Engine = orderer.Engine{
-		Report:   e.report,
+		Report:   e.currentReport,
 		Send:     func(platform.Order) (platform.OrderResult, error) { return platform.OrderNoChange, nil },
 		Identity: func(string) (ident.Target, error) { return e.Instance, nil },
 	}
@@ -169,13 +195,39 @@
 	h.agents[net.JoinHostPort(host, fmt.Sprint(fleetPeerPort))] = &fleetAgent{o, cancel}
 }
 
-// report is the report of an engine that holds all adapters.
-func (t *fleetTarget) report() (platform.EngineReport, error) {
+// currentReport is the report of an engine that holds all adapters.
+func (t *fleetTarget) currentReport() (platform.EngineReport, error) {
 	m := platform.HeldModel{Name: streamModel}
 	for i := range fleetAdapters {
 		m.Adapters = append(m.Adapters, ident.AdapterVersion{Adapter: ident.Adapter(fmt.Sprintf("a%d", i)), Version: 1})
 	}
-	return platform.EngineReport{StartMS: t.StartMS, Models: []platform.HeldModel{m}}, nil
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return platform.EngineReport{StartMS: t.StartMS, Models: []platform.HeldModel{m}, Notice: parseNotice(t.reported)}, nil
+}
+
+// restartAgent replaces the orderer of an engine by a new process.
+func (h *fleetHarness) restartAgent(e *fleetTarget) {
+	h.stopAgent(e)
+	h.startAgent(e)
+}
+
+// stopAgent ends the orderer of an engine and its links.
+func (h *fleetHarness) stopAgent(e *fleetTarget) {
+	host, _, err := net.SplitHostPort(e.Address)
+	require.NoError(h.t, err)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	address := net.JoinHostPort(host, fmt.Sprint(fleetPeerPort))
+	if a := h.agents[address]; a != nil {
+		a.stop()
+		delete(h.agents, address)
+	}
+	for _, c := range h.conns {
+		if l, ok := c.(agentConn); ok && l.address == address {
+			_ = l.Close()
+		}
+	}
 }
 
 func (h *fleetHarness) isClosed() bool {
@@ -253,7 +305,7 @@
 }
 
 func (t *fleetTarget) answer(c net.Conn, q *http.Request, head string) bool {
-	time.Sleep(t.work)
+	time.Sleep(fleetWork)
 	if !strings.HasPrefix(q.URL.Path, "/stream/") || !strings.HasPrefix(head, "HTTP/1.1 200") {
 		_, err := io.WriteString(c, head+"Content-Length: 2\r\n\r\nok")
 		return err == nil
@@ -261,7 +313,7 @@
 	if _, err := io.WriteString(c, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(events(1, 1))); err != nil {
 		return false
 	}
-	time.Sleep(t.work)
+	time.Sleep(fleetStreamTime)
 	_, err := io.WriteString(c, chunk(events(2, 2))+"0\r\n\r\n")
 	return err == nil
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -103,8 +103,8 @@
 		idleConns:  make(map[*callerConn]bool),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
-	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort,
-		link.Handlers{link.KindCrashReport: g.handleCrashReport})
+	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.notices,
+		link.Handlers{link.KindCrashReport: g.handleCrashReport, link.KindTargetNotice: g.handleTargetNotice})
 	return g
 }
 
--- a/pkg/gateway/limit_test.go
+++ b/pkg/gateway/limit_test.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/fleet"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
 // limitWindow and limitGrace are the guarantee's window, and the time after the first
@@ -16,43 +20,129 @@
 )
 
 // requireWithinLimit requires that the target gets no more requests than the guarantee
-// for its limit allows: half as many again, and 5.
+// for its limit allows, which is half as many again, and 5.
 func requireWithinLimit(t *testing.T, target *fleetTarget, perSecond float64, from, to time.Time) {
 	t.Helper()
 	allowed := 1.5*perSecond*limitWindow.Seconds() + 5
 	require.LessOrEqual(t, float64(target.mostArrivals(from, to, limitWindow)), allowed, "%s, %g a second", target.Instance, perSecond)
 }
 
-// Half of the targets state that they take half of what they get.
-func TestTargetsGetNoMoreThanTheLimitThatTheyState(t *testing.T) {
+// requireUsed requires that the target gets most of the requests that it takes.
+func requireUsed(t *testing.T, target *fleetTarget, perSecond float64, from, to time.Time) {
+	t.Helper()
+	require.GreaterOrEqual(t, float64(len(target.arrived(from, to))), 0.75*perSecond*to.Sub(from).Seconds(), "%s, %g a second", target.Instance, perSecond)
+}
+
+func statedLimit(perSecond float64) string { return fmt.Sprintf("Server-Limit: %g\r\n", perSecond) }
+
+// Half of the engines state that they take a quarter of what they get (load pattern: demand
+// above what some engines take, at uneven shares of several gateways).
+func TestEnginesGetNoMoreThanTheLimitThatTheyState(t *testing.T) {
+	const perSecond, limit = 40, 2.5
+	respond := func(e *fleetTarget, limit float64) { e.state(statedLimit(limit)) }
 	for _, test := range []struct {
-		name      string
-		size      fleetSize
-		path      string
-		perSecond float64
+		name  string
+		limit float64
+		state func(e *fleetTarget, limit float64)
+		// happens is called at second i of the load under the limit.
+		happens func(h *fleetHarness, i int)
 	}{
-		{"engines", fleetSize{4, 4, 0}, "/stream/", 40},
-		{"plain service", fleetSize{4, 2, 4}, "/safe/", 40},
+		{"in responses", limit, respond, nil},
+		{"in reports", limit, func(e *fleetTarget, limit float64) { e.report(statedLimit(limit)) }, nil},
+		{"in both", limit, func(e *fleetTarget, limit float64) { e.state(statedLimit(limit)); e.report(statedLimit(limit)) }, nil},
+		{"a low one", 0.5, respond, nil},
+		{"none at all", 0, respond, nil},
+		{"one in doubt between valid ones", limit, func(e *fleetTarget, limit float64) {
+			e.state(statedLimit(limit) + "Server-Limit: much\r\nServer-Limit: 1000\r\n")
+		}, nil},
+		{"it varies", limit, respond, func(h *fleetHarness, i int) { h.engines[0].state(statedLimit(limit - float64(i%2)/2)) }},
+		{"their agents restart", limit, respond, func(h *fleetHarness, i int) {
+			if i%4 == 3 {
+				h.restartAgent(h.engines[0])
+			}
+		}},
+		{"gateways restart", limit, respond, func(h *fleetHarness, i int) {
+			if i%4 == 3 {
+				h.startGateway(i % 3)
+			}
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			testFleet(t, test.size, func(t *testing.T, h *fleetHarness) {
-				targets := h.engines
-				if test.size.plain > 0 {
-					targets = h.plain
-				}
-				limit := test.perSecond / float64(len(targets)) / 2
-				limited := targets[:len(targets)/2]
-				h.load(test.path, test.perSecond, 25*time.Second)
-				time.Sleep(3 * time.Second)
-				for _, l := range limited {
-					l.state(fmt.Sprintf("Server-Limit: %.1f\r\n", limit))
+			testFleet(t, fleetSize{4, 4, 0}, func(t *testing.T, h *fleetHarness) {
+				limited := h.engines[:2]
+				before := make(map[*fleetTarget]float64) // arrivals a second without a limit
+				h.load("/stream/", perSecond, 35*time.Second)
+				time.Sleep(6 * time.Second)
+				for _, e := range limited {
+					before[e] = float64(len(e.arrived(time.Now().Add(-5*time.Second), time.Now()))) / 5
+					require.Greater(t, before[e], 2*test.limit)
+					test.state(e, test.limit)
 				}
 				from := time.Now().Add(limitGrace)
-				time.Sleep(15 * time.Second)
-				for _, l := range limited {
-					requireWithinLimit(t, l, limit, from, time.Now())
+				for i := range 15 {
+					if test.happens != nil {
+						test.happens(h, i)
+					}
+					time.Sleep(time.Second)
+				}
+				for _, e := range limited {
+					requireWithinLimit(t, e, test.limit, from, time.Now())
+					if test.limit > 0 {
+						requireUsed(t, e, test.limit, from, time.Now())
+					}
+					e.state("")
+					e.report("")
+				}
+				time.Sleep(10 * time.Second)
+				for _, e := range limited {
+					again := float64(len(e.arrived(time.Now().Add(-5*time.Second), time.Now()))) / 5
+					require.Greater(t, again, before[e]/2, "%s, whose limit has ended", e.Instance)
 				}
 			})
 		})
 	}
 }
+
+// Half of the targets of a plain service, which have no agent, state that they take half
+// of what they get.
+func TestPlainTargetsGetNoMoreThanTheLimitThatTheyState(t *testing.T) {
+	const perSecond, limit = 40, 5
+	testFleet(t, fleetSize{4, 2, 4}, func(t *testing.T, h *fleetHarness) {
+		h.load("/safe/", perSecond, 25*time.Second)
+		time.Sleep(3 * time.Second)
+		for _, p := range h.plain[:2] {
+			p.state(statedLimit(limit))
+		}
+		from := time.Now().Add(limitGrace)
+		time.Sleep(15 * time.Second)
+		for _, p := range h.plain[:2] {
+			requireWithinLimit(t, p, limit, from, time.Now())
+		}
+	})
+}
+
+// The first home is used up to its limit. What it does not take goes to engines without
+// a limit first (load pattern: most engines state limits, and few homes are asked).
+func TestHomesWithALimitComeLast(t *testing.T) {
+	for _, test := range []struct {
+		limited string // instances, one letter each
+		want    string
+	}{
+		{"", "abcd"}, {"a", "abcd"}, {"b", "acdb"}, {"ac", "abdc"}, {"abcd", "abcd"}, {"bcd", "abcd"},
+	} {
+		g := testGateway()
+		for _, id := range test.limited {
+			g.notices.Adopt(wire.TargetNotice{Target: ident.Target(id), Limited: true, LimitPerSecond: 1}, time.Now())
+		}
+		var homes []fleet.Target
+		for _, id := range "abcd" {
+			homes = append(homes, fleet.Target{Instance: ident.Target(id)})
+		}
+		got := ""
+		for _, h := range (&exchange{g: g}).limitedLast(homes) {
+			got += string(h.Instance)
+		}
+		require.Equal(t, test.want, got, "limited: %s", test.limited)
+		require.Empty(t, (&exchange{g: g}).limitedLast(nil))
+	}
+}
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -114,7 +114,7 @@
 		return wire.GrantReply{Code: wire.GrantBusy}, now.After(req.deadline())
 	}
 	version, ready := s.ready(req)
-	if ready && ahead.promptTokens == 0 && !s.prefersReplica(req, ahead) && s.fits(req) {
+	if ready && ahead.promptTokens == 0 && !s.prefersReplica(req, ahead) && s.fits(req) && s.limit.Take(now) {
 		s.grant(req, now)
 		return wire.GrantReply{Code: wire.GrantIssued, Version: version, Instance: s.instance}, true
 	}
@@ -136,7 +136,12 @@
 func (s *Scheduler) forecast(req *Request, ahead queueAhead, now time.Time) forecast {
 	var f forecast
 	f.wait, f.reason = s.queueWait(req, ahead)
-	f.redirect = f.wait > redirectWait
+	turn := s.limit.Wait(ahead.requests+1, now)
+	if turn > f.wait {
+		f.wait, f.reason = turn, wire.ReasonRateLimited
+	}
+	// Redirecting at once still uses up the limit: more requests ask than it allows.
+	f.redirect = f.wait > redirectWait || turn > 0
 	if s.prefersReplica(req, ahead) {
 		// Both engines hold the adapter, so the prefill backlog decides.
 		f.redirect = true
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -2,19 +2,22 @@
 // may be sent to the engine and which models and adapters the engine loads. It
 // does no I/O, and callers pass in the current time.
 //
-// It handles three load patterns:
+// It handles four load patterns:
 //   - Many rare adapters compete for few slots. Adapters in use are pinned, and
 //     the least recently used idle adapter is evicted first.
 //   - Prompts for a popular adapter arrive faster than one engine can prefill
 //     them. A wait forecast redirects the later ones to another engine at once.
 //   - More requests arrive than fit the engine's slots or memory. They queue
 //     here in priority order, where they can still be refused as not run.
+//   - An engine in need states that it takes fewer requests than arrive. It is used
+//     up to its limit, and the other requests go to other engines at once.
 package grant
 
 import (
 	"time"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/ratelimit"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -94,6 +97,9 @@
 	pacing
 	loads
 	modelSwitch
+	// limit is the rate limit that the engine states. It counts grants, since each is
+	// for one send.
+	limit ratelimit.Limiter
 }
 
 // usage holds totals over the granted requests.
@@ -151,6 +157,21 @@
 // Instance returns the engine's instance name, or an empty name while it is unknown.
 func (s *Scheduler) Instance() ident.Target { return s.instance }
 
+// SetLimit sets the rate limit that the engine states, in requests per second.
+func (s *Scheduler) SetLimit(perSecond float64, now time.Time) { s.limit.Set(perSecond, now) }
+
+// Limit returns the rate limit that the engine states, if any.
+func (s *Scheduler) Limit() (perSecond float64, limited bool) { return s.limit.PerSecond() }
+
+// ClearLimit records that the engine states no rate limit.
+func (s *Scheduler) ClearLimit() { s.limit.Clear() }
+
+// TakePermit takes one request that needs no grant off the engine's rate limit, if the
+// limit allows it within maxWait. It returns how long to wait, and whether it did.
+func (s *Scheduler) TakePermit(maxWait time.Duration, now time.Time) (wait time.Duration, taken bool) {
+	return s.limit.TakeWithin(maxWait, now)
+}
+
 // Idle reports whether no request waits and no load or unload is in progress, so
 // that the engine can be polled less often.
 func (s *Scheduler) Idle() bool { return len(s.waiting) == 0 && len(s.loading) == 0 && !s.busy }
--- a/pkg/grant/scheduler_test.go
+++ b/pkg/grant/scheduler_test.go
@@ -95,6 +95,50 @@
 	require.Equal(t, wire.GrantIssued, sched.Decide(start)[0].Code)
 }
 
+// An engine states a third of the requests that come to it (load pattern: demand that
+// stays above what the engine takes): it gets as many as it states, all others are
+// redirected at once, and a request that can go nowhere else waits for its turn.
+func TestEngineIsUsedUpToItsRateLimit(t *testing.T) {
+	sched := schedulerWith(4, 1)
+	sched.SetLimit(4, start)
+	granted, redirected := 0, 0
+	for i := range RequestID(120) {
+		now := start.Add(time.Duration(i) * 83 * time.Millisecond)
+		r := request(i, 1, now)
+		r.HasAlternative = true
+		sched.Enqueue(r)
+		replies := sched.Decide(now)
+		require.Len(t, replies, 1)
+		switch reply := replies[0]; reply.Code {
+		case wire.GrantIssued:
+			granted++
+			sched.Withdraw(i, now)
+		case wire.GrantBusy:
+			redirected++
+			require.Equal(t, wire.ReasonRateLimited, reply.Reason)
+			require.LessOrEqual(t, reply.WaitMS, int64(250))
+		}
+	}
+	require.InDelta(t, 40, granted, 3, "in 10 s")
+	require.Equal(t, 120, granted+redirected)
+
+	now := start.Add(10 * time.Second)
+	sched.Enqueue(request(200, 1, now))
+	sched.Enqueue(request(201, 1, now))
+	var waits []time.Duration
+	for at := now; len(waits) < 2 && at.Before(now.Add(time.Second)); at = at.Add(10 * time.Millisecond) {
+		for _, reply := range sched.Decide(at) {
+			require.Equal(t, wire.GrantIssued, reply.Code)
+			waits = append(waits, at.Sub(now))
+		}
+	}
+	require.Len(t, waits, 2)
+	require.InDelta(t, 250, (waits[1] - waits[0]).Milliseconds(), 15)
+	sched.ClearLimit()
+	sched.Enqueue(request(300, 1, now))
+	require.Len(t, sched.Decide(now.Add(time.Second)), 1)
+}
+
 func TestRefusesWhenAllAdaptersAreInUse(t *testing.T) {
 	sched := schedulerWith(1, 1)
 	sched.Enqueue(request(1, 1, start))
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -47,6 +47,9 @@
 	KindPauseReport
 	KindRequestLost
 	KindCrashReport
+	KindTargetNotice
+	KindPermitRequest
+	KindPermitReply
 	kindLimit
 )
 
--- a/pkg/orderer/crash_test.go
+++ b/pkg/orderer/crash_test.go
@@ -42,17 +42,23 @@
 
 // connect links a listener to the orderer o.
 func connect(t *testing.T, o *Orderer, vm ident.VM) *listener {
+	t.Helper()
+	l := &listener{}
+	l.Conn = connectWith(t, o, vm, l.handlers()).Conn
+	return l
+}
+
+// connectWith links an entry with the handlers to the orderer o.
+func connectWith(t *testing.T, o *Orderer, vm ident.VM, handlers link.Handlers) *listener {
 	t.Helper()
 	near, far := net.Pipe()
 	go func() { _, _ = o.ServeLink(far) }()
-	l := &listener{}
-	c, err := link.Client(near, link.Identity{Role: wire.RoleEntry, VM: vm, Liveness: link.GrantLiveness}, l.handlers())
+	c, err := link.Client(near, link.Identity{Role: wire.RoleEntry, VM: vm, Liveness: link.GrantLiveness}, handlers)
 	require.NoError(t, err)
-	l.Conn = c
 	s, err := c.Open(link.KindEngineSetup, &wire.EngineSetup{Configuration: 1, Instance: "i-1", Slots: 4, KVTokens: 1000, MB: 1000, AdapterSlots: 2})
 	require.NoError(t, err)
 	s.Close()
-	return l
+	return &listener{Conn: c}
 }
 
 func (l *listener) lose(t *testing.T, parts ...ident.PromptPart) {
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -37,6 +37,7 @@
 	}
 	o.misses, o.startMS, o.report, o.reportedAt = 0, report.StartMS, report, requestedAt
 	o.scheduler.Observe(grantReport(report), time.Now())
+	o.observeNoticeLocked(report.Notice)
 	if o.scheduler.Pinned() {
 		o.checkRuns()
 	}
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -16,6 +16,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/grant"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/notice"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -60,11 +61,14 @@
 
 	entries entrySet
 	crashes crashLog
+	// notices is what gateways tell of targets.
+	notices *notice.Table
 
 	misses       int
 	startMS      int64                 // start of the engine process in Unix milliseconds
 	report       platform.EngineReport // the newest report
 	reportedAt   time.Time             // when the newest report was requested
+	reported     platform.TargetNotice // what the head of the newest report says that is valid
 	nextIdentify time.Time             // earliest time of the next health check
 	listener     net.Listener
 }
@@ -76,6 +80,7 @@
 	return &Orderer{
 		Common: c, metrics: newMetrics(c.Metrics), node: node, Engine: Engine{Report: client.Report, Send: client.Send, Identity: client.Identity},
 		scheduler: grant.New(), pending: make(map[grant.RequestID]chan wire.GrantReply), wake: make(chan struct{}, 1),
+		notices: notice.New(),
 	}
 }
 
@@ -106,7 +111,10 @@
 }
 
 func (o *Orderer) handlers() link.Handlers {
-	return link.Handlers{link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost}
+	return link.Handlers{
+		link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
+		link.KindTargetNotice: o.handleTargetNotice,
+	}
 }
 
 // Stop closes the listener. Running requests are not affected, since they do not
@@ -120,10 +128,14 @@
 	}
 	if _, isNew := o.entries.add(stream.Conn()); isNew {
 		o.sendCrashReports(stream.Conn())
+		for _, n := range o.notices.All() {
+			o.sendNotice(stream.Conn(), n)
+		}
 	}
 	o.mu.Lock()
 	changed := o.scheduler.Setup(s)
 	instance := o.scheduler.Instance()
+	o.updateLimitLocked()
 	o.mu.Unlock()
 	if changed {
 		o.Info("msg", "engine configured", "instance", instance, "listed", s.Instance, "service", s.Service, "configuration", s.Configuration)
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -39,6 +39,7 @@
 	lateOrders  int             // number of orders to execute 3 s later without a reply
 	down        bool            // reports fail
 	draining    bool
+	notice      platform.TargetNotice // in the head of each report
 	senders     map[platform.Order]bool
 }
 
@@ -82,6 +83,7 @@
 	if err != nil {
 		return r, err
 	}
+	r.Notice = e.notice
 	if !e.model {
 		return r, nil
 	}
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -o grant_schema_gen.go -tests=false -io=false
 
-//msgp:tuple EngineSetup ModelSetup GrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport
+//msgp:tuple EngineSetup ModelSetup GrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport TargetNotice PermitRequest PermitReply
 
 // EngineSetup tells the agent beside an engine what the engine serves and how
 // much it holds. For the same instance, a setup from an older configuration
@@ -82,6 +82,7 @@
 	ReasonAdaptersInUse               // every adapter on the engine is in use, so none can be evicted
 	ReasonOldVersionInUse             // an older version of the adapter is in use
 	ReasonDraining                    // the engine is about to leave
+	ReasonRateLimited                 // the rate limit that the engine states is used up
 )
 
 // GrantReply answers a GrantRequest.
@@ -121,3 +122,28 @@
 	StartMS int64 // start of the engine process that ended, in Unix ms
 	Parts   []ident.PromptPart
 }
+
+// TargetNotice passes on what a target says about itself in its responses: a gateway to
+// an agent, and the agent to all linked gateways.
+type TargetNotice struct {
+	Target  ident.Target
+	Limited bool // the target states a rate limit
+	// LimitPerSecond is the limit, with Limited, in requests of all gateways.
+	LimitPerSecond float64
+}
+
+// PermitRequest asks for a permit to send one request to a target that states a rate
+// limit. All gateways ask the same agent about the same target.
+type PermitRequest struct {
+	Target         ident.Target
+	LimitPerSecond float64
+	MaxWaitMS      int64 // how long the request may wait for its turn, in ms
+}
+
+// PermitReply answers a PermitRequest.
+type PermitReply struct {
+	Granted bool
+	// WaitMS is how long to wait, in ms: until the request may be sent, or else until
+	// another one may be granted.
+	WaitMS int64
+}
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -597,6 +597,100 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z PermitReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBool(o, z.Granted)
+	o = msgp.AppendInt64(o, z.WaitMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PermitReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	z.WaitMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMS")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PermitReply) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PermitRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o, err = z.Target.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	o = msgp.AppendFloat64(o, z.LimitPerSecond)
+	o = msgp.AppendInt64(o, z.MaxWaitMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PermitRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	bts, err = z.Target.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.LimitPerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LimitPerSecond")
+		return
+	}
+	z.MaxWaitMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxWaitMS")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PermitRequest) Msgsize() (s int) {
+	s = 1 + z.Target.Msgsize() + msgp.Float64Size + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *RequestLost) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -655,3 +749,55 @@
 	}
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TargetNotice) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o, err = z.Target.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	o = msgp.AppendBool(o, z.Limited)
+	o = msgp.AppendFloat64(o, z.LimitPerSecond)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TargetNotice) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	bts, err = z.Target.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Limited, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Limited")
+		return
+	}
+	z.LimitPerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LimitPerSecond")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TargetNotice) Msgsize() (s int) {
+	s = 1 + z.Target.Msgsize() + msgp.BoolSize + msgp.Float64Size
+	return
+}
