Plain targets get no more requests than the limit that they state

Cause: as with engines, and here no process sees all requests for a target. Change: any agent can apportion the limit of such a target; all gateways ask the same one, by rendezvous of the target over the engines, for a permit for each send while the target states a limit. An agent hands out the share of those gateways that ask it, so that two agents never add up to more than the limit. A gateway that reaches none keeps to half of its own share. Denials are remembered for as long as they hold; if all targets are at their limits a request waits for at most half of its objective, and is refused at once beyond that. Ways weighed: fixed shares (68 gateways with one request each exceed the bound at 3.7 a second, and uneven traffic leaves shares unused), sums by gossip (late by a round trip for each gateway, and no bound when cut).

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -260,12 +260,12 @@
 	return known && !current.Draining && current.Service == t.Service && current.Address == t.Address
 }
 
-// Known reports whether a target is listed or was until recently.
-func (v *View) Known(id ident.Target) bool {
+// Find returns a target that is listed or was until recently.
+func (v *View) Find(id ident.Target) (Target, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	_, known := v.targets[id]
-	return known
+	t, known := v.targets[id]
+	return t, known
 }
 
 // Addresses returns the addresses of the known targets, including draining ones.
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -20,19 +20,21 @@
 
 // acquireAssignment returns the target to send the request to, or the reason why there
 // is none.
-func (x *exchange) acquireAssignment() (*assignment, refusal) { return x.acquire(x.acquireGrant) }
+func (x *exchange) acquireAssignment() (*assignment, refusal) {
+	return x.acquire(x.acquireGrant, x.maxPermitWait())
+}
 
 // acquireImmediately is like acquireAssignment, but does not wait for a busy engine.
 func (x *exchange) acquireImmediately() (*assignment, refusal) {
 	return x.acquire(func(targets []fleet.Target) (*assignment, refusal) {
 		a, why, _ := x.askHomes(targets)
 		return a, why
-	})
+	}, 0)
 }
 
 // acquire returns an assignment to one of the service's eligible targets. It calls
-// grant for a target that needs one.
-func (x *exchange) acquire(grant func([]fleet.Target) (*assignment, refusal)) (*assignment, refusal) {
+// grant for a target that needs one, and waits up to maxWait for a permit.
+func (x *exchange) acquire(grant func([]fleet.Target) (*assignment, refusal), maxWait time.Duration) (*assignment, refusal) {
 	if ban, banned := x.g.quarantine.Banned(x.q.parts, time.Now()); banned {
 		return nil, refusal{reason: "part of the prompt crashes engines", wait: time.Until(ban.Until), detail: fmt.Sprintf("part %s, crashes %v", ban.Part, ban.Crashes)}
 	}
@@ -41,7 +43,7 @@
 		return nil, refusal{reason: "no target", wait: noTargetRetryAfter}
 	}
 	if x.service.Engine == nil || x.q.weights.Model == "" {
-		return x.g.leastLoadedAssignment(targets, x.q.attempt), refusal{}
+		return x.leastLoaded(targets, maxWait)
 	}
 	return grant(targets)
 }
@@ -77,11 +79,11 @@
 // update interval of the target list.
 const noTargetRetryAfter = time.Second
 
-// leastLoadedAssignment returns an assignment to the least loaded target.
-func (g *Gateway) leastLoadedAssignment(targets []fleet.Target, attempt string) *assignment {
-	t := placement.ByLoad(targets, g.loads.perSlot, g.node.Domain, hash(attempt))[0]
+// assign returns an assignment to a target without a grant.
+func (g *Gateway) assign(t fleet.Target) *assignment {
+	_, limited := g.notices.Limit(t.Instance)
 	g.loads.begin(t.Instance)
-	return &assignment{target: t, instance: t.Instance, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}}
+	return &assignment{target: t, instance: t.Instance, permitted: limited, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}}
 }
 
 const (
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -273,6 +273,12 @@
 		conn.Close()
 		return outcomeUnsent
 	}
+	if a.agent == nil && !a.permitted {
+		if _, granted := x.g.permit(x.ctx, a.target, 0); !granted {
+			x.g.pool.Put(conn)
+			return outcomeUnsent // it has stated a limit since
+		}
+	}
 	if !x.g.fleet.Usable(a.target) {
 		conn.Close()
 		x.g.Info("msg", "target left before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
@@ -347,6 +353,8 @@
 	target fleet.Target
 	// agent is the link to the target's agent; nil for a target without one.
 	agent *link.Conn
+	// permitted says that a target without an agent has a rate limit that allows the send.
+	permitted bool
 	// instance is the target's instance name: as its agent reports it, or else as
 	// listed in the store.
 	instance ident.Target
--- a/pkg/gateway/fleet_harness_test.go
+++ b/pkg/gateway/fleet_harness_test.go
@@ -91,7 +91,6 @@
 	conns    []io.Closer
 	closed   bool
 	answered map[int]int // responses to callers by status
-	sent     int
 }
 
 // fleetSize is the size of a fleet under test.
@@ -347,9 +346,27 @@
 
 // call sends one request to a gateway as a caller and counts the response.
 func (h *fleetHarness) call(gateway int, path string, adapter int) {
+	status := 0
+	if res := h.request(gateway, path, adapter); res != nil {
+		status = res.StatusCode
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answered[status]++
+}
+
+// answers returns the number of callers that got a response with the status.
+func (h *fleetHarness) answers(status int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answered[status]
+}
+
+// request sends one request to a gateway as a caller and reads the whole response. It
+// returns nil if that is incomplete.
+func (h *fleetHarness) request(gateway int, path string, adapter int) *http.Response {
 	near, far := net.Pipe()
 	h.mu.Lock()
-	h.sent++
 	id, g := h.random.Uint64(), h.gateways[gateway]
 	h.mu.Unlock()
 	go g.serve(far)
@@ -359,16 +376,15 @@
 		raw += fmt.Sprintf("X-Model: %s/a%d\r\nX-Token-Count: 50,10\r\n", streamModel, adapter)
 	}
 	go func() { _, _ = io.WriteString(near, raw+"\r\n") }() // fails if the gateway closes first
-	status := 0
-	if res, err := http.ReadResponse(bufio.NewReader(near), nil); err == nil {
-		if _, err := io.Copy(io.Discard, res.Body); err == nil {
-			status = res.StatusCode
-		}
+	res, err := http.ReadResponse(bufio.NewReader(near), nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, res.Body)
 	}
 	time.Sleep(time.Millisecond) // the gateway ends the request before its caller disconnects
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.answered[status]++
+	if err != nil {
+		return nil
+	}
+	return res
 }
 
 // mostArrivals returns the largest number of requests that reached a target within any
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -46,6 +46,7 @@
 	agents    *agentLinks
 	loads     *loadTracker
 	notices   *notice.Table
+	permits   *permits
 	synced    *syncState
 	bodies    bodyBuffers
 	// quarantine holds the parts of prompts that are refused, and bans their records in
@@ -99,7 +100,7 @@
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
 		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
-		loads: newLoadTracker(), notices: notice.New(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
+		loads: newLoadTracker(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		idleConns:  make(map[*callerConn]bool),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
--- a/pkg/gateway/notice.go
+++ b/pkg/gateway/notice.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
@@ -15,8 +16,8 @@
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
-// observeNotice records what a target says about itself in a response, and tells the
-// target's agent if that is new.
+// observeNotice records what a target says about itself in a response. If that is new,
+// it tells the target's agent, or the one that apportions its rate limit.
 func (x *exchange) observeNotice(a *assignment, res *forward.Response, sent time.Time) {
 	if res.Status == fasthttp.StatusMisdirectedRequest {
 		return // another target has this address
@@ -32,7 +33,22 @@
 	x.g.logNotice(a.target.Instance, change, "request", x.q.attempt)
 	if a.agent != nil {
 		x.g.agents.sendNotice(a.agent, a.target.Instance)
+		return
+	}
+	go x.g.tellPermitAgent(a.target)
+}
+
+// tellPermitAgent tells the agent that apportions a target's rate limit what the target
+// says about itself.
+func (g *Gateway) tellPermitAgent(t fleet.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), agentDialWait)
+	defer cancel()
+	conn, _, err := g.permitLink(ctx, t)
+	if err != nil {
+		g.Info("msg", "no agent to tell what a target says of itself", "target", t.Instance, "err", err)
+		return
 	}
+	g.agents.sendNotice(conn, t.Instance)
 }
 
 // logNotice logs a change of what is known of a target, and its source.
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -230,7 +230,8 @@
 		if g.fleet.Expire(time.Now()) {
 			g.Info("msg", "removed expired targets", "targets", g.fleet.Size())
 		}
-		g.notices.Retain(g.fleet.Known)
+		g.notices.Retain(func(t ident.Target) bool { _, known := g.fleet.Find(t); return known })
+		g.renewPermits()
 		g.pool.Sweep()
 		g.sendEngineSetups(ctx)
 	}
--- a/pkg/orderer/notice.go
+++ b/pkg/orderer/notice.go
@@ -19,7 +19,11 @@
 	if _, err := n.UnmarshalMsg(f.Body); err != nil {
 		return errors.Trace(err)
 	}
-	if o.notices.Adopt(n, time.Now()) == notice.Unchanged {
+	now := time.Now()
+	if n.Limited && !o.isOwn(n.Target) {
+		o.permits.heard(n.Target, s.Conn().Peer.VM, now)
+	}
+	if o.notices.Adopt(n, now) == notice.Unchanged {
 		return nil
 	}
 	o.mu.Lock()
--- a/pkg/orderer/notice_test.go
+++ b/pkg/orderer/notice_test.go
@@ -90,6 +90,46 @@
 		first.tell(t, wire.TargetNotice{Target: "p-1"})
 		time.Sleep(time.Second)
 		ended := wire.TargetNotice{Target: "p-1"}
+		mu.Lock()
+		defer mu.Unlock()
 		require.Equal(t, map[ident.VM][]wire.TargetNotice{"gateway-2": {limit, ended}, "gateway-3": {limit, ended}}, told)
 	})
 }
+
+func (l *listener) permit(t *testing.T, r wire.PermitRequest) wire.PermitReply {
+	t.Helper()
+	var reply wire.PermitReply
+	require.NoError(t, l.Call(t.Context(), link.KindPermitRequest, &r, link.KindPermitReply, &reply))
+	return reply
+}
+
+// Permits for requests that need no grant: of the engine's own limit, which grants use as
+// well, and of the limits of targets without an agent, in proportion to the entries that
+// ask here.
+func TestPermitsStayWithinTheLimit(t *testing.T) {
+	testOrdererWith(t, func(t *testing.T, o *Orderer, _ *fakeEngine) {
+		l := connect(t, o, "gateway-1")
+		defer l.Close()
+		time.Sleep(time.Millisecond) // the engine's name
+		own := wire.PermitRequest{Target: "i-1", LimitPerSecond: 4, MaxWaitMS: 300}
+		require.Equal(t, wire.PermitReply{Granted: true, LinkedEntries: 1}, l.permit(t, own), "no limit is stated")
+		l.tell(t, wire.TargetNotice{Target: "i-1", Limited: true, LimitPerSecond: 4})
+		time.Sleep(time.Millisecond)
+		require.Equal(t, wire.PermitReply{Granted: true, WaitMS: 249, LinkedEntries: 1}, l.permit(t, own))
+		require.Equal(t, wire.PermitReply{WaitMS: 499, LinkedEntries: 1}, l.permit(t, own))
+
+		plain := wire.PermitRequest{Target: "p-1", LimitPerSecond: 4, MaxWaitMS: 300}
+		require.Equal(t, wire.PermitReply{Granted: true, WaitMS: 250, LinkedEntries: 1}, l.permit(t, plain))
+		silent := connect(t, o, "gateway-2")
+		defer silent.Close()
+		time.Sleep(4 * time.Second)
+		granted := 0
+		for range 100 {
+			if l.permit(t, wire.PermitRequest{Target: "p-1", LimitPerSecond: 4}).Granted {
+				granted++
+			}
+			time.Sleep(40 * time.Millisecond)
+		}
+		require.InDelta(t, 8, granted, 1, "in 4 s: half of the entries ask here")
+	})
+}
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -17,6 +17,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/notice"
+	"github.com/hyssoproad/hyssoproad/pkg/retry"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -63,6 +64,9 @@
 	crashes crashLog
 	// notices is what gateways tell of targets.
 	notices *notice.Table
+	permits permitTable
+	// entryCount is how many entries are or were lately linked.
+	entryCount retry.EntryCount
 
 	misses       int
 	startMS      int64                 // start of the engine process in Unix milliseconds
@@ -113,7 +117,7 @@
 func (o *Orderer) handlers() link.Handlers {
 	return link.Handlers{
 		link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
-		link.KindTargetNotice: o.handleTargetNotice,
+		link.KindTargetNotice: o.handleTargetNotice, link.KindPermitRequest: o.handlePermitRequest,
 	}
 }
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -20,8 +20,12 @@
 // Homes returns the targets in the order of preference for requests on the weights,
 // by rendezvous hashing. It hashes addresses rather than instance names, so that an
 // engine that restarts stays the home of the adapters on its own disk.
-func Homes(targets []fleet.Target, w ident.Weights) []fleet.Target {
-	key := xxhash.Sum64String(w.String())
+func Homes(targets []fleet.Target, w ident.Weights) []fleet.Target { return Rank(targets, w.String()) }
+
+// Rank returns the targets in an order that depends on the key alone, by rendezvous
+// hashing of their addresses.
+func Rank(targets []fleet.Target, of string) []fleet.Target {
+	key := xxhash.Sum64String(of)
 	type ranked struct {
 		fleet.Target
 		hash uint64
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -34,7 +34,27 @@
 func (l *Limiter) Set(perSecond float64, now time.Time) {
 	l.perSecond = perSecond
 	perSecond = max(perSecond, minPerSecond)
-	burst := max(int(math.Ceil(perSecond*burstTime.Seconds())), minBurst)
+	l.setRate(perSecond, max(int(math.Ceil(perSecond*burstTime.Seconds())), minBurst), now)
+}
+
+// aloneShare is the part of its share of a limit that a gateway uses alone. The others
+// may be apportioned the whole limit meanwhile, and half as much again is tolerable.
+const aloneShare = 0.5
+
+// SetAlone sets the limit for a gateway that reaches no process which apportions it, with
+// so many gateways in all. A limiter that had none starts with the given part of a
+// request, at random, since others may have lost that process at the same moment.
+func (l *Limiter) SetAlone(perSecond float64, gateways int, part float64, now time.Time) {
+	l.perSecond = perSecond
+	share := max(perSecond, minPerSecond) * aloneShare / float64(max(gateways, 1))
+	since := now
+	if l.bucket == nil {
+		since = now.Add(-time.Duration(part / share * float64(time.Second)))
+	}
+	l.setRate(share, 1, since)
+}
+
+func (l *Limiter) setRate(perSecond float64, burst int, now time.Time) {
 	if l.bucket == nil {
 		l.bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
 		l.bucket.AllowN(now, burst)
@@ -42,6 +62,8 @@
 	}
 	if l.bucket.Limit() != rate.Limit(perSecond) {
 		l.bucket.SetLimitAt(now, rate.Limit(perSecond))
+	}
+	if l.bucket.Burst() != burst {
 		l.bucket.SetBurstAt(now, burst)
 	}
 }
--- a/pkg/retry/entrycount.go
+++ b/pkg/retry/entrycount.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// Peak returns the highest recent count, or 0 before the first.
+func (c *EntryCount) Peak() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
 // Estimate returns the estimated number of entries.
 func (c *EntryCount) Estimate() int {
 	c.mu.Lock()
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -146,4 +146,6 @@
 	// WaitMS is how long to wait, in ms: until the request may be sent, or else until
 	// another one may be granted.
 	WaitMS int64
+	// LinkedEntries is the number of entries linked to the agent.
+	LinkedEntries int
 }
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -600,10 +600,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z PermitReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendBool(o, z.Granted)
 	o = msgp.AppendInt64(o, z.WaitMS)
+	o = msgp.AppendInt(o, z.LinkedEntries)
 	return
 }
 
@@ -615,8 +616,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
@@ -629,13 +630,18 @@
 		err = msgp.WrapError(err, "WaitMS")
 		return
 	}
+	z.LinkedEntries, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LinkedEntries")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z PermitReply) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.Int64Size
+	s = 1 + msgp.BoolSize + msgp.Int64Size + msgp.IntSize
 	return
 }
 
