Soak: targets that state a rate limit

New planned kind of fault and guarantee: a target states one to five requests a second for 10 s, in responses and reports.

--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -51,6 +51,7 @@
 	{"target-fails", false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
 	{"target-cuts-answers", false, 4 * time.Second, targetFault(standin.WorkerFaults{TruncateShare: 0.3})},
 	{"target-mute", false, 4 * time.Second, targetFault(standin.WorkerFaults{NoResponseShare: 0.3})},
+	{"target-states-limit", true, 10 * time.Second, limitTarget},
 	{"target-sheds", false, 4 * time.Second, targetFault(standin.WorkerFaults{ShedShare: 0.4})},
 	{"target-answers-twice", false, 4 * time.Second, targetFault(standin.WorkerFaults{DuplicateShare: 0.3})},
 	{"target-answers-late-twice", false, 4 * time.Second, targetFault(standin.WorkerFaults{LateCopyShare: 0.3})},
@@ -149,6 +150,11 @@
 	}
 }
 
+// limitTarget makes a target state a rate limit that is far below what it gets.
+func limitTarget(d *deployment, random *rand.Rand) (func() error, error) {
+	return targetFault(standin.WorkerFaults{Limit: 1 + 4*random.Float64()})(d, random)
+}
+
 // jumpTargetClock moves the wall clock of a target's VM ahead or back, and restarts the
 // target, so that its start time contradicts the order of the starts at its address.
 func jumpTargetClock(d *deployment, random *rand.Rand) (func() error, error) {
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	GuaranteePlannedStop    Guarantee = "planned-stop"       // a planned stop interrupts no request
 	GuaranteeRecovery       Guarantee = "serves-after-fault" // most requests are served once all faults have ended
 	GuaranteeCrashes        Guarantee = "crashing-part"      // requests that end engines are stopped
+	GuaranteeLimit          Guarantee = "stated-limit"       // a target gets no more requests than the rate limit that it states allows
 	GuaranteeRoutes         Guarantee = "configuration"      // all gateways serve a new route and keep serving it
 )
 
@@ -88,11 +90,19 @@
 	holders    map[ident.Target]ident.VM
 	versions   map[ident.Adapter][]announcement
 	crashes    map[ident.PromptPart][]time.Time // ends of targets under each part, in order
+	limited    map[statedLimit][]time.Time      // requests that reached targets with a limit, in order
 	draining   map[ident.Target]time.Time
 	faults     []*faultInterval
 	violations []Violation
 }
 
+// statedLimit is a rate limit that a target has stated since a time.
+type statedLimit struct {
+	target    ident.Target
+	perSecond float64
+	since     time.Time
+}
+
 type announcement struct {
 	version ident.Version
 	at      time.Time
@@ -103,6 +113,7 @@
 	return &Oracle{
 		requests: make(map[ident.Attempt]Request), answers: make(map[ident.Attempt]Answer), runs: make(map[ident.Attempt][]standin.WorkerEvent),
 		holders: make(map[ident.Target]ident.VM), versions: make(map[ident.Adapter][]announcement), draining: make(map[ident.Target]time.Time), crashes: make(map[ident.PromptPart][]time.Time),
+		limited: make(map[statedLimit][]time.Time),
 	}
 }
 
@@ -159,6 +170,10 @@
 func (o *Oracle) RecordEvent(e standin.WorkerEvent) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if (e.Kind == standin.WorkerRan || e.Kind == standin.WorkerRejected) && e.Limit > 0 {
+		l := statedLimit{e.Instance, e.Limit, e.LimitedSince}
+		o.limited[l] = append(o.limited[l], e.At)
+	}
 	switch e.Kind {
 	case standin.WorkerRan:
 		o.runs[e.Attempt] = append(o.runs[e.Attempt], e)
@@ -194,6 +209,9 @@
 	for part, crashes := range o.crashes {
 		out = append(out, checkCrashes(part, crashes)...)
 	}
+	for l, arrivals := range o.limited {
+		out = append(out, checkLimit(l, arrivals)...)
+	}
 	for attempt, a := range o.answers {
 		out = append(out, o.checkAnswer(o.requests[attempt], a, planned)...)
 	}
@@ -224,6 +242,28 @@
 	return []Violation{{GuaranteeCrashes, "", fmt.Sprintf("%d requests with part %s came later than %s after the %dth crash", later, part, recoveryGrace, evidentCrashes)}}
 }
 
+// limitWindow is the time over which the platform's rules count the requests to a target
+// with a rate limit. They allow limitFactor times what it allows, and limitSlack.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+func checkLimit(l statedLimit, arrivals []time.Time) []Violation {
+	allowed := limitFactor*l.perSecond*limitWindow.Seconds() + limitSlack
+	first := sort.Search(len(arrivals), func(i int) bool { return arrivals[i].Sub(l.since) >= recoveryGrace+schedulingMargin })
+	for i := first; i < len(arrivals); i++ {
+		for arrivals[i].Sub(arrivals[first]) >= limitWindow {
+			first++
+		}
+		if n := i - first + 1; float64(n) > allowed {
+			return []Violation{{GuaranteeLimit, "", fmt.Sprintf("%s got %d requests in %s at %.1f a second", l.target, n, limitWindow, l.perSecond)}}
+		}
+	}
+	return nil
+}
+
 func (o *Oracle) checkRuns(r Request, runs []standin.WorkerEvent) []Violation {
 	var out []Violation
 	if !r.Idempotent && len(runs) > 1 {
--- a/pkg/soak/oracle_test.go
+++ b/pkg/soak/oracle_test.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// recordLimited records requests that a target turns away which has stated since second 5
+// that it takes one request per second.
+func recordLimited(o *Oracle, n int, from, every float64) {
+	for i := range n {
+		e := runEvent("1", from+float64(i)*every)
+		e.Kind, e.Limit, e.LimitedSince = standin.WorkerRejected, 1, at(5)
+		o.RecordEvent(e)
+	}
+}
+
 // TestOracleDetectsViolations checks that the oracle reports exactly the guarantee
 // that a history violates, and nothing for a history that violates none.
 func TestOracleDetectsViolations(t *testing.T) {
@@ -68,6 +78,10 @@
 		}, []Guarantee{GuaranteeCompleteAnswer}},
 		{"requests that end targets go on", false, func(o *Oracle) { recordCrashes(o, 9) }, []Guarantee{GuaranteeCrashes}},
 		{"requests that end targets are stopped", false, func(o *Oracle) { recordCrashes(o, 8) }, nil},
+		{"more requests than a target states", false, func(o *Oracle) { recordLimited(o, 12, 10, 0.3) }, []Guarantee{GuaranteeLimit}},
+		{"as many as are allowed", false, func(o *Oracle) { recordLimited(o, 11, 10, 0.3) }, nil},
+		{"more over a longer time", false, func(o *Oracle) { recordLimited(o, 20, 10, 0.4) }, nil},
+		{"more before the limit has to be known", false, func(o *Oracle) { recordLimited(o, 40, 5, 0.09) }, nil},
 		{"request that no caller sent", false, func(o *Oracle) { o.RecordEvent(runEvent("7", 10)) }, []Guarantee{GuaranteeCompleteAnswer}},
 		{"non-idempotent request runs twice", false, func(o *Oracle) {
 			o.RecordRequest(newRequest("1", false))
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -47,6 +47,9 @@
 	// DeadlyPart is a part of prompts: OnCrash is called when the worker begins to answer
 	// a request with it.
 	DeadlyPart ident.PromptPart
+	// Limit is the rate limit that the worker states in its responses, in requests per
+	// second; 0 if none. It takes any number of requests all the same.
+	Limit float64
 }
 
 // WorkerEventKind is the kind of a worker's event.
@@ -73,6 +76,10 @@
 	RequestedAdapter ident.Adapter        // that the request names
 	Resumed          bool                 // the request resumes a stream after an event
 	Holder           ident.VM             // that sent the order
+	// Limit is the rate limit that the worker states, and LimitedSince since when; zero
+	// without one.
+	Limit        float64
+	LimitedSince time.Time
 }
 
 // Worker is a fake engine or plain service that speaks the platform's protocol.
@@ -91,8 +98,10 @@
 	pending     map[ident.Adapter]ident.Version
 	running     map[ident.Attempt]bool
 	faults      WorkerFaults
-	draining    bool
-	clockOffset time.Duration
+	// limitedSince is when the worker first stated its rate limit.
+	limitedSince time.Time
+	draining     bool
+	clockOffset  time.Duration
 }
 
 type heldAdapter struct {
@@ -130,6 +139,9 @@
 func (w *Worker) SetFaults(f WorkerFaults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if f.Limit != w.faults.Limit {
+		w.limitedSince = time.Now()
+	}
 	w.faults = f
 }
 
@@ -180,6 +192,11 @@
 func (w *Worker) notify(e WorkerEvent) {
 	if w.OnEvent != nil {
 		e.At, e.Service = time.Now(), w.Service
+		w.mu.Lock()
+		if w.faults.Limit > 0 {
+			e.Limit, e.LimitedSince = w.faults.Limit, w.limitedSince
+		}
+		w.mu.Unlock()
 		w.OnEvent(e)
 	}
 }
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -63,6 +63,12 @@
 // ServeHTTP serves requests, health checks, reports and orders. Workers use
 // net/http because they must detect that a caller disconnects.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	limit := w.faults.Limit
+	w.mu.Unlock()
+	if limit > 0 {
+		out.Header().Set(platform.HeaderLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	switch r.URL.Path {
 	case "/report":
 		w.serveReport(out)
