--- a/pkg/follow/disruption_test.go
+++ b/pkg/follow/disruption_test.go
@@ -75,24 +75,24 @@
 
 func (s *disruptedStore) source() Source {
 	return Source{
-		List: func(platform.Kind) ([]platform.Object, platform.Revision, error) {
+		List: func(platform.Kind) ([]platform.Object, platform.Position, error) {
 			var revision platform.Revision
 			err := s.call(time.Now().Add(callTimeout), func(received time.Time) time.Time {
 				revision = s.revision(received)
 				return received
 			})
-			return []platform.Object{{Revision: revision}}, revision, err
+			return []platform.Object{{Position: platform.Position{Revision: revision}}}, platform.Position{Revision: revision}, err
 		},
-		Watch: func(_ platform.Kind, from platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+		Watch: func(_ platform.Kind, from platform.Position, wait time.Duration) ([]platform.Event, platform.Position, error) {
 			var revision platform.Revision
 			err := s.call(time.Now().Add(wait+AnswerTime(s.settled)), func(received time.Time) time.Time {
-				for end := received.Add(wait); s.revision(received) <= from && received.Before(end); {
+				for end := received.Add(wait); s.revision(received) <= from.Revision && received.Before(end); {
 					received = received.Add(10 * time.Millisecond)
 				}
 				revision = s.revision(received)
 				return received
 			})
-			return []platform.Event{{Object: platform.Object{Revision: revision}}}, revision, err
+			return []platform.Event{{Object: platform.Object{Position: platform.Position{Revision: revision}}}}, platform.Position{Revision: revision}, err
 		},
 	}
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -17,8 +17,8 @@
 
 // Source is the part of the store's client that a follower uses.
 type Source struct {
-	List  func(platform.Kind) ([]platform.Object, platform.Revision, error)
-	Watch func(platform.Kind, platform.Revision, time.Duration) ([]platform.Event, platform.Revision, error)
+	List  func(platform.Kind) ([]platform.Object, platform.Position, error)
+	Watch func(platform.Kind, platform.Position, time.Duration) ([]platform.Event, platform.Position, error)
 }
 
 // StoreSource returns a source that reads from the store.
@@ -42,14 +42,14 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	listed := false
-	var from platform.Revision
+	var from platform.Position
 	for ctx.Err() == nil {
 		probe := f.Outage.await(ctx)
 		if probe {
 			listed = false // a watch could last long
 		}
 		var err error
-		began := time.Now()
+		began, before := time.Now(), from
 		if !listed {
 			from, err = f.list(probe)
 			listed = err == nil
@@ -57,19 +57,20 @@
 			from, err = f.watch(from)
 		}
 		if err == nil {
+			f.logEra(before, from)
 			f.Freshness.confirm(from, began)
 		}
 		pause := f.Pause
 		switch {
 		case errors.Is(err, platform.ErrHistoryGone):
-			f.Info("msg", "history not available; listing again", "kind", f.Kind, "revision", from)
+			f.Info("msg", "history not available; listing again", "kind", f.Kind, "era", from.Era, "revision", from.Revision)
 			f.Outage.record(f.Kind, probe, nil)
 			listed, pause = false, 0
 		case err != nil:
 			// A store that cuts off watches may have withheld changes from them,
 			// and may serve later watches from old history. Only a list is
 			// reliable.
-			f.Outage.record(f.Kind, probe, err, "unconfirmed", f.Freshness.Age(time.Now()), "revision", f.Freshness.Revision())
+			f.Outage.record(f.Kind, probe, err, "unconfirmed", f.Freshness.Age(time.Now()), "revision", f.Freshness.Position().Revision)
 			listed, pause = false, 0
 		default:
 			f.Outage.record(f.Kind, probe, nil)
@@ -78,18 +79,25 @@
 	}
 }
 
-func (f *Follower) list(retry bool) (platform.Revision, error) {
-	objects, revision, err := f.Source.List(f.Kind)
+// logEra logs that the store has returned from an older copy since the position before.
+func (f *Follower) logEra(before, now platform.Position) {
+	if !before.SameHistory(now) {
+		f.Warn("msg", "store returned from an older copy", "kind", f.Kind, "era", now.Era, "revision", now.Revision, "era-before", before.Era, "revision-before", before.Revision)
+	}
+}
+
+func (f *Follower) list(retry bool) (platform.Position, error) {
+	objects, position, err := f.Source.List(f.Kind)
 	if err != nil {
 		f.Outage.failed(retry)
-		return 0, errors.Trace(err)
+		return platform.Position{}, errors.Trace(err)
 	}
 	f.Outage.succeeded()
 	f.OnList(objects)
-	return revision, nil
+	return position, nil
 }
 
-func (f *Follower) watch(from platform.Revision) (platform.Revision, error) {
+func (f *Follower) watch(from platform.Position) (platform.Position, error) {
 	events, next, err := f.Source.Watch(f.Kind, from, f.Wait)
 	if err != nil {
 		if !errors.Is(err, platform.ErrHistoryGone) {
@@ -98,7 +106,7 @@
 		return from, errors.Trace(err)
 	}
 	f.Outage.succeeded()
-	if events = newerThan(from, events); len(events) > 0 {
+	if events = newerThan(from.Revision, events); len(events) > 0 {
 		f.OnChanges(events)
 	}
 	return next, nil
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -18,16 +18,16 @@
 type store struct {
 	revision platform.Revision
 	lists    int
-	watches  []func(from platform.Revision) ([]platform.Event, platform.Revision, error)
+	watches  []func(from platform.Position) ([]platform.Event, platform.Position, error)
 }
 
 func (s *store) source() Source {
 	return Source{
-		List: func(platform.Kind) ([]platform.Object, platform.Revision, error) {
+		List: func(platform.Kind) ([]platform.Object, platform.Position, error) {
 			s.lists++
-			return []platform.Object{{Name: "main", Revision: s.revision}}, s.revision, nil
+			return []platform.Object{{Name: "main", Position: platform.Position{Revision: s.revision}}}, platform.Position{Revision: s.revision}, nil
 		},
-		Watch: func(_ platform.Kind, from platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+		Watch: func(_ platform.Kind, from platform.Position, wait time.Duration) ([]platform.Event, platform.Position, error) {
 			if len(s.watches) == 0 {
 				time.Sleep(wait)
 				return nil, from, nil
@@ -59,14 +59,14 @@
 	return seen
 }
 
-func event(r platform.Revision) func(platform.Revision) ([]platform.Event, platform.Revision, error) {
-	return func(platform.Revision) ([]platform.Event, platform.Revision, error) {
-		return []platform.Event{{Object: platform.Object{Name: "main", Revision: r}}}, r, nil
+func event(r platform.Revision) func(platform.Position) ([]platform.Event, platform.Position, error) {
+	return func(platform.Position) ([]platform.Event, platform.Position, error) {
+		return []platform.Event{{Object: platform.Object{Name: "main", Position: platform.Position{Revision: r}}}}, platform.Position{Revision: r}, nil
 	}
 }
 
 func TestReportsChanges(t *testing.T) {
-	s := &store{revision: 5, watches: []func(platform.Revision) ([]platform.Event, platform.Revision, error){event(6), event(8)}}
+	s := &store{revision: 5, watches: []func(platform.Position) ([]platform.Event, platform.Position, error){event(6), event(8)}}
 	require.Equal(t, []platform.Revision{5, 6, 8}, follow(t, s, time.Second))
 	require.Equal(t, 1, s.lists)
 }
@@ -83,8 +83,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := &store{revision: 5}
-			s.watches = []func(platform.Revision) ([]platform.Event, platform.Revision, error){
-				func(from platform.Revision) ([]platform.Event, platform.Revision, error) {
+			s.watches = []func(platform.Position) ([]platform.Event, platform.Position, error){
+				func(from platform.Position) ([]platform.Event, platform.Position, error) {
 					s.revision = 9
 					return nil, from, test.err
 				},
@@ -112,15 +112,15 @@
 			f := &Follower{
 				Common: common.Discard(), Timing: Timing{Wait: 20 * time.Second}, Kind: kind, Freshness: new(Freshness), Outage: outage,
 				Source: Source{
-					List: func(platform.Kind) ([]platform.Object, platform.Revision, error) {
+					List: func(platform.Kind) ([]platform.Object, platform.Position, error) {
 						time.Sleep(time.Millisecond)
 						if down() {
 							failures.Add(1)
-							return nil, 0, platform.ErrUnavailable
+							return nil, platform.Position{}, platform.ErrUnavailable
 						}
-						return nil, 1, nil
+						return nil, platform.Position{Revision: 1}, nil
 					},
-					Watch: func(_ platform.Kind, from platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+					Watch: func(_ platform.Kind, from platform.Position, wait time.Duration) ([]platform.Event, platform.Position, error) {
 						for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 							if down() {
 								failures.Add(1)
@@ -146,6 +146,6 @@
 // A store that is behind reports changes that the list already contained. What they
 // would bring back has changed since.
 func TestIgnoresChangesOlderThanTheList(t *testing.T) {
-	s := &store{revision: 10, watches: []func(platform.Revision) ([]platform.Event, platform.Revision, error){event(7), event(11), event(9)}}
+	s := &store{revision: 10, watches: []func(platform.Position) ([]platform.Event, platform.Position, error){event(7), event(11), event(9)}}
 	require.Equal(t, []platform.Revision{10, 11}, follow(t, s, 10*time.Second))
 }
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -11,22 +11,22 @@
 // at which the last successful call began.
 type Freshness struct {
 	mu        sync.Mutex
-	revision  platform.Revision
+	position  platform.Position
 	confirmed time.Time
 }
 
 // confirm records a successful call that began at the given time.
-func (f *Freshness) confirm(r platform.Revision, began time.Time) {
+func (f *Freshness) confirm(p platform.Position, began time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision, f.confirmed = r, began
+	f.position, f.confirmed = p, began
 }
 
-// Revision returns the revision of the copy, or 0 before the first list.
-func (f *Freshness) Revision() platform.Revision {
+// Position returns the position of the copy, which is zero before the first list.
+func (f *Freshness) Position() platform.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	return f.position
 }
 
 // Age returns the time for which the copy has not been confirmed, or 0 before the
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -40,35 +40,35 @@
 type banStore struct {
 	// put and remove write to the store. They are replaced once there is one.
 	put    func(part ident.PromptPart, spec json.RawMessage) error
-	remove func(part ident.PromptPart, revision platform.Revision) error
+	remove func(part ident.PromptPart, at platform.Position) error
 
 	mu       sync.Mutex
-	recorded map[ident.PromptPart]platform.Revision
+	recorded map[ident.PromptPart]platform.Position
 }
 
 func newBanStore() *banStore {
 	return &banStore{
 		put:      func(ident.PromptPart, json.RawMessage) error { return nil },
-		remove:   func(ident.PromptPart, platform.Revision) error { return nil },
-		recorded: make(map[ident.PromptPart]platform.Revision),
+		remove:   func(ident.PromptPart, platform.Position) error { return nil },
+		recorded: make(map[ident.PromptPart]platform.Position),
 	}
 }
 
 // use makes the bans last in the store.
 func (b *banStore) use(s *platform.Store) {
 	b.put = func(part ident.PromptPart, spec json.RawMessage) error {
-		_, err := s.Put(kindBans, string(part), spec, 0)
+		_, err := s.Put(kindBans, string(part), spec, platform.Position{})
 		return errors.Trace(err)
 	}
-	b.remove = func(part ident.PromptPart, revision platform.Revision) error {
-		return errors.Trace(s.Delete(kindBans, string(part), revision))
+	b.remove = func(part ident.PromptPart, at platform.Position) error {
+		return errors.Trace(s.Delete(kindBans, string(part), at))
 	}
 }
 
-func (b *banStore) set(part ident.PromptPart, r platform.Revision) {
+func (b *banStore) set(part ident.PromptPart, at platform.Position) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.recorded[part] = r
+	b.recorded[part] = at
 }
 
 func (b *banStore) unset(part ident.PromptPart) {
@@ -77,11 +77,11 @@
 	delete(b.recorded, part)
 }
 
-func (b *banStore) revision(part ident.PromptPart) (platform.Revision, bool) {
+func (b *banStore) position(part ident.PromptPart) (platform.Position, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r, ok := b.recorded[part]
-	return r, ok
+	at, ok := b.recorded[part]
+	return at, ok
 }
 
 // names returns the recorded parts.
@@ -125,7 +125,7 @@
 	delay := rand.N(maxBanDelay)
 	for range maxBanRetries {
 		time.Sleep(delay)
-		_, recorded := g.bans.revision(b.Part)
+		_, recorded := g.bans.position(b.Part)
 		_, banned := g.quarantine.Banned([]ident.PromptPart{b.Part}, time.Now())
 		if recorded || !banned {
 			return
@@ -149,12 +149,12 @@
 
 // removeBan deletes the record of a ban that was wrong.
 func (g *Gateway) removeBan(p ident.PromptPart) {
-	revision, recorded := g.bans.revision(p)
+	at, recorded := g.bans.position(p)
 	if !recorded {
 		return
 	}
 	go func() {
-		if err := g.bans.remove(p, revision); err != nil {
+		if err := g.bans.remove(p, at); err != nil {
 			g.Warn("msg", "failed to remove a ban from the store", "part", p, "err", err)
 		}
 	}()
@@ -188,7 +188,7 @@
 		return
 	}
 	now, part := time.Now(), ident.PromptPart(o.Name)
-	g.bans.set(part, o.Revision)
+	g.bans.set(part, o.Position)
 	if len(g.quarantine.Uncleared([]ident.PromptPart{part})) == 0 {
 		g.Warn("msg", "ban of a part of prompts ended: a request with it had an event", "part", part, "by", r.Gateway)
 		g.removeBan(part)
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -109,7 +109,7 @@
 	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
 		crashingEngines(h)
 		f := h.banFollower(follow.Source{}, nil)
-		ban := platform.Object{Name: "bad", Revision: 7, Spec: json.RawMessage(`{"crashes":[{"vm":"vm-1","start-ms":1}],"gateway":"vm-2"}`)}
+		ban := platform.Object{Name: "bad", Position: platform.Position{Revision: 7}, Spec: json.RawMessage(`{"crashes":[{"vm":"vm-1","start-ms":1}],"gateway":"vm-2"}`)}
 		f.OnList([]platform.Object{ban, {Name: "broken", Spec: json.RawMessage(`[`)}})
 		require.Equal(t, 503, h.send(promptRequest("bad:8")).StatusCode)
 		require.Zero(t, h.receivedWith("bad"))
@@ -127,18 +127,18 @@
 func TestWrongBanIsRemovedFromTheStore(t *testing.T) {
 	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
 		var removed []ident.PromptPart
-		h.bans.remove = func(part ident.PromptPart, revision platform.Revision) error {
-			require.Equal(t, platform.Revision(7), revision)
+		h.bans.remove = func(part ident.PromptPart, at platform.Position) error {
+			require.Equal(t, platform.Position{Revision: 7}, at)
 			removed = append(removed, part)
 			return nil
 		}
 		f := h.banFollower(follow.Source{}, nil)
-		f.OnList([]platform.Object{{Name: "sound", Revision: 7, Spec: json.RawMessage(`{}`)}})
+		f.OnList([]platform.Object{{Name: "sound", Position: platform.Position{Revision: 7}, Spec: json.RawMessage(`{}`)}})
 		h.clearParts([]ident.PromptPart{"sound"})
 		synctest.Wait()
 		require.Equal(t, []ident.PromptPart{"sound"}, removed)
 		// A gateway that has just started and knows no event yet bans it again.
-		f.OnChanges([]platform.Event{{Object: platform.Object{Name: "sound", Revision: 7, Spec: json.RawMessage(`{}`)}}})
+		f.OnChanges([]platform.Event{{Object: platform.Object{Name: "sound", Position: platform.Position{Revision: 7}, Spec: json.RawMessage(`{}`)}}})
 		synctest.Wait()
 		require.Equal(t, []ident.PromptPart{"sound", "sound"}, removed)
 	})
--- a/pkg/gateway/store_test.go
+++ b/pkg/gateway/store_test.go
@@ -41,18 +41,18 @@
 
 func (s *targetStore) source() follow.Source {
 	return follow.Source{
-		List: func(k platform.Kind) ([]platform.Object, platform.Revision, error) {
+		List: func(k platform.Kind) ([]platform.Object, platform.Position, error) {
 			if err := s.fail(0); err != nil || k != platform.KindTargets {
-				return nil, 1, err
+				return nil, platform.Position{Revision: 1}, err
 			}
 			var list []platform.Object
 			for i := range s.listed(time.Since(s.start)) {
 				spec := fmt.Sprintf(`{"service":"plain","address":"10.0.0.%d:1","state":"ready"}`, i+1)
-				list = append(list, platform.Object{Name: fmt.Sprintf("p-%d", i+1), Revision: 1, Spec: json.RawMessage(spec)})
+				list = append(list, platform.Object{Name: fmt.Sprintf("p-%d", i+1), Position: platform.Position{Revision: 1}, Spec: json.RawMessage(spec)})
 			}
-			return list, 1, nil
+			return list, platform.Position{Revision: 1}, nil
 		},
-		Watch: func(_ platform.Kind, from platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+		Watch: func(_ platform.Kind, from platform.Position, wait time.Duration) ([]platform.Event, platform.Position, error) {
 			return nil, from, s.fail(wait)
 		},
 	}
--- a/pkg/objects/client.go
+++ b/pkg/objects/client.go
@@ -65,6 +65,11 @@
 	return errors.WithType(errors.Annotatef(err, "object %s", key), ErrUnavailable)
 }
 
+// position returns the position at which the store has an object of the version.
+func position(v ObjectVersion) platform.Position {
+	return platform.Position{Revision: platform.Revision(v)}
+}
+
 func decode(key string, o platform.Object) (Object, error) {
 	out := Object{Key: key, Version: ObjectVersion(o.Revision)}
 	return out, errors.Annotatef(json.Unmarshal(o.Spec, &out.Value), "object %s", key)
@@ -88,13 +93,13 @@
 		return 0, errors.Trace(err)
 	}
 	kind, name := Split(key)
-	revision, err := c.store.Put(kind, name, spec, platform.Revision(version))
-	return ObjectVersion(revision), objectError(err, key)
+	at, err := c.store.Put(kind, name, spec, position(version))
+	return ObjectVersion(at.Revision), objectError(err, key)
 }
 
 func (c *Client) remove(_ context.Context, key string, version ObjectVersion) error {
 	kind, name := Split(key)
-	return objectError(c.store.Delete(kind, name, platform.Revision(version)), key)
+	return objectError(c.store.Delete(kind, name, position(version)), key)
 }
 
 func (c *Client) list(_ context.Context, prefix string) ([]string, error) {
@@ -116,9 +121,9 @@
 // watches whole kinds, so events of other objects are skipped.
 func (c *Client) watch(ctx context.Context, key string, version ObjectVersion, wait time.Duration) (Object, error) {
 	kind, name := Split(key)
-	from := platform.Revision(version)
+	from := position(version)
 	for end := time.Now().Add(wait); ; {
-		if from == 0 {
+		if from.Revision == 0 {
 			list, asOf, err := c.store.List(kind)
 			if err != nil {
 				return Object{}, objectError(err, key)
@@ -136,7 +141,7 @@
 		}
 		events, next, err := c.store.Watch(kind, from, left)
 		if errors.Is(err, platform.ErrHistoryGone) {
-			from = 0
+			from = platform.Position{}
 			continue
 		}
 		if err != nil {
--- a/pkg/standin/objects_test.go
+++ b/pkg/standin/objects_test.go
@@ -34,24 +34,24 @@
 	_, store, _ := serveObjects(t)
 	_, err := store.Get("k", "n")
 	require.ErrorIs(t, err, platform.ErrNotFound)
-	_, err = store.Put("k", "n", []byte(`"YQ=="`), 7)
+	_, err = store.Put("k", "n", []byte(`"YQ=="`), platform.Position{Revision: 7})
 	require.ErrorIs(t, err, platform.ErrConflict, "an object that doesn't exist must not be replaced")
-	first, err := store.Put("k", "n", []byte(`"YQ=="`), 0)
+	first, err := store.Put("k", "n", []byte(`"YQ=="`), platform.Position{})
 	require.NoError(t, err)
-	_, err = store.Put("k", "n", []byte(`"Yg=="`), 0)
+	_, err = store.Put("k", "n", []byte(`"Yg=="`), platform.Position{})
 	require.ErrorIs(t, err, platform.ErrConflict, "an existing object must not be created again")
 	second, err := store.Put("k", "n", []byte(`"Yg=="`), first)
 	require.NoError(t, err)
-	require.Greater(t, second, first)
+	require.Greater(t, second.Revision, first.Revision)
 	require.ErrorIs(t, store.Delete("k", "n", first), platform.ErrConflict)
 	require.NoError(t, store.Delete("k", "n", second))
 }
 
 func TestWatchReportsChangesAndDiscardedHistory(t *testing.T) {
 	o, store, _ := serveObjects(t)
-	first, err := store.Put("k", "a", []byte(`"YQ=="`), 0)
+	first, err := store.Put("k", "a", []byte(`"YQ=="`), platform.Position{})
 	require.NoError(t, err)
-	second, err := store.Put("k", "b", []byte(`"Yg=="`), 0)
+	second, err := store.Put("k", "b", []byte(`"Yg=="`), platform.Position{})
 	require.NoError(t, err)
 	require.NoError(t, store.Delete("k", "a", first))
 	events, next, err := store.Watch("k", first, time.Second)
@@ -60,7 +60,7 @@
 	require.Equal(t, "b", events[0].Object.Name)
 	require.Equal(t, "a", events[1].Object.Name)
 	require.True(t, events[1].Removed)
-	require.Greater(t, next, second)
+	require.Greater(t, next.Revision, second.Revision)
 	events, _, err = store.Watch("k", next, time.Millisecond)
 	require.NoError(t, err)
 	require.Empty(t, events)
@@ -79,7 +79,7 @@
 	list, revision, err := store.List("dir")
 	require.NoError(t, err)
 	require.Len(t, list, count)
-	require.Equal(t, platform.Revision(count), revision)
+	require.Equal(t, platform.Position{Revision: count}, revision)
 }
 
 // TestGetReturnsWriteAfterLostResponse checks a write whose response is lost: Put
