--- a/pkg/standin/objects.go
+++ b/pkg/standin/objects.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"github.com/hyssoproad/hyssoproad/pkg/objects"
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 // ObjectFaults are the faults that the object API injects.
@@ -49,6 +52,45 @@
 	history   []change
 	compacted objects.ObjectVersion
 	random    *rand.Rand
+	// era rises with each return from an older copy. copies are the newest ones, of
+	// the state after each change.
+	era    platform.Era
+	copies []stateCopy
+}
+
+// stateCopy is a copy of the state at a time.
+type stateCopy struct {
+	at      time.Time
+	objects map[string]objects.Object
+	last    objects.ObjectVersion
+}
+
+// maxCopies is the number of copies that are kept.
+const maxCopies = 512
+
+func (o *Objects) keepCopy() {
+	if len(o.copies) >= maxCopies {
+		o.copies = append([]stateCopy(nil), o.copies[1:]...)
+	}
+	o.copies = append(o.copies, stateCopy{time.Now(), maps.Clone(o.objects), o.last})
+}
+
+// Restore returns to a copy of the given age, or to the oldest one. What was acknowledged
+// since is lost, and its revisions are given out again.
+func (o *Objects) Restore(age time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	from := o.copies[0]
+	for _, c := range o.copies {
+		if time.Since(c.at) >= age {
+			from = c
+		}
+	}
+	o.objects, o.last = maps.Clone(from.objects), from.last
+	o.history = slices.DeleteFunc(o.history, func(c change) bool { return c.object.Version > o.last })
+	o.copies = slices.DeleteFunc(o.copies, func(c stateCopy) bool { return c.last > o.last })
+	o.era++
+	o.notify()
 }
 
 // change is a change of an object, as watches report it.
@@ -66,6 +108,7 @@
 		o.history = append([]change(nil), o.history[1:]...)
 	}
 	o.history = append(o.history, c)
+	o.keepCopy()
 }
 
 // DiscardHistory discards the history, as the platform's store may do at any time.
@@ -80,6 +123,7 @@
 // faults affect.
 func NewObjects(seed uint64) *Objects {
 	return &Objects{
+		era: 1, copies: []stateCopy{{objects: make(map[string]objects.Object)}},
 		objects: make(map[string]objects.Object),
 		changed: make(chan struct{}),
 		random:  rand.New(rand.NewPCG(seed, 1)),
