A watch that meets another history of the store lists anew

Cause: a position in the store was taken to be its revision alone. After the return revisions are given out again; a watch from one of the lost history is refused (410) only while the new one is behind it, and otherwise goes on without what was written before. Class: order numbers compared across two histories. Ruled out: a lost answer or a failed call (no call was under way), the pause by itself (four gateways never saw the record, also not 12 s later). Change: a watch whose answer is of another era than the position it began from is dropped, and the kind is listed.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -49,7 +49,7 @@
 			listed = false // a watch could last long
 		}
 		var err error
-		began, before := time.Now(), from
+		began := time.Now()
 		if !listed {
 			from, err = f.list(probe)
 			listed = err == nil
@@ -57,13 +57,13 @@
 			from, err = f.watch(from)
 		}
 		if err == nil {
-			f.logEra(before, from)
+			f.logEra(f.Freshness.Position(), from)
 			f.Freshness.confirm(from, began)
 		}
 		pause := f.Pause
 		switch {
 		case errors.Is(err, platform.ErrHistoryGone):
-			f.Info("msg", "history not available; listing again", "kind", f.Kind, "era", from.Era, "revision", from.Revision)
+			f.Info("msg", "history not available; listing again", "kind", f.Kind, "era", from.Era, "revision", from.Revision, "err", err)
 			f.Outage.record(f.Kind, probe, nil)
 			listed, pause = false, 0
 		case err != nil:
@@ -106,6 +106,10 @@
 		return from, errors.Trace(err)
 	}
 	f.Outage.succeeded()
+	if !from.SameHistory(next) {
+		// The revision that the watch began from may be another change in this history.
+		return from, errors.Annotatef(platform.ErrHistoryGone, "era %d instead of %d", next.Era, from.Era)
+	}
 	if events = newerThan(from.Revision, events); len(events) > 0 {
 		f.OnChanges(events)
 	}
