--- a/pkg/standin/objects.go
+++ b/pkg/standin/objects.go
@@ -78,11 +78,21 @@
 // Restore returns to a copy of the given age, or to the oldest one. What was acknowledged
 // since is lost, and its revisions are given out again.
 func (o *Objects) Restore(age time.Duration) {
+	o.restore(func(c stateCopy) bool { return time.Since(c.at) >= age })
+}
+
+// RestoreRevision returns to the copy of the state at a revision, as Restore does.
+func (o *Objects) RestoreRevision(r platform.Revision) {
+	o.restore(func(c stateCopy) bool { return platform.Revision(c.last) <= r })
+}
+
+// restore returns to the newest copy that is old enough.
+func (o *Objects) restore(oldEnough func(stateCopy) bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	from := o.copies[0]
 	for _, c := range o.copies {
-		if time.Since(c.at) >= age {
+		if oldEnough(c) {
 			from = c
 		}
 	}
