A write under a revision of a lost history of the store fails

After the store has returned from an older copy a revision may be given out again, to another content of the same object: a write or removal under it succeeded wrongly (leases, bans). Versions of the object API hold the era in their high bits, so that those of a later era are higher; its watch reports an object that has an older revision there.

--- a/pkg/objects/client.go
+++ b/pkg/objects/client.go
@@ -65,13 +65,21 @@
 	return errors.WithType(errors.Annotatef(err, "object %s", key), ErrUnavailable)
 }
 
+// revisionBits is the number of the low bits of a version that hold the revision. The
+// others hold the era, so that a later era has higher versions.
+const revisionBits = 44
+
+func versionOf(at platform.Position) ObjectVersion {
+	return ObjectVersion(uint64(at.Era)<<revisionBits | uint64(at.Revision))
+}
+
 // position returns the position at which the store has an object of the version.
 func position(v ObjectVersion) platform.Position {
-	return platform.Position{Revision: platform.Revision(v)}
+	return platform.Position{Era: platform.Era(v >> revisionBits), Revision: platform.Revision(v & (1<<revisionBits - 1))}
 }
 
 func decode(key string, o platform.Object) (Object, error) {
-	out := Object{Key: key, Version: ObjectVersion(o.Revision)}
+	out := Object{Key: key, Version: versionOf(o.Position)}
 	return out, errors.Annotatef(json.Unmarshal(o.Spec, &out.Value), "object %s", key)
 }
 
@@ -94,7 +102,7 @@
 	}
 	kind, name := Split(key)
 	at, err := c.store.Put(kind, name, spec, position(version))
-	return ObjectVersion(at.Revision), objectError(err, key)
+	return versionOf(at), objectError(err, key)
 }
 
 func (c *Client) remove(_ context.Context, key string, version ObjectVersion) error {
@@ -129,7 +137,7 @@
 				return Object{}, objectError(err, key)
 			}
 			for _, o := range list {
-				if o.Name == name && ObjectVersion(o.Revision) > version {
+				if o.Name == name && versionOf(o.Position) > version {
 					return decode(key, o)
 				}
 			}
@@ -140,7 +148,7 @@
 			return Object{}, errors.Timeoutf("watch of %s", key)
 		}
 		events, next, err := c.store.Watch(kind, from, left)
-		if errors.Is(err, platform.ErrHistoryGone) {
+		if errors.Is(err, platform.ErrHistoryGone) || err == nil && !from.SameHistory(next) {
 			from = platform.Position{}
 			continue
 		}
@@ -148,7 +156,7 @@
 			return Object{}, objectError(err, key)
 		}
 		for i := len(events) - 1; i >= 0; i-- {
-			if o := events[i].Object; o.Name == name && !events[i].Removed && ObjectVersion(o.Revision) > version {
+			if o := events[i].Object; o.Name == name && !events[i].Removed && versionOf(o.Position) > version {
 				return decode(key, o)
 			}
 		}
--- a/pkg/standin/objects_test.go
+++ b/pkg/standin/objects_test.go
@@ -119,3 +119,25 @@
 	require.NoError(t, err)
 	require.Equal(t, []string{"dir/a", "dir/b"}, keys)
 }
+
+// The store returns from an older copy in which the watched object has a lower revision: a
+// watch reports it, since it is another content, and a write under the lost version fails.
+func TestVersionsOfALaterEraAreHigher(t *testing.T) {
+	o, _, client := serveObjects(t)
+	ctx := context.Background()
+	first, err := client.Put(ctx, "dir/a", []byte("first"), 0)
+	require.NoError(t, err)
+	_, err = client.Put(ctx, "dir/b", []byte("other"), 0)
+	require.NoError(t, err)
+	lost, err := client.Put(ctx, "dir/a", []byte("lost"), first)
+	require.NoError(t, err)
+	o.RestoreRevision(1)
+	object, err := client.Watch(ctx, "dir/a", lost, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "first", string(object.Value))
+	require.Greater(t, object.Version, lost)
+	_, err = client.Put(ctx, "dir/a", []byte("stale"), lost)
+	require.ErrorIs(t, err, objects.ErrConflict)
+	_, err = client.Put(ctx, "dir/a", []byte("new"), object.Version)
+	require.NoError(t, err)
+}
