Targets that have left do not come back in an older copy of the store

Records of one process are now ordered by its start and the number of its heartbeat; draining is final for a process; a process that is gone or replaced comes back only with a newer record, and never if it was draining.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -3,8 +3,9 @@
 // does no I/O, and its callers pass the current time.
 //
 // It handles draining targets, which must stop receiving new requests within the
-// guaranteed delay of 2 s, and outages of the store, after which live targets may be
-// missing from the list for a short time.
+// guaranteed delay of 2 s; outages of the store, after which live targets may be
+// missing from the list for a short time; and a store that returns from an older copy, in
+// which targets that have left are listed, and others are missing.
 package fleet
 
 import (
@@ -25,7 +26,10 @@
 	Slots    int
 	Draining bool
 	StartMS  int64 // start time in Unix ms; 0 if unknown
-	Models   Models
+	// Heartbeat is the number of the heartbeat that wrote the record, from the start of
+	// the process on; 0 if unknown.
+	Heartbeat uint64
+	Models    Models
 }
 
 // Models is the set of base models that a target held when it last wrote its record.
@@ -70,6 +74,8 @@
 	// missing maps each target that left the list around an outage to the time at
 	// which it is removed from the view if it is not listed again.
 	missing map[ident.Target]time.Time
+	// past is what is known of targets and processes that have left.
+	past pastTargets
 	// lastOutage is the last time that the store was unreachable, and firstList the
 	// time of the first complete list.
 	lastOutage, firstList time.Time
@@ -80,7 +86,7 @@
 
 // New returns a view without targets.
 func New() *View {
-	return &View{targets: make(map[ident.Target]Target), missing: make(map[ident.Target]time.Time), contradicted: make(map[ident.Target]bool)}
+	return &View{targets: make(map[ident.Target]Target), missing: make(map[ident.Target]time.Time), past: newPastTargets(), contradicted: make(map[ident.Target]bool)}
 }
 
 // Contradict records that the target's address answered that it is another target's.
@@ -100,8 +106,9 @@
 	return false
 }
 
-// RecordOutage records that the store could not be reached until the given time, for so
-// long that the records of live targets may have expired.
+// RecordOutage records that records of live targets may be missing from the list: the
+// store could not be reached until the given time, for so long that they may have
+// expired, or has returned from an older copy then.
 func (v *View) RecordOutage(until time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -117,8 +124,9 @@
 	}
 	listed := make(map[ident.Target]bool, len(list))
 	for _, t := range list {
-		listed[t.Instance] = true
-		v.put(t)
+		if v.put(t) {
+			listed[t.Instance] = true
+		}
 	}
 	for id := range v.targets {
 		if !listed[id] {
@@ -138,15 +146,29 @@
 	}
 	v.put(t)
 	v.rebuild()
-	return known && t.Draining && !old.Draining
+	return known && v.targets[t.Instance].Draining && !old.Draining
 }
 
-func (v *View) put(t Target) {
-	if v.targets[t.Instance].StartMS != t.StartMS {
+// put adds or updates a target, unless the record is older than what is known. It reports
+// whether the target is listed. Once a process says that it drains, it never takes that
+// back.
+func (v *View) put(t Target) (listed bool) {
+	known, current := v.targets[t.Instance]
+	switch {
+	case current && known.StartMS == t.StartMS:
+		if t.olderThan(known) {
+			t, known = known, t
+		}
+		t.Draining = t.Draining || known.Draining
+	case v.past.contains(t, current):
+		return false
+	case current:
+		v.past.add(known)
 		delete(v.contradicted, t.Instance) // it has started again
 	}
 	v.targets[t.Instance] = t
 	delete(v.missing, t.Instance)
+	return true
 }
 
 // Remove records that a target is no longer listed. It returns how long the view keeps
@@ -170,8 +192,7 @@
 		return
 	}
 	if v.lastOutage.IsZero() || now.Sub(v.lastOutage) > relistGrace {
-		delete(v.targets, id)
-		delete(v.missing, id)
+		v.leave(id)
 		return
 	}
 	if _, alreadyMissing := v.missing[id]; !alreadyMissing {
@@ -179,6 +200,13 @@
 	}
 }
 
+// leave removes a target from the view.
+func (v *View) leave(id ident.Target) {
+	v.past.add(v.targets[id])
+	delete(v.targets, id)
+	delete(v.missing, id)
+}
+
 // Expire removes the missing targets whose grace period has ended. It reports
 // whether there were any.
 func (v *View) Expire(now time.Time) bool {
@@ -187,8 +215,7 @@
 	removed := false
 	for id, at := range v.missing {
 		if !now.Before(at) {
-			delete(v.missing, id)
-			delete(v.targets, id)
+			v.leave(id)
 			removed = true
 		}
 	}
--- /dev/null
+++ b/pkg/fleet/past.go
@@ -0,0 +1,79 @@
+package fleet
+
+import "github.com/hyssoproad/hyssoproad/pkg/ident"
+
+// maxPastTargets bounds each of the two generations of targets that have left, and
+// maxPastProcesses the earlier processes of one target.
+const (
+	maxPastTargets   = 2048
+	maxPastProcesses = 8
+)
+
+// process is one process of a target, with the newest record that it has written.
+type process struct {
+	startMS   int64
+	heartbeat uint64
+	draining  bool
+}
+
+// pastTargets are the processes that have left, by target. A store that is behind, or has
+// returned from an older copy, may list them again.
+type pastTargets struct {
+	newer, older map[ident.Target][]process
+}
+
+func newPastTargets() pastTargets {
+	return pastTargets{newer: make(map[ident.Target][]process), older: make(map[ident.Target][]process)}
+}
+
+// add records that the process of a target has left or has been replaced.
+func (p *pastTargets) add(t Target) {
+	if t.StartMS == 0 {
+		return // nothing tells it from another one
+	}
+	list := p.processes(t.Instance)
+	kept := make([]process, 0, len(list)+1)
+	for _, old := range list {
+		if old.startMS != t.StartMS {
+			kept = append(kept, old)
+		}
+	}
+	kept = append(kept, process{t.StartMS, t.Heartbeat, t.Draining})
+	if len(kept) > maxPastProcesses {
+		kept = kept[1:]
+	}
+	if len(p.newer) >= maxPastTargets {
+		p.newer, p.older = make(map[ident.Target][]process), p.newer
+	}
+	p.newer[t.Instance] = kept
+}
+
+func (p *pastTargets) processes(id ident.Target) []process {
+	if list, ok := p.newer[id]; ok {
+		return list
+	}
+	return p.older[id]
+}
+
+// contains reports whether a record is of a process that has left, replaced by another
+// one or not. One that was removed though it is alive, as may happen around an outage,
+// writes newer records; one that was draining does not come back.
+func (p *pastTargets) contains(t Target, replaced bool) bool {
+	if t.StartMS == 0 {
+		return false
+	}
+	list := p.processes(t.Instance)
+	for i, past := range list {
+		if past.startMS != t.StartMS {
+			continue
+		}
+		replaced = replaced || i < len(list)-1
+		return replaced || past.draining || t.Heartbeat != 0 && t.Heartbeat <= past.heartbeat
+	}
+	return false
+}
+
+// olderThan reports whether a process wrote the record before another one of its records.
+func (t Target) olderThan(other Target) bool {
+	return t.Heartbeat != 0 && t.Heartbeat < other.Heartbeat
+}
