Targets that an older copy of the store lacks are kept until they register again

Targets that had registered in the lost seconds were dropped at once, and were back only with their next heartbeat. A list says now whether the store has returned from an older copy since the one before; what it lacks is kept for as long as after an outage. TestTargetsThatAnOlderCopyLacksAreKept failed before.

--- a/pkg/follow/disruption_test.go
+++ b/pkg/follow/disruption_test.go
@@ -129,7 +129,7 @@
 		f := &Follower{
 			Common: common.Discard(), Source: s.source(), Kind: platform.KindTargets, Freshness: new(Freshness), Timing: NewTiming(s.inForce, s.pauseShare, s.settled),
 			Outage:    NewOutage(common.Discard(), OutageLimits{RetryDelay: 400 * time.Millisecond}, func(time.Time) {}),
-			OnList:    func(list []platform.Object) { known.Store(uint64(list[0].Revision)) },
+			OnList:    func(l Listing) { known.Store(uint64(l.Objects[0].Revision)) },
 			OnChanges: func(events []platform.Event) { known.Store(uint64(events[0].Object.Revision)) },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -31,7 +31,7 @@
 	Kind   platform.Kind
 	Timing
 	// OnList receives a complete list, and OnChanges the later changes in order.
-	OnList    func([]platform.Object)
+	OnList    func(Listing)
 	OnChanges func([]platform.Event)
 	// Outage is shared by all followers of the store.
 	Outage *Outage
@@ -39,6 +39,14 @@
 	Freshness *Freshness
 }
 
+// Listing is a complete list of a kind.
+type Listing struct {
+	Objects []platform.Object
+	// Restored says that the store has returned from an older copy since the last list or
+	// change: what is missing may be lost, and what is listed may be out of date.
+	Restored bool
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	listed := false
@@ -93,7 +101,7 @@
 		return platform.Position{}, errors.Trace(err)
 	}
 	f.Outage.succeeded()
-	f.OnList(objects)
+	f.OnList(Listing{Objects: objects, Restored: !f.Freshness.Position().SameHistory(position)})
 	return position, nil
 }
 
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -47,7 +47,7 @@
 		defer cancel()
 		f := &Follower{
 			Common: common.Discard(), Source: s.source(), Timing: Timing{Wait: 20 * time.Second}, Kind: platform.KindConfiguration, Freshness: new(Freshness), Outage: NewOutage(common.Discard(), OutageLimits{RetryDelay: 400 * time.Millisecond}, func(time.Time) {}),
-			OnList: func(list []platform.Object) { seen = append(seen, list[0].Revision) },
+			OnList: func(l Listing) { seen = append(seen, l.Objects[0].Revision) },
 			OnChanges: func(events []platform.Event) {
 				for _, e := range events {
 					seen = append(seen, e.Object.Revision)
@@ -130,7 +130,7 @@
 						return nil, from, nil
 					},
 				},
-				OnList: func([]platform.Object) { recovered[i] = time.Since(began) },
+				OnList: func(Listing) { recovered[i] = time.Since(began) },
 			}
 			running.Go(func() { f.Run(ctx) })
 		}
--- a/pkg/follow/restored_test.go
+++ b/pkg/follow/restored_test.go
@@ -78,11 +78,11 @@
 		Common: common.Discard(), Kind: platform.KindTargets, Timing: follow.NewTiming(inForce, 0.6, settled), Freshness: new(follow.Freshness),
 		Source: follow.Source{List: s.ListKind, Watch: s.WatchKind},
 		Outage: follow.NewOutage(common.Discard(), follow.OutageLimits{RetryDelay: 400 * time.Millisecond}, func(time.Time) {}),
-		OnList: func(list []platform.Object) {
+		OnList: func(l follow.Listing) {
 			mu.Lock()
 			defer mu.Unlock()
 			clear(known)
-			for _, o := range list {
+			for _, o := range l.Objects {
 				put(o)
 			}
 		},
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -165,9 +165,9 @@
 	return &follow.Follower{
 		Common: g.Common, Source: source, Kind: kindBans, Freshness: new(follow.Freshness),
 		Timing: follow.Timing{Pause: banPause, Wait: banWait}, Outage: outage,
-		OnList: func(list []platform.Object) {
-			listed := make(map[ident.PromptPart]bool, len(list))
-			for _, o := range list {
+		OnList: func(l follow.Listing) {
+			listed := make(map[ident.PromptPart]bool, len(l.Objects))
+			for _, o := range l.Objects {
 				listed[ident.PromptPart(o.Name)] = true
 				g.adoptBan(o)
 			}
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -110,14 +110,14 @@
 		crashingEngines(h)
 		f := h.banFollower(follow.Source{}, nil)
 		ban := platform.Object{Name: "bad", Position: platform.Position{Revision: 7}, Spec: json.RawMessage(`{"crashes":[{"vm":"vm-1","start-ms":1}],"gateway":"vm-2"}`)}
-		f.OnList([]platform.Object{ban, {Name: "broken", Spec: json.RawMessage(`[`)}})
+		f.OnList(follow.Listing{Objects: []platform.Object{ban, {Name: "broken", Spec: json.RawMessage(`[`)}}})
 		require.Equal(t, 503, h.send(promptRequest("bad:8")).StatusCode)
 		require.Zero(t, h.receivedWith("bad"))
 		f.OnChanges([]platform.Event{{Object: ban, Removed: true}})
 		require.Equal(t, 502, h.send(promptRequest("bad:8")).StatusCode)
 		require.NotZero(t, h.receivedWith("bad"))
-		f.OnList([]platform.Object{ban})
-		f.OnList(nil)
+		f.OnList(follow.Listing{Objects: []platform.Object{ban}})
+		f.OnList(follow.Listing{})
 		_, banned := h.quarantine.Banned([]ident.PromptPart{"bad"}, time.Now())
 		require.False(t, banned, "no longer listed")
 	})
@@ -133,7 +133,7 @@
 			return nil
 		}
 		f := h.banFollower(follow.Source{}, nil)
-		f.OnList([]platform.Object{{Name: "sound", Position: platform.Position{Revision: 7}, Spec: json.RawMessage(`{}`)}})
+		f.OnList(follow.Listing{Objects: []platform.Object{{Name: "sound", Position: platform.Position{Revision: 7}, Spec: json.RawMessage(`{}`)}}})
 		h.clearParts([]ident.PromptPart{"sound"})
 		synctest.Wait()
 		require.Equal(t, []ident.PromptPart{"sound"}, removed)
--- a/pkg/gateway/restored_test.go
+++ b/pkg/gateway/restored_test.go
@@ -80,3 +80,26 @@
 		require.Equal(t, []string{"p-3", "p-4"}, availableNames(g))
 	})
 }
+
+// A target has registered just before the store loses that: it goes on being used until
+// it has registered again.
+func TestTargetsThatAnOlderCopyLacksAreKept(t *testing.T) {
+	testRestored(t, func(t *testing.T, g *Gateway, store *standin.Objects) {
+		publishTarget(t, store, "p-1", "ready", 1000, 5)
+		time.Sleep(4 * time.Second)
+		publishTarget(t, store, "p-2", "ready", 2000, 1)
+		time.Sleep(1500 * time.Millisecond)
+		require.Equal(t, []string{"p-1", "p-2"}, availableNames(g))
+		store.Restore(3 * time.Second)
+		for i := range 30 {
+			if i == 15 {
+				publishTarget(t, store, "p-2", "ready", 2000, 3)
+			}
+			time.Sleep(100 * time.Millisecond)
+			require.Equal(t, []string{"p-1", "p-2"}, availableNames(g), "%d00 ms after the loss", i)
+		}
+		store.Withdraw(platform.KindTargets, "p-2")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"p-1"}, availableNames(g))
+	})
+}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -43,8 +43,8 @@
 	return []*follow.Follower{
 		{
 			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Freshness: new(follow.Freshness), Timing: timing(bounds.Configuration, configurationPauseShare), Outage: outage,
-			OnList: func(list []platform.Object) {
-				for _, o := range list {
+			OnList: func(l follow.Listing) {
+				for _, o := range l.Objects {
 					g.applyConfiguration(o)
 				}
 				g.markListed(platform.KindConfiguration)
@@ -61,8 +61,8 @@
 		},
 		{
 			Common: g.Common, Source: source, Kind: platform.KindVersions, Freshness: new(follow.Freshness), Timing: timing(bounds.Version, versionsPauseShare), Outage: outage,
-			OnList: func(list []platform.Object) {
-				for _, o := range list {
+			OnList: func(l follow.Listing) {
+				for _, o := range l.Objects {
 					g.recordVersion(o)
 				}
 				g.markListed(platform.KindVersions)
@@ -155,9 +155,12 @@
 	}
 }
 
-func (g *Gateway) replaceTargets(list []platform.Object) {
+func (g *Gateway) replaceTargets(l follow.Listing) {
+	if l.Restored {
+		g.fleet.RecordOutage(time.Now())
+	}
 	var targets []fleet.Target
-	for _, o := range list {
+	for _, o := range l.Objects {
 		if t, ok := g.parseTarget(o); ok {
 			targets = append(targets, t)
 		}
