A ban that the store has lost is written again

A store that returns from an older copy lacks the records of the last bans: every gateway took that for an operator who lifts them, dropped the evidence too, and engines crashed again. TestBanThatTheStoreHasLostIsWrittenAgain failed before (the next request was sent on). An operator who deleted a record in the lost seconds has to delete it again.

--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -172,7 +172,11 @@
 				g.adoptBan(o)
 			}
 			for _, part := range g.bans.names() {
-				if !listed[part] {
+				switch {
+				case listed[part]:
+				case l.Restored:
+					g.repeatBan(part)
+				default:
 					g.liftBan(part)
 				}
 			}
@@ -199,6 +203,15 @@
 	}
 }
 
+// repeatBan writes a ban again that the store has lost.
+func (g *Gateway) repeatBan(part ident.PromptPart) {
+	g.bans.unset(part)
+	if b, banned := g.quarantine.Banned([]ident.PromptPart{part}, time.Now()); banned {
+		g.Info("msg", "record of a ban lost by the store; writing it again", "part", part)
+		go g.recordBan(b)
+	}
+}
+
 func (g *Gateway) liftBan(part ident.PromptPart) {
 	g.bans.unset(part)
 	if g.quarantine.Lift(part) {
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -143,3 +143,31 @@
 		require.Equal(t, []ident.PromptPart{"sound", "sound"}, removed)
 	})
 }
+
+// The store has lost the record of a ban with the copy that it returned from: the ban
+// holds, and one gateway writes it again. A record that is missing later was deleted by an
+// operator.
+func TestBanThatTheStoreHasLostIsWrittenAgain(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		crashingEngines(h)
+		var written []ident.PromptPart
+		h.bans.put = func(part ident.PromptPart, _ json.RawMessage) error {
+			written = append(written, part)
+			return nil
+		}
+		f := h.banFollower(follow.Source{}, nil)
+		record := platform.Object{Name: "bad", Position: platform.Position{Era: 1, Revision: 7}, Spec: json.RawMessage(`{"crashes":[{"vm":"vm-1","start-ms":1}],"gateway":"vm-2"}`)}
+		f.OnList(follow.Listing{Objects: []platform.Object{record}})
+		f.OnList(follow.Listing{Restored: true})
+		require.Equal(t, 503, h.send(promptRequest("bad:8")).StatusCode)
+		time.Sleep(maxBanDelay)
+		synctest.Wait()
+		require.Equal(t, []ident.PromptPart{"bad"}, written)
+		require.Zero(t, h.receivedWith("bad"))
+		record.Position = platform.Position{Era: 2, Revision: 6}
+		f.OnChanges([]platform.Event{{Object: record}})
+		f.OnList(follow.Listing{})
+		require.Equal(t, 502, h.send(promptRequest("bad:8")).StatusCode)
+		require.Equal(t, []ident.PromptPart{"bad"}, written)
+	})
+}
