Soak: a store that returns from an older copy

New kind of fault: the store loses up to 5 s, its writers write again within half a second, records of targets that are gone expire after 3.6 s. The stand-in's records of targets carry the number of their heartbeat, as the platform's do.

--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -101,6 +102,7 @@
 	deadlyPart    atomic.Pointer[ident.PromptPart] // part of prompts that ends engines, if any
 	mu            sync.Mutex
 	version       uint64
+	configuration json.RawMessage // the newest one
 	versions      map[ident.Adapter]ident.Version
 	addedPrefixes []string // prefixes of the routes added during the run
 }
@@ -235,13 +237,50 @@
 	for _, prefix := range d.addedPrefixes {
 		routes = append(routes, standin.OperatorRoute{Prefix: prefix, RetryPolicy: platform.RunIdempotent, Service: deskService, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond, Attempts: 2})
 	}
-	spec, err := standin.EncodeConfiguration(d.version, routes, []standin.OperatorService{
+	var err error
+	d.configuration, err = standin.EncodeConfiguration(d.version, routes, []standin.OperatorService{
 		{Name: draftService, Model: model, Slots: engineSlots, AdapterSlots: adapterSlots}, {Name: deskService},
 	})
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return errors.Trace(d.store.Publish(platform.KindConfiguration, platform.ConfigurationName, spec))
+	return errors.Trace(d.store.Publish(platform.KindConfiguration, platform.ConfigurationName, d.configuration))
+}
+
+// rewrite writes what the operator and the targets want to have in the store.
+func (d *deployment) rewrite() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.store.Publish(platform.KindConfiguration, platform.ConfigurationName, d.configuration); err != nil {
+		return errors.Trace(err)
+	}
+	for adapter, version := range d.versions {
+		name, spec, err := standin.EncodeVersion(model, ident.AdapterVersion{Adapter: adapter, Version: version})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if err := d.store.Publish(platform.KindVersions, name, spec); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	for _, t := range d.targets {
+		if t.stopping.Load() && !t.Draining() {
+			continue // down
+		}
+		if err := d.store.Publish(platform.KindTargets, string(t.Instance()), t.Entry(t.proxyAddress)); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// withdrawGone removes the records of targets that no longer exist.
+func (d *deployment) withdrawGone() {
+	alive := make(map[string]bool)
+	for _, t := range d.targets {
+		alive[string(t.Instance())] = true
+	}
+	d.store.WithdrawExcept(platform.KindTargets, alive)
 }
 
 func (d *deployment) newestVersion(a ident.Adapter) ident.Version {
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -46,6 +46,7 @@
 	{"store-down", false, 5 * time.Second, storeFault(standin.ObjectFaults{Outage: true})},
 	{"store-slow", false, 5 * time.Second, storeFault(standin.ObjectFaults{DelayMS: 250})},
 	{"store-forgets", false, 0, discardHistory},
+	{"store-restored", false, 0, restoreStore},
 	{"target-crashes", false, 2 * time.Second, crashTarget},
 	{"prompt-part-ends-targets", false, 8 * time.Second, deadlyPromptPart},
 	{"target-fails", false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
@@ -142,6 +143,29 @@
 	return nil, nil
 }
 
+// maxCopyAge is the largest age of a copy that the store returns from.
+const maxCopyAge = 5 * time.Second
+
+// restoreStore makes the store return from an older copy. Its writers write again within
+// half a second what it has lost, and records of targets that are gone expire later.
+func restoreStore(d *deployment, random *rand.Rand) (func() error, error) {
+	d.store.Restore(time.Duration(random.Int64N(int64(maxCopyAge))))
+	time.AfterFunc(time.Duration(random.Int64N(int64(rewriteTime))), func() {
+		if err := d.rewrite(); err != nil {
+			d.oracle.RecordViolation(Violation{GuaranteeRoutes, "", err.Error()})
+		}
+	})
+	time.AfterFunc(recordExpiry, d.withdrawGone)
+	return nil, nil
+}
+
+const (
+	// rewriteTime is how long the store's writers take to write again what it has lost.
+	rewriteTime = 500 * time.Millisecond
+	// recordExpiry is how long the record of a target outlives it.
+	recordExpiry = 3600 * time.Millisecond
+)
+
 func targetFault(f standin.WorkerFaults) func(*deployment, *rand.Rand) (func() error, error) {
 	return func(d *deployment, random *rand.Rand) (func() error, error) {
 		t := randomTarget(d, random)
--- a/pkg/standin/objects_http.go
+++ b/pkg/standin/objects_http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -99,6 +100,18 @@
 	}
 }
 
+// WithdrawExcept removes the published objects of a kind whose names are not among those
+// given.
+func (o *Objects) WithdrawExcept(kind platform.Kind, names map[string]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key := range maps.Clone(o.objects) {
+		if k, name := objects.Split(key); k == kind && !names[name] {
+			o.remove(key)
+		}
+	}
+}
+
 func requestKind(ctx *fasthttp.RequestCtx) platform.Kind {
 	return platform.Kind(ctx.UserValue("kind").(string))
 }
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -90,7 +90,8 @@
 	instance    ident.Target
 	startMS     int64
 	starts      int
-	sequence    uint64
+	heartbeats  uint64 // records written since the start
+	sequence    uint64 // orders accepted since the start
 	busy        bool
 	modelLoaded bool // whether the base model is loaded
 	modelOnDisk bool
@@ -124,6 +125,7 @@
 	w.starts++
 	w.instance = ident.Target(string(w.Service) + "-" + strconv.FormatUint(w.Seed, 10) + "-" + strconv.Itoa(w.starts))
 	w.startMS, w.sequence, w.busy, w.modelLoaded, w.draining = time.Now().Add(w.clockOffset).UnixMilli(), 0, false, false, false
+	w.heartbeats = 0
 	w.held, w.pending = make(map[ident.Adapter]*heldAdapter), make(map[ident.Adapter]ident.Version)
 	w.running = make(map[ident.Attempt]bool)
 }
@@ -160,17 +162,25 @@
 	w.draining = d
 }
 
+// Draining reports whether the worker announces that it is draining.
+func (w *Worker) Draining() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.draining
+}
+
 // Entry returns the worker's object for the list of targets in the store, with
-// the given address.
+// the given address. Each call is a heartbeat.
 func (w *Worker) Entry(address string) json.RawMessage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.heartbeats++
 	state := "ready"
 	if w.draining {
 		state = "draining"
 	}
 	entry, _ := json.Marshal(map[string]any{ // encoding never fails
-		"service": w.Service, "address": address, "zone": "local", "slots": w.Slots, "state": state, "born": w.startMS, "seq": w.sequence,
+		"service": w.Service, "address": address, "zone": "local", "slots": w.Slots, "state": state, "born": w.startMS, "seq": w.heartbeats,
 	})
 	return entry
 }
