One odd entry of another writer costs only itself

Reported by other operators: a deeply nested entry, a number too large or a port out of range among the entries of the engines ended the machines that read the list, or stopped them from following it. Here: an entry nested 10,000 levels failed the whole list and each watch (every follower stopped until it was gone), and ports 0, -1, 65536 and and names in place of addresses were taken for targets. Numbers too large cost only their entry. Cause: a response was decoded as one value, so that the decoder's limit on nesting hit all of it, and only the form of an address was checked. The same for the engine's report, whose hints cost only themselves, and for the product's list of VMs, where one odd entry failed all.

--- a/pkg/gateway/restored_test.go
+++ b/pkg/gateway/restored_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,3 +104,28 @@
 		require.Equal(t, []string{"p-1"}, availableNames(g))
 	})
 }
+
+// Another writer replaces the record of a target, and adds one of its own: the others
+// stay in use, and the target is back with its next record.
+func TestOddRecordCostsOnlyItsTarget(t *testing.T) {
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for _, odd := range []string{deep, `{"service":"plain","address":"10.0.1.2:0","state":"ready"}`, `{"service":"plain","address":"10.0.1.2:99999999999","state":"ready"}`, `{"service":"plain","address":"10.0.1.2:1","state":"ready","slots":1e999}`} {
+		testRestored(t, func(t *testing.T, g *Gateway, store *standin.Objects) {
+			for _, name := range []string{"p-1", "p-2", "p-3"} {
+				publishTarget(t, store, name, "ready", 1000, 5)
+			}
+			time.Sleep(5 * time.Second)
+			require.NoError(t, store.Publish(platform.KindTargets, "p-2", json.RawMessage(odd)))
+			require.NoError(t, store.Publish(platform.KindTargets, "odd", json.RawMessage(odd)))
+			require.NoError(t, store.Publish(platform.KindVersions, "odd", json.RawMessage(odd)))
+			require.NoError(t, store.Publish(platform.KindConfiguration, platform.ConfigurationName, json.RawMessage(odd)))
+			time.Sleep(4 * time.Second)
+			require.Equal(t, []string{"p-1", "p-3"}, availableNames(g))
+			require.NotNil(t, g.directory.Configuration())
+			publishTarget(t, store, "p-4", "ready", 1000, 1)
+			publishTarget(t, store, "p-2", "ready", 1000, 9)
+			time.Sleep(4 * time.Second)
+			require.Equal(t, []string{"p-1", "p-2", "p-3", "p-4"}, availableNames(g))
+		})
+	}
+}
--- a/pkg/objects/client.go
+++ b/pkg/objects/client.go
@@ -183,7 +183,8 @@
 	Targets []string     `json:"targets,omitempty"`
 }
 
-// VMs returns the platform's list of VMs.
+// VMs returns the platform's list of VMs. An entry that can't be read counts as a VM in an
+// unknown state.
 func (c *Client) VMs(context.Context) ([]VMInfo, error) {
 	list, _, err := c.store.List(kindVMs)
 	if err != nil {
@@ -191,8 +192,8 @@
 	}
 	vms := make([]VMInfo, len(list))
 	for i, o := range list {
-		if err := json.Unmarshal(o.Spec, &vms[i]); err != nil {
-			return nil, errors.Annotatef(err, "VM %s", o.Name)
+		if json.Unmarshal(o.Spec, &vms[i]) != nil {
+			vms[i] = VMInfo{VM: ident.VM(o.Name)}
 		}
 	}
 	return vms, nil
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -32,6 +32,9 @@
 	if report.Draining && !o.report.Draining {
 		o.Info("msg", "engine is draining", "born", report.StartMS)
 	}
+	if report.Unread != o.report.Unread {
+		o.Warn("msg", "models in the engine's report could not be read", "models", report.Unread)
+	}
 	if o.misses >= downAfter {
 		o.Info("msg", "engine answers again", "born", report.StartMS)
 	}
--- a/pkg/standin/objects_test.go
+++ b/pkg/standin/objects_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -141,3 +142,17 @@
 	_, err = client.Put(ctx, "dir/a", []byte("new"), object.Version)
 	require.NoError(t, err)
 }
+
+// One entry of the list of VMs can't be read: it counts as a VM in an unknown state.
+func TestOddVMCostsOnlyItself(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, listener.Close()) })
+	odd := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	body := `{"items":[{"metadata":{"name":"vm-1","revision":1},"spec":` + odd + `},{"metadata":{"name":"vm-2","revision":2},"spec":{"vm":"vm-2","state":"live"}}],"as-of":2}`
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(body) }}
+	go func() { _ = server.Serve(listener) }()
+	vms, err := objects.NewClient("http://" + listener.Addr().String()).VMs(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, []objects.VMInfo{{VM: "vm-1"}, {VM: "vm-2", State: objects.VMLive}}, vms)
+}
