A refusal counts only if it names the request

Reported by other operators: an engine wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that an engine was running, or such a request ran at a second engine. Here: stray bytes are looked for only before a kept connection is used; what comes a moment later was taken for the answer to the next request if it was an error without an id: 503 to the caller of a request that ran (TestEarlierRefusalIsNoAnswerToTheNextRequest, seven of eight cases failed). Cause: an answer was bound to a request by its place on the connection, and its id was asked for only in successes. Change: on a connection that has carried another request an error without an id belongs to no request and is read over; X-Not-Executed and 421 are believed only with the id; a request without one gets a new connection. A status that callers take for a promise (408, 421, 429, 503) without that becomes 502 for requests that must not be repeated.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -38,6 +38,7 @@
 	method   string
 	body     io.Reader
 	stray    bool // a response to another request came first
+	named    bool // it names the request
 	complete bool // the whole body was read
 }
 
@@ -51,8 +52,9 @@
 }
 
 // Receive reads the head of the response to the request with the given method and
-// attempt ID. It returns ErrInvalidResponse if the connection carries only
-// responses to other requests, or a success that names no request.
+// attempt ID. An error response that names no request counts as the response only on a new
+// connection, which has carried no other request. Receive returns ErrInvalidResponse if
+// the connection carries only responses to other requests, or a success that names none.
 func (c *Conn) Receive(method, attempt string, deadline time.Time) (*Response, error) {
 	// The error of SetReadDeadline is ignored: bytes that arrived before the
 	// connection closed can still be read, and the read reports the close.
@@ -65,10 +67,12 @@
 			return nil, errors.Trace(err)
 		}
 		echoed := res.Value(platform.HeaderAttempt)
-		if attempt == "" || echoed == attempt || echoed == "" && res.Status >= 300 {
+		res.named = attempt != "" && echoed == attempt
+		unnamed := attempt == "" || echoed == "" && res.Status >= 300
+		if res.named || unnamed && !c.reused && !res.stray {
 			return res, nil
 		}
-		if echoed == "" {
+		if echoed == "" && res.Status < 300 {
 			return nil, errors.Annotate(ErrInvalidResponse, "success without an attempt ID")
 		}
 		res.stray = true
@@ -94,6 +98,10 @@
 	return errors.Annotatef(ErrInvalidResponse, "more than %d informational responses", maxInformational)
 }
 
+// Named reports whether the response names the request. Only then what it says of the
+// request can be relied on.
+func (res *Response) Named() bool { return res.named }
+
 // Discard reads the body and drops it. It returns ErrInvalidResponse if the body is
 // incomplete or longer than maxStrayBytes.
 func (res *Response) Discard() error {
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -39,6 +39,7 @@
 	r         *bufio.Reader
 	address   string
 	idleSince time.Time // when it was last returned to the pool
+	reused    bool      // it has carried another request
 	maxIdle   time.Duration
 	// onStall is called when a read's deadline has passed.
 	onStall func() (next time.Time, wait bool)
@@ -94,9 +95,9 @@
 }
 
 // Get returns a pooled connection to address that was idle for at most idleLimit,
-// or else a new one.
+// or else a new one. With a limit of 0 the connection is always new.
 func (p *Pool) Get(ctx context.Context, address string, idleLimit time.Duration) (*Conn, error) {
-	for {
+	for idleLimit > 0 {
 		c := p.takeIdle(address)
 		if c == nil {
 			break
@@ -133,7 +134,7 @@
 
 // Put returns a connection to the pool, after the whole response was read.
 func (p *Pool) Put(c *Conn) {
-	c.idleSince, c.onStall = time.Now(), nil
+	c.idleSince, c.reused, c.onStall = time.Now(), true, nil
 	if err := c.nc.SetDeadline(time.Time{}); err != nil {
 		c.Close()
 		return
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -262,6 +262,9 @@
 	if !x.retryable() {
 		maxIdle = maxIdleNonRetryable
 	}
+	if x.q.attempt == "" {
+		maxIdle = 0 // only a new connection carries no responses to other requests
+	}
 	x.eventSeen = false
 	x.begin(a, stepDial)
 	conn, err := x.g.pool.Get(x.ctx, a.target.Address, maxIdle)
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -18,11 +18,16 @@
 	if load, ok := platform.ParseLoad([]byte(res.Value(platform.HeaderLoad))); ok {
 		x.g.loads.record(a.target.Instance, load, time.Now())
 	}
-	if res.Status == fasthttp.StatusMisdirectedRequest || res.Value(platform.HeaderNotExecuted) != "" {
+	if res.Named() && (res.Status == fasthttp.StatusMisdirectedRequest || res.Value(platform.HeaderNotExecuted) != "") {
 		x.logNotRun(a, res)
 		x.finish(res, res.Discard())
 		return outcomeNotRun
 	}
+	if !x.retryable() && impliesNotRun(res.Status) {
+		x.finish(res, res.Discard())
+		x.fail(a, stepStatus, errors.Errorf("status %d, which does not say that the request was not run", res.Status))
+		return outcomeUnknown
+	}
 	if res.Status < 300 && res.Value(platform.HeaderSignature) == "" {
 		x.finish(res, forward.ErrInvalidResponse)
 		x.fail(a, stepAnswer, errors.Annotate(forward.ErrInvalidResponse, "missing signature"))
@@ -58,6 +63,16 @@
 	return outcomeDelivered
 }
 
+// impliesNotRun reports whether callers take the status for a promise that the request has
+// not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // logNotRun logs that a target did not run the request.
 func (x *exchange) logNotRun(a *assignment, res *forward.Response) {
 	x.g.Info("msg", "target did not run the request", "request", x.q.attempt, "target", a.target.Instance, "status", res.Status, "version", a.version)
