A broken stream is continued only by the rest of it

Reported by other operators: a stream broke off, the next engine answered with an error, and clients found the error's text in their stream, or the stream ended as if it were complete. Cause: only the status class of the next answer was compared with that of the first one. Change: the rest of a stream has the status and type of its head, and ids after the last one delivered. A stream that has no event and ends with its connection, whether resumed or not, has been broken off.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -67,7 +67,8 @@
 	// eventSeen says that the last target has sent an event.
 	eventSeen bool
 	// State of a streamed response.
-	streamStarted bool // the head of a streamed response was forwarded
+	streamStarted bool       // the head of a streamed response was forwarded
+	streamForm    streamForm // of that response
 	lastEvent     string
 }
 
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -34,6 +34,11 @@
 		return outcomeUnknown
 	}
 	if x.route.RetryPolicy == platform.RunStream && res.Status < 300 {
+		if x.streamStarted && formOf(res) != x.streamForm {
+			x.finish(res, res.Discard())
+			x.fail(a, stepStatus, errors.Annotatef(forward.ErrInvalidResponse, "%s is not the rest of the stream", formOf(res)))
+			return outcomeUnknown
+		}
 		return x.forwardStream(a, res, sent)
 	}
 	x.begin(a, stepBody)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 )
@@ -29,12 +33,28 @@
 	eventFields = [][]byte{[]byte("id:"), []byte("data:")}
 )
 
+// streamForm is what the responses have in common whose events make up one stream.
+type streamForm struct {
+	status    int
+	mediaType string
+}
+
+func formOf(res *forward.Response) streamForm {
+	mediaType, _, _ := strings.Cut(res.Value(fasthttp.HeaderContentType), ";")
+	return streamForm{status: res.Status, mediaType: strings.ToLower(strings.TrimSpace(mediaType))}
+}
+
+// String returns the form as a row of the log shows it.
+func (f streamForm) String() string {
+	return fmt.Sprintf("status %d of type %q", f.status, f.mediaType)
+}
+
 // forwardStream forwards a target's events as they arrive. Until the end of the
 // stream it forwards only complete events, so that another target can resume after
 // the last one.
 func (x *exchange) forwardStream(a *assignment, res *forward.Response, sent time.Time) outcome {
 	x.begin(a, stepStream)
-	first := true
+	first, resumed := true, x.streamStarted
 	timing := streamTiming{grantWait: sent.Sub(x.began)}
 	last := sent
 	pending := make([]byte, 0, streamBufferBytes)
@@ -45,17 +65,21 @@
 		pending = pending[:len(pending)+n]
 		complete := completeEvents(pending)
 		if err == io.EOF {
-			if insideEvent(pending[complete:]) {
+			if insideEvent(pending[complete:]) || first && len(pending) == 0 && res.EndsWithConnection() {
 				// The end of the connection may be all that ends the response.
 				err = io.ErrUnexpectedEOF
 			} else {
 				complete = len(pending)
 			}
 		}
+		if resumed && !follows(x.lastEvent, pending[:complete]) {
+			complete, err = 0, errors.Annotatef(forward.ErrInvalidResponse, "events begin again at or before event %s", x.lastEvent)
+		}
 		if complete > 0 {
 			if hasEvent(pending[:complete]) {
 				// Other bytes, such as comments, do not keep a stalled stream alive.
 				res.SetReadDeadline(x.nextEventDeadline())
+				resumed = false // further IDs only increase
 			}
 			if first {
 				a.reportFirstEvent(time.Since(sent))
@@ -125,7 +149,7 @@
 		x.lastEvent = id
 	}
 	if !x.streamStarted {
-		x.streamStarted = true
+		x.streamStarted, x.streamForm = true, formOf(res)
 		x.c.beginStream(res)
 	}
 	return x.c.writeBodyPart(events) == nil
@@ -211,6 +235,21 @@
 	return i + len(eventEnd)
 }
 
+// follows reports whether events can follow the one with the given ID: the IDs of a
+// stream increase. Text without a number as ID can always.
+func follows(last string, events []byte) bool {
+	for line := range bytes.Lines(events) {
+		id, found := bytes.CutPrefix(line, eventID)
+		if !found {
+			continue
+		}
+		before, err := strconv.ParseUint(last, 10, 64)
+		next, nextErr := strconv.ParseUint(string(bytes.TrimSpace(id)), 10, 64)
+		return err != nil || nextErr != nil || next > before
+	}
+	return true
+}
+
 // lastEventID returns the ID of the last event that has one.
 func lastEventID(events []byte) string {
 	at := bytes.LastIndex(events, eventID)
