A target that says that it leaves gets no further request

What a target says of itself is one belief now: its limit, and for one process of it that it leaves, which ends only with a new start. It is asked where targets are chosen, when a grant comes and before each send. Gateways tell the engine's orderer, or the one that apportions limits, and that one all gateways, so that a gateway hears of it before it has sent anything there; an orderer also takes it from its engine's reports.

--- a/pkg/gateway/agents.go
+++ b/pkg/gateway/agents.go
@@ -78,7 +78,8 @@
 }
 
 // connWithSetup returns the link to the target's agent. It first sends the engine's
-// setup, and the rate limit that it states, unless they were sent over this link before.
+// setup, and what the engine says about itself, unless they were sent over this link
+// before.
 func (a *agentLinks) connWithSetup(ctx context.Context, t fleet.Target, c *platform.Configuration, s platform.Service) (*link.Conn, error) {
 	conn, err := a.conn(ctx, t)
 	if err != nil {
@@ -95,7 +96,7 @@
 	if sent {
 		return conn, nil
 	}
-	if _, limited := a.notices.Limit(t.Instance); limited {
+	if n := a.notices.Notice(t.Instance); n.Limited || n.Leaving {
 		a.sendNotice(conn, t.Instance)
 	}
 	setup := engineSetup(t, c, s)
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -253,7 +253,7 @@
 		return nil, reply
 	}
 	x.g.replicas.Record(w, t.Address, time.Now())
-	if !x.g.fleet.Usable(t) {
+	if !x.g.mayReceive(t) {
 		// The target started to drain while the request waited for its grant.
 		stream.Close()
 		return nil, unable
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -283,7 +283,7 @@
 			return outcomeUnsent // it has stated a limit since
 		}
 	}
-	if !x.g.fleet.Usable(a.target) {
+	if !x.g.mayReceive(a.target) {
 		conn.Close()
 		x.g.Info("msg", "target left before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
 		return outcomeUnsent
--- a/pkg/gateway/fleet_harness_test.go
+++ b/pkg/gateway/fleet_harness_test.go
@@ -177,6 +177,17 @@
 	})
 }
 
+// restartTarget lists a target as one that has started again under its name.
+func (h *fleetHarness) restartTarget(t *fleetTarget) {
+	t.mu.Lock()
+	t.StartMS++
+	listed := t.Target
+	t.mu.Unlock()
+	for _, g := range h.gateways {
+		g.fleet.Put(listed)
+	}
+}
+
 // startAgent starts the orderer of an engine, or replaces it by a new process.
 func (h *fleetHarness) startAgent(e *fleetTarget) {
 	host, _, err := net.SplitHostPort(e.Address)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -132,20 +132,20 @@
 // the same moment.
 func (g *Gateway) addJitter(d time.Duration) time.Duration { return d + rand.N(d/2+1) }
 
-// eligibleTargets returns the service's targets that are neither excluded nor
+// eligibleTargets returns the service's targets that are neither excluded nor leaving nor
 // ejected by outlier detection. If there are none, it returns the ejected ones that
-// are not excluded.
+// are neither excluded nor leaving.
 func (g *Gateway) eligibleTargets(s ident.Service, excluded []ident.Target) []fleet.Target {
 	all := g.fleet.Available(s)
 	detector, now := g.detector(s), time.Now()
 	anyEjected := detector.AnyEjected(now)
-	if len(excluded) == 0 && !anyEjected {
+	if len(excluded) == 0 && !anyEjected && g.notices.Empty() {
 		return all
 	}
 	var healthy, ejected []fleet.Target
 	for _, t := range all {
 		switch {
-		case contains(t.Instance, excluded):
+		case contains(t.Instance, excluded) || g.notices.Leaving(processOf(t)):
 		case anyEjected && detector.Ejected(t.Instance, now):
 			ejected = append(ejected, t)
 		default:
--- a/pkg/gateway/notice.go
+++ b/pkg/gateway/notice.go
@@ -26,11 +26,11 @@
 	if n.Limit == platform.LimitInvalid {
 		x.g.Debug("msg", "invalid rate limit", "target", a.target.Instance, "request", x.q.attempt)
 	}
-	change := x.g.notices.Observe(a.target.Instance, n, sent, time.Now())
-	if change == notice.Unchanged {
+	changes := x.g.notices.Observe(processOf(a.target), n, sent, time.Now())
+	x.g.logNotice(a.target.Instance, changes, "request", x.q.attempt)
+	if !changes.Any() {
 		return
 	}
-	x.g.logNotice(a.target.Instance, change, "request", x.q.attempt)
 	if a.agent != nil {
 		x.g.agents.sendNotice(a.agent, a.target.Instance)
 		return
@@ -51,14 +51,31 @@
 	g.agents.sendNotice(conn, t.Instance)
 }
 
-// logNotice logs a change of what is known of a target, and its source.
-func (g *Gateway) logNotice(target ident.Target, change notice.Change, source ...any) {
-	switch change {
-	case notice.LimitSet:
+// processOf returns the process of a target that is listed.
+func processOf(t fleet.Target) notice.Process {
+	return notice.Process{Target: t.Instance, StartMS: t.StartMS}
+}
+
+// mayReceive reports whether a target may still receive requests, by the list of targets
+// and by what it says about itself.
+func (g *Gateway) mayReceive(t fleet.Target) bool {
+	return g.fleet.Usable(t) && !g.notices.Leaving(processOf(t))
+}
+
+// logNotice logs changes of what is known of a target, and their source.
+func (g *Gateway) logNotice(target ident.Target, changes notice.Changes, source ...any) {
+	row := func(msg string, keyvals ...any) {
+		g.Info(append(append([]any{"msg", msg, "target", target}, keyvals...), source...)...)
+	}
+	if changes.LimitSet {
 		limit, _ := g.notices.Limit(target)
-		g.Info(append([]any{"msg", "target states a rate limit", "target", target, "per-second", limit.PerSecond}, source...)...)
-	case notice.LimitEnded:
-		g.Info(append([]any{"msg", "target states no rate limit any more", "target", target}, source...)...)
+		row("target states a rate limit", "per-second", limit.PerSecond)
+	}
+	if changes.LimitEnded {
+		row("target states no rate limit any more")
+	}
+	if changes.Leaves {
+		row("target says that it is leaving")
 	}
 }
 
--- a/pkg/gateway/permit.go
+++ b/pkg/gateway/permit.go
@@ -237,7 +237,7 @@
 	}
 	for _, n := range g.notices.All() {
 		t, known := g.fleet.Find(n.Target)
-		if !known || g.hasAgent(t) {
+		if !n.Limited || !known || g.hasAgent(t) {
 			continue
 		}
 		go g.tellPermitAgent(t)
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -11,7 +11,6 @@
 	StartMS  int64 // start of the engine process in Unix milliseconds, 0 if unknown
 	Sequence uint64
 	Busy     bool
-	Draining bool // the engine is about to leave
 	Models   []ident.Model
 	Held     []ident.Weights // adapters
 	Loading  []ident.Weights // adapters that are loading
@@ -24,10 +23,13 @@
 	if s.up && (r.StartMS != s.startMS || r.Sequence < s.sequence) {
 		s.reset()
 	}
+	if r.StartMS != s.startMS {
+		s.draining = false
+	}
 	if r.Busy && !s.busy {
 		s.busySince = now
 	}
-	s.up, s.draining, s.startMS, s.sequence, s.busy = true, r.Draining, r.StartMS, r.Sequence, r.Busy
+	s.up, s.startMS, s.sequence, s.busy = true, r.StartMS, r.Sequence, r.Busy
 	s.models = make(map[ident.Model]bool, len(r.Models))
 	for _, m := range r.Models {
 		s.models[m] = true
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -73,7 +73,7 @@
 	identifiedStartMS int64 // startMS (Unix ms) of the engine process that last reported its name
 	startMS           int64
 	up                bool
-	draining          bool // the engine reports that it is about to leave
+	draining          bool // the engine is about to leave
 	// unknownSince is the time since which the engine runs requests that were not
 	// granted here, or zero if there are none. unknownLastSeen is the time at which
 	// such requests were last seen.
@@ -157,6 +157,9 @@
 // Instance returns the engine's instance name, or an empty name while it is unknown.
 func (s *Scheduler) Instance() ident.Target { return s.instance }
 
+// SetDraining records whether the engine is about to leave.
+func (s *Scheduler) SetDraining(draining bool) { s.draining = draining }
+
 // SetLimit sets the rate limit that the engine states, in requests per second.
 func (s *Scheduler) SetLimit(perSecond float64, now time.Time) { s.limit.Set(perSecond, now) }
 
--- a/pkg/grant/scheduler_test.go
+++ b/pkg/grant/scheduler_test.go
@@ -80,7 +80,8 @@
 	sched := schedulerWith(4, 1)
 	sched.Enqueue(request(1, 2, start)) // waits for its adapter
 	require.Empty(t, sched.Decide(start))
-	sched.Observe(Report{StartMS: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}, Draining: true}, start)
+	sched.Observe(Report{StartMS: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}}, start)
+	sched.SetDraining(true)
 	sched.Enqueue(request(2, 1, start))
 	for _, reply := range sched.Decide(start) {
 		require.Equal(t, wire.GrantReply{Code: wire.GrantUnable, Reason: wire.ReasonDraining}, reply.GrantReply)
--- a/pkg/notice/table.go
+++ b/pkg/notice/table.go
@@ -1,9 +1,10 @@
 // Package notice keeps what targets say about themselves in their responses. It does no
 // I/O, and callers pass in the current time.
 //
-// It handles targets in need: they state how many requests they take, and each process
-// hears of that only in the responses to its own requests, which may overtake each other,
-// and from other processes.
+// It handles targets in need and targets that leave: they state how many requests they
+// take, or that they are leaving. Each process hears of
+// that only in the responses to its own requests, which may overtake each other, and from
+// other processes.
 package notice
 
 import (
@@ -15,6 +16,12 @@
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
+// Process is one process of a target. A target that starts again may keep its name.
+type Process struct {
+	Target  ident.Target
+	StartMS int64 // start in Unix ms; 0 if unknown
+}
+
 // Limit is the rate limit that a target states.
 type Limit struct {
 	PerSecond float64
@@ -30,115 +37,200 @@
 	return now.Sub(l.Heard)
 }
 
-// Change is how a notice changed what is known of a target.
-type Change uint8
+// Changes is how a notice changed what is known of a target.
+type Changes struct {
+	LimitSet, LimitEnded bool
+	Leaves               bool
+}
 
-// Values of Change.
-const (
-	Unchanged Change = iota
-	LimitSet
-	LimitEnded
-)
+// Any reports whether anything changed that concerns other processes too.
+func (c Changes) Any() bool { return c.LimitSet || c.LimitEnded || c.Leaves }
 
 // maxTargets bounds the number of targets in a table.
 const maxTargets = 4096
 
+// belief is what is known of one target.
+type belief struct {
+	heard   time.Time // when something was last heard
+	limited bool
+	limit   Limit
+	// leaving is of the process that started at startMS.
+	startMS int64
+	leaving bool
+}
+
+func (b *belief) isEmpty() bool { return !b.limited && !b.leaving }
+
+// isOf reports whether what is known concerns the process. An unknown start may be of any.
+func (b *belief) isOf(p Process) bool {
+	return b.startMS == p.StartMS || b.startMS == 0 || p.StartMS == 0
+}
+
 // Table is what one process knows of targets.
 type Table struct {
-	mu     sync.Mutex
-	limits map[ident.Target]Limit
+	mu      sync.Mutex
+	targets map[ident.Target]*belief
 }
 
 // New returns a table without knowledge.
-func New() *Table { return &Table{limits: make(map[ident.Target]Limit)} }
+func New() *Table { return &Table{targets: make(map[ident.Target]*belief)} }
 
 // Observe records the notice in a response to a request that was sent at the given time.
 // A response without a limit ends the limit only if its request was sent after the limit
-// was last heard of: an older one may have been overtaken.
-func (t *Table) Observe(target ident.Target, n platform.TargetNotice, sent, now time.Time) Change {
+// was last heard of: an older one may have been overtaken. A process that leaves does not
+// take that back.
+func (t *Table) Observe(p Process, n platform.TargetNotice, sent, now time.Time) (c Changes) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.targets[p.Target] == nil && n == (platform.TargetNotice{}) {
+		return c
+	}
+	b := t.get(p, now)
+	defer t.drop(p.Target, b)
 	switch {
 	case n.Limit == platform.LimitStated:
-		return t.set(target, n.LimitPerSecond, now)
-	case n.Limit == platform.LimitAbsent && sent.After(t.limits[target].Heard):
-		return t.end(target)
+		c.LimitSet = b.setLimit(n.LimitPerSecond, now)
+	case n.Limit == platform.LimitAbsent && sent.After(b.limit.Heard):
+		c.LimitEnded = b.endLimit()
 	}
-	return Unchanged
+	c.Leaves = n.Leaving && b.leave()
+	return c
 }
 
 // Adopt records the notice that another process has passed on.
-func (t *Table) Adopt(n wire.TargetNotice, now time.Time) Change {
+func (t *Table) Adopt(n wire.TargetNotice, now time.Time) (c Changes) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	p := Process{n.Target, n.StartMS}
+	b := t.get(p, now)
+	defer t.drop(p.Target, b)
 	if n.Limited {
-		return t.set(n.Target, n.LimitPerSecond, now)
+		c.LimitSet = b.setLimit(n.LimitPerSecond, now)
+	} else {
+		c.LimitEnded = b.endLimit()
 	}
-	return t.end(n.Target)
+	c.Leaves = n.Leaving && b.leave()
+	return c
 }
 
-func (t *Table) set(target ident.Target, perSecond float64, now time.Time) Change {
-	old, limited := t.limits[target]
-	if !limited && len(t.limits) >= maxTargets {
-		t.dropOldest()
+// get returns what is known of a target, and adds an empty belief if there is none. What a
+// process said that has been replaced is forgotten, but for the limit, which ends only by
+// a response. The caller holds mu.
+func (t *Table) get(p Process, now time.Time) *belief {
+	b := t.targets[p.Target]
+	if b == nil {
+		if len(t.targets) >= maxTargets {
+			t.dropOldest()
+		}
+		b = &belief{startMS: p.StartMS}
+		t.targets[p.Target] = b
+	}
+	if !b.isOf(p) {
+		b.leaving = false
 	}
-	t.limits[target] = Limit{PerSecond: perSecond, Heard: now}
-	if limited && old.PerSecond == perSecond {
-		return Unchanged
+	if p.StartMS != 0 {
+		b.startMS = p.StartMS
+	}
+	b.heard = now
+	return b
+}
+
+// drop removes a belief that holds nothing. The caller holds mu.
+func (t *Table) drop(target ident.Target, b *belief) {
+	if b.isEmpty() {
+		delete(t.targets, target)
 	}
-	return LimitSet
 }
 
 func (t *Table) dropOldest() {
 	var oldest ident.Target
-	for target, l := range t.limits {
-		if o, ok := t.limits[oldest]; !ok || l.Heard.Before(o.Heard) {
+	for target, b := range t.targets {
+		if o := t.targets[oldest]; o == nil || b.heard.Before(o.heard) {
 			oldest = target
 		}
 	}
-	delete(t.limits, oldest)
+	delete(t.targets, oldest)
 }
 
-func (t *Table) end(target ident.Target) Change {
-	if _, limited := t.limits[target]; !limited {
-		return Unchanged
-	}
-	delete(t.limits, target)
-	return LimitEnded
+func (b *belief) setLimit(perSecond float64, now time.Time) (changed bool) {
+	changed = !b.limited || b.limit.PerSecond != perSecond
+	b.limited, b.limit = true, Limit{PerSecond: perSecond, Heard: now}
+	return changed
+}
+
+func (b *belief) endLimit() (changed bool) {
+	changed = b.limited
+	b.limited, b.limit = false, Limit{}
+	return changed
+}
+
+func (b *belief) leave() (changed bool) {
+	changed = !b.leaving
+	b.leaving = true
+	return changed
 }
 
 // Limit returns the limit that a target states, if any.
 func (t *Table) Limit(target ident.Target) (Limit, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l, ok := t.limits[target]
-	return l, ok
+	b := t.targets[target]
+	if b == nil || !b.limited {
+		return Limit{}, false
+	}
+	return b.limit, true
+}
+
+// Leaving reports whether a process says that it is leaving.
+func (t *Table) Leaving(p Process) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.targets[p.Target]
+	return b != nil && b.leaving && b.isOf(p)
+}
+
+func (b *belief) notice(target ident.Target) wire.TargetNotice {
+	return wire.TargetNotice{Target: target, StartMS: b.startMS, Limited: b.limited, LimitPerSecond: b.limit.PerSecond, Leaving: b.leaving}
+}
+
+// Empty reports whether nothing is known of any target.
+func (t *Table) Empty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.targets) == 0
 }
 
 // Notice returns what to tell other processes of a target.
 func (t *Table) Notice(target ident.Target) wire.TargetNotice {
-	l, limited := t.Limit(target)
-	return wire.TargetNotice{Target: target, Limited: limited, LimitPerSecond: l.PerSecond}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.targets[target]; b != nil {
+		return b.notice(target)
+	}
+	return wire.TargetNotice{Target: target}
 }
 
-// All returns the notices of all targets that state something.
+// All returns what to tell other processes of all targets.
 func (t *Table) All() []wire.TargetNotice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []wire.TargetNotice
-	for target, l := range t.limits {
-		out = append(out, wire.TargetNotice{Target: target, Limited: true, LimitPerSecond: l.PerSecond})
+	for target, b := range t.targets {
+		if b.limited || b.leaving {
+			out = append(out, b.notice(target))
+		}
 	}
 	return out
 }
 
-// Retain drops what is known of targets that are not listed any more.
+// Retain drops what is known of targets that are not listed any more, but that they are
+// leaving: the list may show them again.
 func (t *Table) Retain(listed func(ident.Target) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for target := range t.limits {
-		if !listed(target) {
-			delete(t.limits, target)
+	for target, b := range t.targets {
+		if !listed(target) && !b.leaving {
+			delete(t.targets, target)
 		}
 	}
 }
--- a/pkg/notice/table_test.go
+++ b/pkg/notice/table_test.go
@@ -1,12 +1,14 @@
 package notice
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -19,7 +21,7 @@
 	type response struct {
 		sent, arrived int // ms
 		notice        platform.TargetNotice
-		want          Change
+		want          Changes
 	}
 	none := platform.TargetNotice{}
 	for _, test := range []struct {
@@ -27,21 +29,21 @@
 		responses []response
 		limit     float64 // -1 for none
 	}{
-		{"none is stated", []response{{0, 10, none, Unchanged}}, -1},
-		{"stated", []response{{0, 10, stated(3), LimitSet}, {20, 30, stated(3), Unchanged}}, 3},
-		{"changed", []response{{0, 10, stated(3), LimitSet}, {20, 30, stated(2), LimitSet}}, 2},
-		{"ended", []response{{0, 10, stated(3), LimitSet}, {20, 30, none, LimitEnded}, {40, 50, none, Unchanged}}, -1},
-		{"an older response comes later", []response{{5, 10, stated(3), LimitSet}, {0, 30, none, Unchanged}}, 3},
-		{"one sent before the last statement arrived", []response{{0, 10, stated(3), LimitSet}, {20, 40, stated(3), Unchanged}, {30, 50, none, Unchanged}}, 3},
-		{"an invalid limit is neither", []response{{0, 10, stated(3), LimitSet}, {20, 30, platform.TargetNotice{Limit: platform.LimitInvalid}, Unchanged}}, 3},
-		{"zero is a limit", []response{{0, 10, stated(0), LimitSet}}, 0},
+		{"none is stated", []response{{0, 10, none, Changes{}}}, -1},
+		{"stated", []response{{0, 10, stated(3), Changes{LimitSet: true}}, {20, 30, stated(3), Changes{}}}, 3},
+		{"changed", []response{{0, 10, stated(3), Changes{LimitSet: true}}, {20, 30, stated(2), Changes{LimitSet: true}}}, 2},
+		{"ended", []response{{0, 10, stated(3), Changes{LimitSet: true}}, {20, 30, none, Changes{LimitEnded: true}}, {40, 50, none, Changes{}}}, -1},
+		{"an older response comes later", []response{{5, 10, stated(3), Changes{LimitSet: true}}, {0, 30, none, Changes{}}}, 3},
+		{"one sent before the last statement arrived", []response{{0, 10, stated(3), Changes{LimitSet: true}}, {20, 40, stated(3), Changes{}}, {30, 50, none, Changes{}}}, 3},
+		{"an invalid limit is neither", []response{{0, 10, stated(3), Changes{LimitSet: true}}, {20, 30, platform.TargetNotice{Limit: platform.LimitInvalid}, Changes{}}}, 3},
+		{"zero is a limit", []response{{0, 10, stated(0), Changes{LimitSet: true}}}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			start := time.Unix(1000, 0)
 			at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 			table := New()
 			for _, r := range test.responses {
-				require.Equal(t, r.want, table.Observe("i-1", r.notice, at(r.sent), at(r.arrived)))
+				require.Equal(t, r.want, table.Observe(Process{Target: "i-1", StartMS: 1}, r.notice, at(r.sent), at(r.arrived)))
 			}
 			limit, limited := table.Limit("i-1")
 			require.Equal(t, test.limit >= 0, limited)
@@ -56,3 +58,54 @@
 		})
 	}
 }
+
+// A process that leaves does not take that back; one that starts again under its name is
+// another one.
+func TestLeavingIsFinalForAProcess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	leaving := platform.TargetNotice{Leaving: true}
+	first, second, unknown := Process{"i-1", 1}, Process{"i-1", 2}, Process{"i-1", 0}
+	table := New()
+	require.False(t, table.Leaving(first))
+	require.Equal(t, Changes{Leaves: true}, table.Observe(first, leaving, now, now))
+	require.Equal(t, Changes{}, table.Observe(first, leaving, now, now))
+	require.Equal(t, Changes{}, table.Observe(first, platform.TargetNotice{}, now.Add(time.Second), now.Add(time.Second)))
+	require.True(t, table.Leaving(first))
+	require.True(t, table.Leaving(unknown))
+	require.False(t, table.Leaving(second))
+	require.False(t, table.Leaving(Process{"i-2", 1}))
+	require.Equal(t, []wire.TargetNotice{{Target: "i-1", StartMS: 1, Leaving: true}}, table.All())
+	table.Retain(func(ident.Target) bool { return false })
+	require.True(t, table.Leaving(first), "an older list may show it again")
+
+	table.Observe(second, stated(3), now, now)
+	require.False(t, table.Leaving(first), "it has started again since")
+	limit, limited := table.Limit("i-1")
+	require.True(t, limited)
+	require.Equal(t, 3.0, limit.PerSecond)
+	table.Retain(func(ident.Target) bool { return false })
+	require.True(t, table.Empty())
+}
+
+func TestAdoptedNoticesAreNoNews(t *testing.T) {
+	now, table := time.Unix(1000, 0), New()
+	n := wire.TargetNotice{Target: "i-1", StartMS: 1, Limited: true, LimitPerSecond: 2, Leaving: true}
+	require.Equal(t, Changes{LimitSet: true, Leaves: true}, table.Adopt(n, now))
+	require.False(t, table.Adopt(n, now).Any())
+	require.Equal(t, n, table.Notice("i-1"))
+	require.Equal(t, Changes{LimitEnded: true}, table.Adopt(wire.TargetNotice{Target: "i-1", StartMS: 1}, now))
+	require.True(t, table.Leaving(Process{"i-1", 1}))
+}
+
+// A faulty target may name itself differently in each response.
+func TestTableIsBounded(t *testing.T) {
+	table := New()
+	const count = maxTargets + 100
+	for i := range count {
+		now := time.Unix(int64(i), 0)
+		table.Observe(Process{ident.Target(fmt.Sprint(i)), 1}, stated(1), now, now)
+	}
+	require.Len(t, table.All(), maxTargets)
+	_, limited := table.Limit(ident.Target(fmt.Sprint(count - 1)))
+	require.True(t, limited)
+}
--- a/pkg/orderer/notice.go
+++ b/pkg/orderer/notice.go
@@ -23,11 +23,12 @@
 	if n.Limited && !o.isOwn(n.Target) {
 		o.permits.heard(n.Target, s.Conn().Peer.VM, now)
 	}
-	if o.notices.Adopt(n, now) == notice.Unchanged {
+	if !o.notices.Adopt(n, now).Any() {
 		return nil
 	}
 	o.mu.Lock()
 	o.updateLimitLocked()
+	o.updateLeavingLocked()
 	o.mu.Unlock()
 	o.signal()
 	for _, c := range o.entries.all() {
@@ -47,10 +48,24 @@
 // observeNoticeLocked records what the head of the engine's newest report says. The
 // caller holds mu.
 func (o *Orderer) observeNoticeLocked(n platform.TargetNotice) {
-	if n.Limit != platform.LimitInvalid {
-		o.reported = n
+	if n.Limit == platform.LimitInvalid {
+		n.Limit, n.LimitPerSecond = o.reported.Limit, o.reported.LimitPerSecond
 	}
+	o.reported = n
 	o.updateLimitLocked()
+	o.updateLeavingLocked()
+}
+
+// updateLeavingLocked records whether the engine process is about to leave, by its reports
+// or by its other responses. The caller holds mu.
+func (o *Orderer) updateLeavingLocked() {
+	leaving := o.report.Draining || o.reported.Leaving ||
+		o.notices.Leaving(notice.Process{Target: o.scheduler.Instance(), StartMS: o.startMS})
+	if leaving && !o.leaving {
+		o.Info("msg", "engine is draining", "instance", o.scheduler.Instance(), "born", o.startMS)
+	}
+	o.leaving = leaving
+	o.scheduler.SetDraining(leaving)
 }
 
 // updateLimitLocked applies the engine's rate limit: the lower one of what its reports
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -20,18 +20,15 @@
 			o.Warn("msg", "engine does not answer", "err", err)
 			o.scheduler.Down()
 		}
-		if o.misses >= downAfter && !o.report.Draining {
+		if o.misses >= downAfter && !o.leaving {
 			o.engineEndedLocked(o.startMS)
 		}
 		o.replyLocked()
 		return false
 	}
-	if o.startMS != 0 && report.StartMS != o.startMS && !o.report.Draining {
+	if o.startMS != 0 && report.StartMS != o.startMS && !o.leaving {
 		o.engineEndedLocked(o.startMS)
 	}
-	if report.Draining && !o.report.Draining {
-		o.Info("msg", "engine is draining", "born", report.StartMS)
-	}
 	if report.Unread != o.report.Unread {
 		o.Warn("msg", "models in the engine's report could not be read", "models", report.Unread)
 	}
@@ -77,7 +74,7 @@
 }
 
 func grantReport(r platform.EngineReport) grant.Report {
-	out := grant.Report{StartMS: r.StartMS, Sequence: r.Sequence, Busy: r.Busy, Draining: r.Draining, OnDisk: r.OnDisk, InMemory: r.InMemory}
+	out := grant.Report{StartMS: r.StartMS, Sequence: r.Sequence, Busy: r.Busy, OnDisk: r.OnDisk, InMemory: r.InMemory}
 	for _, m := range r.Models {
 		out.Models = append(out.Models, m.Name)
 		for _, a := range m.Adapters {
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -68,6 +68,7 @@
 	// entryCount is how many entries are or were lately linked.
 	entryCount retry.EntryCount
 
+	leaving      bool // the engine process is about to leave
 	misses       int
 	startMS      int64                 // start of the engine process in Unix milliseconds
 	report       platform.EngineReport // the newest report
@@ -140,6 +141,7 @@
 	changed := o.scheduler.Setup(s)
 	instance := o.scheduler.Instance()
 	o.updateLimitLocked()
+	o.updateLeavingLocked()
 	o.mu.Unlock()
 	if changed {
 		o.Info("msg", "engine configured", "instance", instance, "listed", s.Instance, "service", s.Service, "configuration", s.Configuration)
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -127,9 +127,11 @@
 // an agent, and the agent to all linked gateways.
 type TargetNotice struct {
 	Target  ident.Target
-	Limited bool // the target states a rate limit
+	StartMS int64 // start of the target's process in Unix ms; 0 if unknown
+	Limited bool  // the target states a rate limit
 	// LimitPerSecond is the limit, with Limited, in requests of all gateways.
 	LimitPerSecond float64
+	Leaving        bool // the process says that it is leaving
 }
 
 // PermitRequest asks for a permit to send one request to a target that states a rate
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -759,15 +759,17 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TargetNotice) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 5
+	o = append(o, 0x95)
 	o, err = z.Target.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Target")
 		return
 	}
+	o = msgp.AppendInt64(o, z.StartMS)
 	o = msgp.AppendBool(o, z.Limited)
 	o = msgp.AppendFloat64(o, z.LimitPerSecond)
+	o = msgp.AppendBool(o, z.Leaving)
 	return
 }
 
@@ -779,8 +781,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	bts, err = z.Target.UnmarshalMsg(bts)
@@ -788,6 +790,11 @@
 		err = msgp.WrapError(err, "Target")
 		return
 	}
+	z.StartMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartMS")
+		return
+	}
 	z.Limited, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Limited")
@@ -798,12 +805,17 @@
 		err = msgp.WrapError(err, "LimitPerSecond")
 		return
 	}
+	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TargetNotice) Msgsize() (s int) {
-	s = 1 + z.Target.Msgsize() + msgp.BoolSize + msgp.Float64Size
+	s = 1 + z.Target.Msgsize() + msgp.Int64Size + msgp.BoolSize + msgp.Float64Size + msgp.BoolSize
 	return
 }
