A target that answers 503 with Retry-After gets nothing from that gateway until then

The pause is part of what a target says of itself: of one process of it, for this gateway alone, up to ten minutes, asked where targets are chosen, when a grant comes and before each send. If all targets of a service want nothing, callers are refused at once with what is left of the shortest pause. The orderer's health checks of its engine keep to it too.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -40,6 +40,9 @@
 	}
 	targets := x.awaitTargets()
 	if len(targets) == 0 {
+		if pause := x.g.pause(x.service.Name); pause > 0 {
+			return nil, refusal{reason: "targets want no requests for now", wait: pause}
+		}
 		return nil, refusal{reason: "no target", wait: noTargetRetryAfter}
 	}
 	if x.service.Engine == nil || x.q.weights.Model == "" {
--- a/pkg/gateway/fleet_harness_test.go
+++ b/pkg/gateway/fleet_harness_test.go
@@ -57,6 +57,13 @@
 	t.reported = headers
 }
 
+// turnAway makes the target turn requests away as not run, and add header lines.
+func (t *fleetTarget) turnAway(headers string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.status, t.headers = 503, "X-Not-Executed: 1\r\n"+headers
+}
+
 // arrived returns the requests that reached the target between two times.
 func (t *fleetTarget) arrived(from, to time.Time) []arrival {
 	t.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -132,9 +132,9 @@
 // the same moment.
 func (g *Gateway) addJitter(d time.Duration) time.Duration { return d + rand.N(d/2+1) }
 
-// eligibleTargets returns the service's targets that are neither excluded nor leaving nor
-// ejected by outlier detection. If there are none, it returns the ejected ones that
-// are neither excluded nor leaving.
+// eligibleTargets returns the service's targets that want requests and are neither
+// excluded nor ejected by outlier detection. If there are none, it returns the ejected
+// ones that want requests and are not excluded.
 func (g *Gateway) eligibleTargets(s ident.Service, excluded []ident.Target) []fleet.Target {
 	all := g.fleet.Available(s)
 	detector, now := g.detector(s), time.Now()
@@ -145,7 +145,7 @@
 	var healthy, ejected []fleet.Target
 	for _, t := range all {
 		switch {
-		case contains(t.Instance, excluded) || g.notices.Leaving(processOf(t)):
+		case contains(t.Instance, excluded) || !g.wantsRequests(t):
 		case anyEjected && detector.Ejected(t.Instance, now):
 			ejected = append(ejected, t)
 		default:
--- a/pkg/gateway/notice.go
+++ b/pkg/gateway/notice.go
@@ -19,10 +19,13 @@
 // observeNotice records what a target says about itself in a response. If that is new,
 // it tells the target's agent, or the one that apportions its rate limit.
 func (x *exchange) observeNotice(a *assignment, res *forward.Response, sent time.Time) {
-	if !res.Named() || res.Status == fasthttp.StatusMisdirectedRequest {
+	if !res.Named() && x.q.attempt != "" || res.Status == fasthttp.StatusMisdirectedRequest {
 		return // it may be of another request, or another target has this address
 	}
 	n := platform.ParseNotice(res.Header.All())
+	if res.Status != fasthttp.StatusServiceUnavailable {
+		n.RetryAfter = 0 // it is about the one request
+	}
 	if n.Limit == platform.LimitInvalid {
 		x.g.Debug("msg", "invalid rate limit", "target", a.target.Instance, "request", x.q.attempt)
 	}
@@ -59,7 +62,34 @@
 // mayReceive reports whether a target may still receive requests, by the list of targets
 // and by what it says about itself.
 func (g *Gateway) mayReceive(t fleet.Target) bool {
-	return g.fleet.Usable(t) && !g.notices.Leaving(processOf(t))
+	return g.fleet.Usable(t) && g.wantsRequests(t)
+}
+
+// wantsRequests reports whether a target says neither that it is leaving nor that it wants
+// no requests from this gateway for now.
+func (g *Gateway) wantsRequests(t fleet.Target) bool {
+	p := processOf(t)
+	return !g.notices.Leaving(p) && g.notices.Pause(p, time.Now()) == 0
+}
+
+// pause returns how long all of the service's targets want no requests from this gateway,
+// or 0 if one does or there are none.
+func (g *Gateway) pause(s ident.Service) time.Duration {
+	var least time.Duration
+	for _, t := range g.fleet.Available(s) {
+		p := processOf(t)
+		if g.notices.Leaving(p) {
+			continue
+		}
+		pause := g.notices.Pause(p, time.Now())
+		if pause == 0 {
+			return 0
+		}
+		if least == 0 || pause < least {
+			least = pause
+		}
+	}
+	return least
 }
 
 // logNotice logs changes of what is known of a target, and their source.
@@ -74,6 +104,9 @@
 	if changes.LimitEnded {
 		row("target states no rate limit any more")
 	}
+	if changes.Pause > 0 {
+		row("target wants no requests", "for", changes.Pause)
+	}
 	if changes.Leaves {
 		row("target says that it is leaving")
 	}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -233,7 +233,7 @@
 		if g.fleet.Expire(time.Now()) {
 			g.Info("msg", "removed expired targets", "targets", g.fleet.Size())
 		}
-		g.notices.Retain(func(t ident.Target) bool { _, known := g.fleet.Find(t); return known })
+		g.notices.Retain(func(t ident.Target) bool { _, known := g.fleet.Find(t); return known }, time.Now())
 		g.renewPermits()
 		g.pool.Sweep()
 		g.sendEngineSetups(ctx)
--- a/pkg/notice/table.go
+++ b/pkg/notice/table.go
@@ -2,7 +2,7 @@
 // I/O, and callers pass in the current time.
 //
 // It handles targets in need and targets that leave: they state how many requests they
-// take, or that they are leaving. Each process hears of
+// take, that they are leaving, or that they want none for a while. Each process hears of
 // that only in the responses to its own requests, which may overtake each other, and from
 // other processes.
 package notice
@@ -41,25 +41,35 @@
 type Changes struct {
 	LimitSet, LimitEnded bool
 	Leaves               bool
+	// Pause is how long the target wants no requests from this process from now on, if it
+	// has just said so.
+	Pause time.Duration
 }
 
 // Any reports whether anything changed that concerns other processes too.
 func (c Changes) Any() bool { return c.LimitSet || c.LimitEnded || c.Leaves }
 
-// maxTargets bounds the number of targets in a table.
-const maxTargets = 4096
+const (
+	// maxTargets bounds the number of targets in a table.
+	maxTargets = 4096
+	// maxPause bounds how long a target is believed that it wants no requests.
+	maxPause = 10 * time.Minute
+)
 
 // belief is what is known of one target.
 type belief struct {
 	heard   time.Time // when something was last heard
 	limited bool
 	limit   Limit
-	// leaving is of the process that started at startMS.
-	startMS int64
-	leaving bool
+	// leaving and pausedUntil are of the process that started at startMS.
+	startMS     int64
+	leaving     bool
+	pausedUntil time.Time
 }
 
-func (b *belief) isEmpty() bool { return !b.limited && !b.leaving }
+func (b *belief) isEmpty(now time.Time) bool {
+	return !b.limited && !b.leaving && !now.Before(b.pausedUntil)
+}
 
 // isOf reports whether what is known concerns the process. An unknown start may be of any.
 func (b *belief) isOf(p Process) bool {
@@ -86,7 +96,7 @@
 		return c
 	}
 	b := t.get(p, now)
-	defer t.drop(p.Target, b)
+	defer t.drop(p.Target, b, now)
 	switch {
 	case n.Limit == platform.LimitStated:
 		c.LimitSet = b.setLimit(n.LimitPerSecond, now)
@@ -94,6 +104,9 @@
 		c.LimitEnded = b.endLimit()
 	}
 	c.Leaves = n.Leaving && b.leave()
+	if pause := min(n.RetryAfter, maxPause); pause > 0 && now.Add(pause).After(b.pausedUntil) {
+		b.pausedUntil, c.Pause = now.Add(pause), pause
+	}
 	return c
 }
 
@@ -103,7 +116,7 @@
 	defer t.mu.Unlock()
 	p := Process{n.Target, n.StartMS}
 	b := t.get(p, now)
-	defer t.drop(p.Target, b)
+	defer t.drop(p.Target, b, now)
 	if n.Limited {
 		c.LimitSet = b.setLimit(n.LimitPerSecond, now)
 	} else {
@@ -126,7 +139,7 @@
 		t.targets[p.Target] = b
 	}
 	if !b.isOf(p) {
-		b.leaving = false
+		b.leaving, b.pausedUntil = false, time.Time{}
 	}
 	if p.StartMS != 0 {
 		b.startMS = p.StartMS
@@ -136,8 +149,8 @@
 }
 
 // drop removes a belief that holds nothing. The caller holds mu.
-func (t *Table) drop(target ident.Target, b *belief) {
-	if b.isEmpty() {
+func (t *Table) drop(target ident.Target, b *belief, now time.Time) {
+	if b.isEmpty(now) {
 		delete(t.targets, target)
 	}
 }
@@ -189,6 +202,17 @@
 	return b != nil && b.leaving && b.isOf(p)
 }
 
+// Pause returns for how long a process wants no requests from this process.
+func (t *Table) Pause(p Process, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.targets[p.Target]
+	if b == nil || !b.isOf(p) {
+		return 0
+	}
+	return max(b.pausedUntil.Sub(now), 0)
+}
+
 func (b *belief) notice(target ident.Target) wire.TargetNotice {
 	return wire.TargetNotice{Target: target, StartMS: b.startMS, Limited: b.limited, LimitPerSecond: b.limit.PerSecond, Leaving: b.leaving}
 }
@@ -223,14 +247,15 @@
 	return out
 }
 
-// Retain drops what is known of targets that are not listed any more, but that they are
-// leaving: the list may show them again.
-func (t *Table) Retain(listed func(ident.Target) bool) {
+// Retain drops the limits of targets that are not listed any more. What else they have said
+// holds, since the list may show them again.
+func (t *Table) Retain(listed func(ident.Target) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for target, b := range t.targets {
-		if !listed(target) && !b.leaving {
-			delete(t.targets, target)
+		if !listed(target) {
+			b.endLimit()
 		}
+		t.drop(target, b, now)
 	}
 }
--- a/pkg/notice/table_test.go
+++ b/pkg/notice/table_test.go
@@ -52,9 +52,10 @@
 			}
 			_, limited = table.Limit("i-2")
 			require.False(t, limited)
-			table.Retain(func(ident.Target) bool { return false })
+			table.Retain(func(ident.Target) bool { return false }, at(1000))
 			_, limited = table.Limit("i-1")
 			require.False(t, limited)
+			require.True(t, table.Empty())
 		})
 	}
 }
@@ -75,7 +76,7 @@
 	require.False(t, table.Leaving(second))
 	require.False(t, table.Leaving(Process{"i-2", 1}))
 	require.Equal(t, []wire.TargetNotice{{Target: "i-1", StartMS: 1, Leaving: true}}, table.All())
-	table.Retain(func(ident.Target) bool { return false })
+	table.Retain(func(ident.Target) bool { return false }, now)
 	require.True(t, table.Leaving(first), "an older list may show it again")
 
 	table.Observe(second, stated(3), now, now)
@@ -83,7 +84,7 @@
 	limit, limited := table.Limit("i-1")
 	require.True(t, limited)
 	require.Equal(t, 3.0, limit.PerSecond)
-	table.Retain(func(ident.Target) bool { return false })
+	table.Retain(func(ident.Target) bool { return false }, now)
 	require.True(t, table.Empty())
 }
 
@@ -109,3 +110,27 @@
 	_, limited := table.Limit(ident.Target(fmt.Sprint(count - 1)))
 	require.True(t, limited)
 }
+
+// A process wants no requests for a while; a shorter time does not shorten that.
+func TestPauseHoldsForAProcess(t *testing.T) {
+	now, table := time.Unix(1000, 0), New()
+	first, second := Process{"i-1", 1}, Process{"i-1", 2}
+	pause := func(d time.Duration) platform.TargetNotice { return platform.TargetNotice{RetryAfter: d} }
+	require.Zero(t, table.Pause(first, now))
+	require.Equal(t, Changes{Pause: 3 * time.Second}, table.Observe(first, pause(3*time.Second), now, now))
+	later := now.Add(time.Second)
+	require.Equal(t, Changes{}, table.Observe(first, pause(time.Second), later, later))
+	require.Equal(t, 2*time.Second, table.Pause(first, later))
+	require.Zero(t, table.Pause(second, later))
+	require.Empty(t, table.All(), "it concerns this process only")
+	table.Retain(func(ident.Target) bool { return false }, later)
+	require.Equal(t, 2*time.Second, table.Pause(first, later))
+	require.Zero(t, table.Pause(first, now.Add(3*time.Second)))
+	table.Retain(func(ident.Target) bool { return true }, now.Add(3*time.Second))
+	require.True(t, table.Empty())
+	table.Observe(first, pause(1000*time.Hour), now, now)
+	require.Equal(t, maxPause, table.Pause(first, now))
+	table.Observe(second, platform.TargetNotice{}, now, now)
+	require.Zero(t, table.Pause(second, now), "it has started again since")
+	require.Zero(t, table.Pause(first, now))
+}
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/hyssoproad/hyssoproad/pkg/grant"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/platform"
@@ -64,6 +66,10 @@
 	o.nextIdentify = time.Now().Add(identifyInterval)
 	instance, err := o.Engine.Identity(path)
 	if err != nil {
+		var pause *platform.PauseError
+		if errors.As(err, &pause) {
+			o.nextIdentify = time.Now().Add(pause.For)
+		}
 		o.Info("msg", "engine identity check failed", "err", err)
 		return
 	}
