The test of an abandoned request begins it between two reports

Seen once today (1 of about 60 runs of the package; also on, 3 of 600 runs of the test alone). Traced: the test asks for grants at the very moment of the orderer's idle poll. If that poll reads its report first, a2 is the least recently used adapter, rightly evicted before the test asks for it; the row of a failing run shows a2 refused as adapters-used 4 s later. The assertions are as before.

--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -313,7 +313,9 @@
 			_, s := requestGrant(t, c, a)
 			s.Close()
 		}
-		time.Sleep(2 * idlePoll)
+		// The request begins between two reports: at the moment of one that report may still
+		// show that a2 may be evicted.
+		time.Sleep(2*idlePoll + idlePoll/4)
 		_, abandoned := requestGrant(t, c, "a1")
 		e.mu.Lock()
 		e.reportDelay = 10 * time.Millisecond // the next report predates the request
