--- a/pkg/gateway/disruption_test.go
+++ b/pkg/gateway/disruption_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/socket"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
 // Case: a second copy of a response arrives late, when the connection carries the next
@@ -214,6 +215,30 @@
 	}
 }
 
+// Case: a frozen machine. Its engine stays silent, and the other engines are busy when
+// that shows (load pattern: a share of the engines freezes under load, and callers leave a
+// stream after four objectives): the request goes to the first one that is free.
+func TestRequestOfASilentEngineGoesToTheFirstFreeOne(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.script(func(w net.Conn, _ receivedRequest) bool { time.Sleep(time.Minute); return false }, respondRaw(streamHead+chunk(events(1, 2))+"0\r\n\r\n"))
+		began, first := time.Now(), ""
+		h.grant = func(address string, _ wire.GrantRequest) wire.GrantReply {
+			if first == "" || address == first {
+				first = address
+				return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+			}
+			if time.Since(began) < 800*time.Millisecond {
+				return wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonPrefill, WaitMS: 5000, LinkedEntries: 1}
+			}
+			return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+		}
+		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+		require.Equal(t, events(1, 2), body(t, res))
+		require.Less(t, time.Since(began), 800*time.Millisecond+2*stallRetry)
+		require.Len(t, h.receivedRequests(), 2)
+	})
+}
+
 // The caller leaves at the moment at which another target has granted a stalled stream:
 // the place there is given back.
 func TestPlaceForAStalledStreamIsGivenBack(t *testing.T) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -164,36 +164,55 @@
 	return max(gapFactor*x.route.GapObjective, minGapWait)
 }
 
+// stallRetry is how soon another target is asked again to take the request of a stalled
+// one. It is a small part of the time after which callers abandon a stream.
+const stallRetry = 250 * time.Millisecond
+
 // stallHandler returns the function that is called when the target has sent nothing
 // useful until the deadline of a read. The response is abandoned only if another
 // target takes the request at once: the target may merely be slow.
 func (x *exchange) stallHandler(a *assignment) func() (time.Time, bool) {
 	return func() (time.Time, bool) {
-		if x.expired() || x.reserve(a) {
+		if x.expired() {
+			return time.Time{}, false
+		}
+		switch x.reserve(a) {
+		case reserved:
 			return time.Time{}, false
+		case targetsBusy:
+			return x.failoverDeadline(time.Now().Add(stallRetry)), true
 		}
 		return x.failoverDeadline(time.Now().Add(x.maxEventGap())), true
 	}
 }
 
+// reservation is the result of an attempt to reserve another target.
+type reservation uint8
+
+const (
+	notAllowed  reservation = iota // the request may not be sent to another target
+	targetsBusy                    // no other target takes it at once
+	reserved
+)
+
 // reserve acquires an assignment to another target than that of a, which is stuck,
-// and takes a retry from the budget. It reports whether it has both.
-func (x *exchange) reserve(a *assignment) bool {
+// and takes a retry from the budget.
+func (x *exchange) reserve(a *assignment) reservation {
 	if !x.retryable() || x.runs+1 >= x.route.MaxTargets || x.sends >= maxSends || x.remaining() < minRemaining {
-		return false
+		return notAllowed
 	}
 	x.excluded = append(x.excluded, a.target.Instance)
 	other, _ := x.acquireImmediately()
 	x.excluded = x.excluded[:len(x.excluded)-1]
 	if other == nil {
-		return false
+		return targetsBusy
 	}
 	if !x.takeRetry() {
 		other.release()
-		return false
+		return notAllowed
 	}
 	x.reserved = other
-	return true
+	return reserved
 }
 
 func grow(b []byte) []byte {
