A broken stream waits for its next engine as long as its caller does

A stream that broke off later than callers wait for a first event (3.2 s) asked for grants with no time to wait, and was given up unless an engine had a place at that moment. Its caller waits as long for the next event: the time counts from the last one (TestBrokenStreamWaitsForItsNextEngine; MaxWaitMS was 0).

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -208,12 +208,26 @@
 
 // maxGrantWait returns how long the request may still wait for a target.
 func (x *exchange) maxGrantWait() time.Duration {
+	return max(x.patience()-firstEventReserve, 0)
+}
+
+// patience returns how long the caller still waits for the next event, or for the
+// response.
+func (x *exchange) patience() time.Duration {
 	left := x.remaining()
 	if x.route.RetryPolicy == platform.RunStream {
 		abandoned := max(abandonObjectives*x.route.Objective, abandonGaps*x.route.GapObjective, abandonTime)
-		left = min(left, time.Until(x.began.Add(abandoned)))
+		left = min(left, time.Until(x.lastSign().Add(abandoned)))
+	}
+	return left
+}
+
+// lastSign returns when the caller last had an event, or when its request arrived.
+func (x *exchange) lastSign() time.Time {
+	if x.lastEventAt.IsZero() {
+		return x.began
 	}
-	return max(left-firstEventReserve, 0)
+	return x.lastEventAt
 }
 
 // grantOptions holds the options of one grant request.
--- a/pkg/gateway/disruption_test.go
+++ b/pkg/gateway/disruption_test.go
@@ -401,3 +401,33 @@
 		require.Len(t, h.conns, 4, "two connections of callers, two to the target")
 	})
 }
+
+// An engine breaks a stream off that has run for longer than callers wait for its first
+// event, and no engine has a place at once: the rest waits for one for as long as its
+// caller waits for the next event.
+func TestBrokenStreamWaitsForItsNextEngine(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.script(func(w net.Conn, _ receivedRequest) bool {
+			_, _ = io.WriteString(w, streamHead)
+			for i := 1; i <= 20; i++ {
+				time.Sleep(200 * time.Millisecond)
+				_, _ = io.WriteString(w, chunk(events(i, i)))
+			}
+			return false
+		}, respondRaw(streamHead+chunk(events(21, 22))+"0\r\n\r\n"))
+		var waits []time.Duration
+		h.grant = func(_ string, r wire.GrantRequest) wire.GrantReply {
+			waits = append(waits, time.Duration(r.MaxWaitMS)*time.Millisecond)
+			if len(waits) > 1 {
+				time.Sleep(min(500*time.Millisecond, waits[1]))
+				if waits[1] < 500*time.Millisecond {
+					return wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonPrefill, WaitMS: 500, LinkedEntries: 1}
+				}
+			}
+			return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+		}
+		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+		require.Equal(t, events(1, 22), body(t, res))
+		require.Len(t, h.receivedRequests(), 2)
+	})
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -70,6 +70,7 @@
 	streamStarted bool       // the head of a streamed response was forwarded
 	streamForm    streamForm // of that response
 	lastEvent     string
+	lastEventAt   time.Time // when events were last forwarded
 }
 
 // handle serves one request. It reports whether the connection can be used further.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -146,7 +146,7 @@
 // succeeded.
 func (x *exchange) forwardEvents(res *forward.Response, events []byte) bool {
 	if id := lastEventID(events); id != "" {
-		x.lastEvent = id
+		x.lastEvent, x.lastEventAt = id, time.Now()
 	}
 	if !x.streamStarted {
 		x.streamStarted, x.streamForm = true, formOf(res)
