The object API tells the era of the store's history

Cause: versions of the object API hold the era, but the stand-in without a connection gave out bare revisions, and no part of the product's own programs could tell that the store had returned from an older copy. No behaviour of the programs changes yet: go test ./pkg/... ./platform/... passes.

--- a/pkg/objects/client.go
+++ b/pkg/objects/client.go
@@ -31,7 +31,7 @@
 
 // Objects returns the object API of the client.
 func (c *Client) Objects() Objects {
-	return Objects{Get: c.get, Put: c.put, Delete: c.remove, List: c.list, Watch: c.watch}
+	return Objects{Get: c.get, Put: c.put, Delete: c.remove, List: c.list, Watch: c.watch, Era: c.store.Era}
 }
 
 // Split returns the kind and name under which a key's object is stored: the
@@ -65,21 +65,8 @@
 	return errors.WithType(errors.Annotatef(err, "object %s", key), ErrUnavailable)
 }
 
-// revisionBits is the number of the low bits of a version that hold the revision. The
-// others hold the era, so that a later era has higher versions.
-const revisionBits = 44
-
-func versionOf(at platform.Position) ObjectVersion {
-	return ObjectVersion(uint64(at.Era)<<revisionBits | uint64(at.Revision))
-}
-
-// position returns the position at which the store has an object of the version.
-func position(v ObjectVersion) platform.Position {
-	return platform.Position{Era: platform.Era(v >> revisionBits), Revision: platform.Revision(v & (1<<revisionBits - 1))}
-}
-
 func decode(key string, o platform.Object) (Object, error) {
-	out := Object{Key: key, Version: versionOf(o.Position)}
+	out := Object{Key: key, Version: VersionOf(o.Position)}
 	return out, errors.Annotatef(json.Unmarshal(o.Spec, &out.Value), "object %s", key)
 }
 
@@ -101,13 +88,13 @@
 		return 0, errors.Trace(err)
 	}
 	kind, name := Split(key)
-	at, err := c.store.Put(kind, name, spec, position(version))
-	return versionOf(at), objectError(err, key)
+	at, err := c.store.Put(kind, name, spec, version.Position())
+	return VersionOf(at), objectError(err, key)
 }
 
 func (c *Client) remove(_ context.Context, key string, version ObjectVersion) error {
 	kind, name := Split(key)
-	return objectError(c.store.Delete(kind, name, position(version)), key)
+	return objectError(c.store.Delete(kind, name, version.Position()), key)
 }
 
 func (c *Client) list(_ context.Context, prefix string) ([]string, error) {
@@ -129,7 +116,7 @@
 // watches whole kinds, so events of other objects are skipped.
 func (c *Client) watch(ctx context.Context, key string, version ObjectVersion, wait time.Duration) (Object, error) {
 	kind, name := Split(key)
-	from := position(version)
+	from := version.Position()
 	for end := time.Now().Add(wait); ; {
 		if from.Revision == 0 {
 			list, asOf, err := c.store.List(kind)
@@ -137,7 +124,7 @@
 				return Object{}, objectError(err, key)
 			}
 			for _, o := range list {
-				if o.Name == name && versionOf(o.Position) > version {
+				if o.Name == name && VersionOf(o.Position) > version {
 					return decode(key, o)
 				}
 			}
@@ -156,7 +143,7 @@
 			return Object{}, objectError(err, key)
 		}
 		for i := len(events) - 1; i >= 0; i-- {
-			if o := events[i].Object; o.Name == name && !events[i].Removed && versionOf(o.Position) > version {
+			if o := events[i].Object; o.Name == name && !events[i].Removed && VersionOf(o.Position) > version {
 				return decode(key, o)
 			}
 		}
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 // MaxValueBytes is the maximum size of a value. The store accepts objects of up
@@ -22,9 +24,29 @@
 // have taken effect, or may still take effect later.
 const ErrUnavailable = errors.ConstError("object API unavailable")
 
-// ObjectVersion is an object's version; 0 means that the object does not exist.
+// ObjectVersion is an object's version; 0 means that the object does not exist. A version
+// belongs to one history of the store: after a return from an older copy all objects have
+// higher versions, and writes under earlier ones fail.
 type ObjectVersion uint64
 
+// revisionBits is the number of the low bits of a version that hold the revision. The
+// others hold the era, so that a later era has higher versions.
+const revisionBits = 44
+
+// VersionOf returns the version of an object at a position in the store.
+func VersionOf(at platform.Position) ObjectVersion {
+	return ObjectVersion(uint64(at.Era)<<revisionBits | uint64(at.Revision))
+}
+
+// Position returns the position at which the store has an object of the version.
+func (v ObjectVersion) Position() platform.Position {
+	return platform.Position{Era: platform.Era(v >> revisionBits), Revision: platform.Revision(v & (1<<revisionBits - 1))}
+}
+
+// Era returns the era of the store's history that the version belongs to, 0 if it is not
+// known.
+func (v ObjectVersion) Era() platform.Era { return v.Position().Era }
+
 // Object is a stored value with its key and version.
 type Object struct {
 	Key     string
@@ -47,4 +69,7 @@
 	// returns the object. It returns a Timeout error if that does not happen
 	// within wait.
 	Watch func(ctx context.Context, key string, version ObjectVersion, wait time.Duration) (Object, error)
+	// Era returns the newest era of the store's history that the calls of this process
+	// have shown, 0 if they have shown none.
+	Era func() platform.Era
 }
--- a/pkg/standin/objects.go
+++ b/pkg/standin/objects.go
@@ -154,11 +154,6 @@
 	return o.calls
 }
 
-// Client returns the client that processes use.
-func (o *Objects) Client() objects.Objects {
-	return objects.Objects{Get: o.Get, Put: o.Put, Delete: o.Delete, List: o.List, Watch: o.Watch}
-}
-
 // callFaults are the faults drawn for one call.
 type callFaults struct {
 	outage, responseLost, updateDropped bool
--- a/pkg/system/cluster_test.go
+++ b/pkg/system/cluster_test.go
@@ -237,6 +237,7 @@
 			return c.Delete(ctx, key, v)
 		},
 		List: c.List,
+		Era:  c.Era,
 		Watch: func(ctx context.Context, key string, v objects.ObjectVersion, wait time.Duration) (objects.Object, error) {
 			if err := gate(); err != nil {
 				return objects.Object{}, err
