Claims of idempotency keys that the store has lost are committed again

A bucket that was read again replaced what the process knew. Change: a bucket that is read in a later era, or is gone before the age at which buckets are deleted, keeps the entries that this process knew, and they are written again; every entry checks its buckets of the last minutes within 5 s of noticing the return. Until 15 s after it keys from before the return that are absent are refused: they aren't run. Ruled out: recording the era in the store, to cover processes that start within those seconds; one more object to keep, for a claim that nobody knows any more.

--- a/pkg/ledger/bucket.go
+++ b/pkg/ledger/bucket.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -21,9 +23,11 @@
 	maxBucketBytes = 900 << 10
 )
 
-// operation is a claim or settlement that waits for a group commit.
+// operation is a claim or settlement that waits for a group commit. An operation that is
+// neither only reads the bucket again.
 type operation struct {
 	claim       *wire.Claim
+	created     time.Time // creation time of the claim's key, by its caller's clock
 	settle      *wire.Settle
 	absentState wire.ClaimState // reply to a claim whose key is not in the bucket, unless it is granted
 
@@ -48,32 +52,44 @@
 	loaded  bool
 	version objects.ObjectVersion
 	content wire.LedgerBucket
+	// lost holds the entries that were committed and that the store lacks since it returned
+	// from an older copy.
+	lost wire.LedgerBucket
+
+	// committedIn is the era of the store's history that holds the content, 0 if nothing is
+	// stored.
+	committedIn atomic.Uint64
 }
 
 // submit queues an operation and waits for its reply. It reports false if the
 // queue is full or ctx ends first. In the latter case the operation may still
 // take effect.
 func (b *bucket) submit(ctx context.Context, op *operation) bool {
+	if !b.enqueue(op) {
+		return false
+	}
+	select {
+	case <-op.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (b *bucket) enqueue(op *operation) bool {
 	op.done = make(chan struct{})
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	if len(b.queue) >= maxQueue {
-		b.mu.Unlock()
 		return false
 	}
 	b.queue = append(b.queue, op)
 	b.lastUsed = time.Now()
-	start := !b.committing
-	b.committing = true
-	b.mu.Unlock()
-	if start {
+	if !b.committing {
+		b.committing = true
 		go b.commitLoop()
 	}
-	select {
-	case <-op.done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return true
 }
 
 func (b *bucket) commitLoop() {
@@ -108,7 +124,7 @@
 // conditional update succeeds. If none succeeds, it refuses all operations.
 func (b *bucket) commit(ctx context.Context, batch []*operation) {
 	for _, op := range batch {
-		if op.claim != nil && op.claim.Peek {
+		if op.claim == nil && op.settle == nil || op.claim != nil && op.claim.Peek {
 			b.loaded = false // another process may have updated the bucket
 		}
 	}
@@ -116,11 +132,15 @@
 		if err := b.load(ctx); err != nil {
 			break
 		}
-		next, changed := evaluate(b.content, batch)
-		if !changed {
+		h := b.ledger.history()
+		next, changed := evaluate(b.content, batch, h.lostUntil)
+		if !changed && b.lost.Entries == nil {
 			return
 		}
 		if b.store(ctx, next) == nil {
+			if b.ledger.history().era != h.era {
+				refuseAll(batch, reasonReturned) // absent keys may have been lost
+			}
 			return
 		}
 		b.loaded = false
@@ -144,18 +164,44 @@
 	if err != nil && !errors.Is(err, errors.NotFound) {
 		return errors.Trace(err)
 	}
-	b.content = wire.LedgerBucket{}
-	b.version = 0
+	var stored wire.LedgerBucket
 	if err == nil {
-		if _, err := b.content.UnmarshalMsg(object.Value); err != nil {
+		if _, err := stored.UnmarshalMsg(object.Value); err != nil {
 			return errors.Trace(err)
 		}
-		b.version = object.Version
 	}
+	if b.isOlderCopy(object.Version) {
+		b.lost = merge(b.lost, b.content)
+	}
+	b.content, b.version = merge(stored, b.lost), object.Version
+	b.committedIn.Store(uint64(object.Version.Era()))
 	b.loaded = true
 	return nil
 }
 
+// isOlderCopy reports whether the bucket that is stored at a version, 0 if none is, may
+// lack what was committed before, because the store has returned from an older copy.
+func (b *bucket) isOlderCopy(stored objects.ObjectVersion) bool {
+	if b.version == 0 || stored != 0 {
+		return b.version != 0 && stored.Era() > b.version.Era()
+	}
+	age, err := b.ledger.bucketAge(b.key)
+	return err == nil && age < b.ledger.closingAge() // older ones are deleted
+}
+
+// merge adds the entries of other to those of b. For the same key that of other holds.
+func merge(b, other wire.LedgerBucket) wire.LedgerBucket {
+	if other.Entries == nil {
+		return b
+	}
+	out := wire.LedgerBucket{Closed: b.Closed || other.Closed, Entries: maps.Clone(b.Entries)}
+	if out.Entries == nil {
+		out.Entries = make(map[string]wire.LedgerEntry)
+	}
+	maps.Copy(out.Entries, other.Entries)
+	return out
+}
+
 func (b *bucket) store(ctx context.Context, next wire.LedgerBucket) error {
 	next.Write = uuid.NewString()
 	value, err := next.MarshalMsg(nil)
@@ -172,32 +218,39 @@
 	b.ledger.writes.Add(1)
 	b.content = next
 	b.version = version
+	b.lost = wire.LedgerBucket{}
+	b.committedIn.Store(uint64(version.Era()))
 	return nil
 }
 
 // evaluate applies the batch to a copy of the bucket and sets the replies, which
-// hold only once the returned bucket is stored.
-func evaluate(current wire.LedgerBucket, batch []*operation) (wire.LedgerBucket, bool) {
+// hold only once the returned bucket is stored. Keys that are absent and were created
+// until lostUntil may be in use.
+func evaluate(current wire.LedgerBucket, batch []*operation, lostUntil time.Time) (wire.LedgerBucket, bool) {
 	next := wire.LedgerBucket{Closed: current.Closed, Entries: make(map[string]wire.LedgerEntry, len(current.Entries)+len(batch))}
 	for key, e := range current.Entries {
 		next.Entries[key] = e
 	}
 	changed := false
 	for _, op := range batch {
-		if op.claim != nil {
-			changed = op.evaluateClaim(next) || changed
-		} else {
+		switch {
+		case op.claim != nil:
+			changed = op.evaluateClaim(next, lostUntil) || changed
+		case op.settle != nil:
 			changed = op.evaluateSettle(next) || changed
 		}
 	}
 	return next, changed
 }
 
-func (op *operation) evaluateClaim(b wire.LedgerBucket) (changed bool) {
+func (op *operation) evaluateClaim(b wire.LedgerBucket, lostUntil time.Time) (changed bool) {
 	c := op.claim
 	key := storedKey(c.Caller, c.Key)
 	e, known := b.Entries[key]
 	switch {
+	case !known && !op.created.After(lostUntil):
+		op.claimReply = wire.ClaimReply{State: wire.ClaimRefused, Reason: reasonReturned}
+		return false
 	case c.Peek && !known && !b.Closed && op.absentState != wire.ClaimExpired:
 		op.claimReply = wire.ClaimReply{State: wire.ClaimFree}
 		return false
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -19,6 +19,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 // Settings configure a ledger. All processes must use the same Partitions and
@@ -73,6 +74,10 @@
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
+	// era is the newest one of the store's history, 0 if it is not known. returnedAt is
+	// when a later one than the first was noticed.
+	era        platform.Era
+	returnedAt time.Time
 }
 
 // New returns a ledger.
@@ -116,7 +121,7 @@
 	if err != nil {
 		return wire.ClaimReply{State: wire.ClaimRefused, Reason: "bad-key"}
 	}
-	op := &operation{claim: &c, absentState: l.stateIfAbsent(time.Since(created))}
+	op := &operation{claim: &c, created: created, absentState: l.stateIfAbsent(time.Since(created))}
 	if op.absentState == wire.ClaimExpired && time.Since(created) > l.tombstoneAge() {
 		return wire.ClaimReply{State: wire.ClaimExpired}
 	}
@@ -142,9 +147,12 @@
 // a closed bucket. It exceeds the window by far more than a process may pause,
 // so a process that resumes cannot create a deleted bucket again.
 func (l *Ledger) tombstoneAge() time.Duration {
-	return closeAfterWindows*l.settings.Window + tombstoneTime
+	return l.closingAge() + tombstoneTime
 }
 
+// closingAge returns the age at which a bucket is closed.
+func (l *Ledger) closingAge() time.Duration { return closeAfterWindows * l.settings.Window }
+
 // Settle records a claimed attempt's answer or releases its claim. It reports
 // false if the attempt no longer holds the key or the object API does not reply.
 func (l *Ledger) Settle(ctx context.Context, caller ident.Caller, s wire.Settle) bool {
@@ -185,7 +193,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		if age < closeAfterWindows*l.settings.Window {
+		if age < l.closingAge() {
 			break // keys are sorted, oldest first
 		}
 		if err := l.closeOrDelete(ctx, key, age); err != nil {
@@ -244,7 +252,7 @@
 		b.mu.Lock()
 		idle := !b.committing && now.Sub(b.lastUsed) > bucketIdleTime
 		b.mu.Unlock()
-		if idle {
+		if idle && !b.isOutdated(l.era) {
 			delete(l.buckets, key)
 		}
 	}
--- a/pkg/peer/claims.go
+++ b/pkg/peer/claims.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/ledger"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/member"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
@@ -106,3 +107,11 @@
 		}
 	})
 }
+
+func (p *Peer) historyLoop(ctx context.Context) {
+	runEvery(ctx, ledger.HistoryPeriod, func(context.Context) {
+		if n := p.Ledger.CheckHistory(); n > 0 {
+			p.Warn("msg", "store returned from an older copy; ledger buckets are checked", "buckets", n)
+		}
+	})
+}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -151,7 +151,7 @@
 	run, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	for _, loop := range []func(context.Context){
-		p.vmListLoop, p.digestLoop, p.livenessLoop, p.configLoop, p.pushLoop, p.sweepLoop, p.budget.loop,
+		p.vmListLoop, p.digestLoop, p.livenessLoop, p.configLoop, p.pushLoop, p.sweepLoop, p.historyLoop, p.budget.loop,
 	} {
 		go loop(run)
 	}
