Fencing tokens rise though the store loses them

Cause: the next token was the stored one and one, and the store was taken to lose nothing. Change: the tokens of a later era of the store's history begin above all of the earlier ones, and an agent whose check finds a lower token stores its own again. In the first era, and without one, tokens are as before. Ruled out: the version of the record as token; an old record has a high version in a later era.

--- a/pkg/order/fence.go
+++ b/pkg/order/fence.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/objects"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 const (
@@ -36,6 +37,7 @@
 
 	mu         sync.Mutex
 	number     ident.Incarnation
+	write      string // id of the write that acquired the number
 	superseded bool
 	validUntil time.Time // time until which the last check is valid
 }
@@ -55,7 +57,7 @@
 	for {
 		number, err := f.tryAcquire(ctx, write)
 		if err == nil {
-			f.setNumber(number)
+			f.setNumber(number, write)
 			return number, nil
 		}
 		select {
@@ -73,20 +75,42 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	if current.Write == write {
+	lowest := lowestToken(f.objects.Era())
+	if current.Write == write && current.Number >= lowest {
 		return current.Number, nil // an earlier try succeeded, but its reply was lost
 	}
-	next := wire.IncarnationObject{Number: current.Number + 1, Write: write}
-	value, err := next.MarshalMsg(nil)
+	next := wire.IncarnationObject{Number: max(current.Number+1, lowest), Write: write}
+	written, err := f.put(ctx, next, version)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	if _, err := f.objects.Put(ctx, f.key, value, version); err != nil {
-		return 0, errors.Trace(err)
+	if next.Number < lowestToken(written.Era()) {
+		return 0, errors.Errorf("fencing token %d is of an earlier era than %d", next.Number, written.Era())
 	}
 	return next.Number, nil
 }
 
+// eraBits is the number of the low bits of a token that count the agents of an era.
+const eraBits = 32
+
+// lowestToken returns the lowest token that may be acquired in an era of the store's history.
+// It is above those of earlier eras, which the store may have lost.
+func lowestToken(era platform.Era) ident.Incarnation {
+	if era <= 1 {
+		return 1
+	}
+	return ident.Incarnation(era-1)<<eraBits + 1
+}
+
+func (f *Fence) put(ctx context.Context, o wire.IncarnationObject, version objects.ObjectVersion) (objects.ObjectVersion, error) {
+	value, err := o.MarshalMsg(nil)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	written, err := f.objects.Put(ctx, f.key, value, version)
+	return written, errors.Trace(err)
+}
+
 func (f *Fence) read(ctx context.Context) (wire.IncarnationObject, objects.ObjectVersion, error) {
 	var current wire.IncarnationObject
 	object, err := f.objects.Get(ctx, f.key)
@@ -100,10 +124,10 @@
 	return current, object.Version, errors.Trace(err)
 }
 
-func (f *Fence) setNumber(number ident.Incarnation) {
+func (f *Fence) setNumber(number ident.Incarnation, write string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.number = number
+	f.number, f.write = number, write
 }
 
 // Number returns the agent's fencing token.
@@ -120,8 +144,11 @@
 	if validUntil, err := f.cached(checkedAt); err != nil || checkedAt.Before(validUntil) {
 		return validUntil, err
 	}
-	current, _, err := f.read(ctx)
+	current, version, err := f.read(ctx)
 	highest := current.Number
+	if err == nil {
+		err = f.writeAgain(ctx, highest, version)
+	}
 	if err != nil {
 		var confirmed bool
 		if highest, confirmed = f.Highest(); !confirmed {
@@ -131,6 +158,18 @@
 	return f.conclude(highest, checkedAt)
 }
 
+// writeAgain stores the fence's own token again if the store has lost it.
+func (f *Fence) writeAgain(ctx context.Context, stored ident.Incarnation, version objects.ObjectVersion) error {
+	f.mu.Lock()
+	own := wire.IncarnationObject{Number: f.number, Write: f.write}
+	f.mu.Unlock()
+	if stored >= own.Number {
+		return nil
+	}
+	_, err := f.put(ctx, own, version)
+	return errors.Annotate(err, "storing a fencing token that the store has lost")
+}
+
 func (f *Fence) cached(now time.Time) (time.Time, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
