A configuration that the store has lost is written again

Cause: the head of the log in the store was taken to be the newest; a relay that knew more did nothing. Change: the head holds the era in which it was written. Ruled out: revisions with the era; all processes would have to read them at once.

--- a/pkg/peer/config.go
+++ b/pkg/peer/config.go
@@ -59,7 +59,9 @@
 // watchTimeout returns the timeout of a watch. A watch that times out confirms
 // that the configuration was the latest when the watch began, so the timeout
 // must be well below the maximum age of the configuration.
-func (p *Peer) watchTimeout() time.Duration { return p.settings.ConfigMaxAge.Std() / 3 }
+func (p *Peer) watchTimeout() time.Duration {
+	return min(p.settings.ConfigMaxAge.Std()/3, rollout.MaxWatch)
+}
 
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -108,6 +108,9 @@
 	p.Pool.Dial = deps.Dial
 	p.budget = newBudgetServer(p, lease.New(objects, "budget", s.VM, s.Address()))
 	p.Config.OnChange = func(ident.Revision) { signal(p.pushes) }
+	p.Config.OnRecovery = func(stored, written ident.Revision) {
+		p.Warn("msg", "store returned from an older copy; configuration written again", "stored-revision", stored, "revision", written)
+	}
 	life.Append(kernel.Hook{Name: "peer", Start: p.start, Stop: p.stop, Ready: p.ready})
 	return p, nil
 }
--- a/pkg/rollout/append.go
+++ b/pkg/rollout/append.go
@@ -74,6 +74,13 @@
 	if err != nil {
 		return wire.Record{}, errors.Trace(err)
 	}
+	ready, err := l.recover(ctx, head, version)
+	if err != nil {
+		return wire.Record{}, errors.Trace(err)
+	}
+	if !ready {
+		return wire.Record{}, errors.Errorf("revision %d: the store has returned from an older copy, later revisions are awaited", head.Revision)
+	}
 	if done, ok := findAccepted(head, p.Command); ok {
 		return done, nil
 	}
@@ -87,6 +94,7 @@
 			return wire.Record{}, errors.Trace(err)
 		}
 	}
+	head.Era = uint64(l.objects.Era())
 	head.Revision = record.Revision
 	head.Tail = append(head.Tail[:len(head.Tail):len(head.Tail)], record)
 	*sent = true
--- a/pkg/rollout/log.go
+++ b/pkg/rollout/log.go
@@ -39,6 +39,9 @@
 	catalog *catalog.Catalog
 	// OnChange is called after each change of the current revision.
 	OnChange func(ident.Revision)
+	// OnRecovery is called after configurations that the store has lost are written to it
+	// again, with the revision of the store's head and the one that was written.
+	OnRecovery func(stored, written ident.Revision)
 
 	mu           sync.Mutex
 	recent       []wire.Record // newest applied records, without gaps
@@ -46,11 +49,15 @@
 	confirmedAt  time.Time // newest time at which the configuration was confirmed as the latest
 	highestKnown ident.Revision
 	headVersion  objects.ObjectVersion
+	recovery     recovery
 }
 
 // New returns a log that applies its records to c.
 func New(objects objects.Objects, c *catalog.Catalog) *Log {
-	return &Log{objects: objects, catalog: c, OnChange: func(ident.Revision) {}}
+	return &Log{
+		objects: objects, catalog: c,
+		OnChange: func(ident.Revision) {}, OnRecovery: func(_, _ ident.Revision) {},
+	}
 }
 
 // Catalog returns the current configuration.
@@ -84,24 +91,35 @@
 
 // Refresh reads the head and applies any new records.
 func (l *Log) Refresh(ctx context.Context) error {
-	_, _, err := l.read(ctx)
+	head, version, err := l.read(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = l.recover(ctx, head, version)
 	return errors.Trace(err)
 }
 
 // Follow watches the head until it changes or the wait is over, and applies any
 // new records. A watch that times out confirms that the current revision was the
-// latest when the watch began. Only relays call Follow.
+// latest when the watch began. Only relays call Follow, with waits up to MaxWatch.
 func (l *Log) Follow(ctx context.Context, wait time.Duration) error {
 	requestedAt := time.Now()
 	object, err := l.objects.Watch(ctx, headKey, l.knownHeadVersion(), wait)
-	if errors.Is(err, errors.Timeout) {
+	switch {
+	case errors.Is(err, errors.Timeout) && l.hasReturned():
+		return l.Refresh(ctx) // the head may be missing
+	case errors.Is(err, errors.Timeout):
 		l.confirmCurrent(requestedAt)
 		return nil
+	case err != nil:
+		return errors.Trace(err)
 	}
+	head, err := l.applyHead(ctx, object, requestedAt)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return l.applyHead(ctx, object, requestedAt)
+	_, err = l.recover(ctx, head, object.Version)
+	return errors.Trace(err)
 }
 
 func (l *Log) knownHeadVersion() objects.ObjectVersion {
@@ -128,26 +146,23 @@
 	if err != nil {
 		return wire.ConfigHead{}, 0, errors.Trace(err)
 	}
-	var head wire.ConfigHead
-	if _, err := head.UnmarshalMsg(object.Value); err != nil {
-		return head, 0, errors.Trace(err)
-	}
-	return head, object.Version, l.applyHead(ctx, object, requestedAt)
+	head, err := l.applyHead(ctx, object, requestedAt)
+	return head, object.Version, errors.Trace(err)
 }
 
-func (l *Log) applyHead(ctx context.Context, object objects.Object, requestedAt time.Time) error {
+func (l *Log) applyHead(ctx context.Context, object objects.Object, requestedAt time.Time) (wire.ConfigHead, error) {
 	var head wire.ConfigHead
 	if _, err := head.UnmarshalMsg(object.Value); err != nil {
-		return errors.Trace(err)
+		return head, errors.Trace(err)
 	}
 	if err := l.advance(ctx, head); err != nil {
-		return errors.Trace(err)
+		return head, errors.Trace(err)
 	}
 	l.mu.Lock()
 	l.headVersion = max(l.headVersion, object.Version)
 	l.mu.Unlock()
 	l.confirmCurrent(requestedAt)
-	return nil
+	return head, nil
 }
 
 // advance applies the records of the head. It loads the snapshot first if the
--- a/pkg/wire/schema.go
+++ b/pkg/wire/schema.go
@@ -541,4 +541,7 @@
 	SnapshotID    string         `msg:"i,omitempty"`
 	Tail          []Record       `msg:"t"` // the newest records: all after Snapshot, and possibly some older ones
 	Marks         []CommandMark  `msg:"m,omitempty"`
+	// Era is the era of the store's history in which the head was written, 0 from releases
+	// that do not store it. A head of an earlier era than the store's may lack records.
+	Era uint64 `msg:"e,omitempty"`
 }
--- a/pkg/wire/schema_gen.go
+++ b/pkg/wire/schema_gen.go
@@ -1766,8 +1766,8 @@
 func (z *ConfigHead) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.SnapshotID == "" {
 		zb0001Len--
@@ -1777,6 +1777,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Era == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1836,6 +1840,11 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendUint64(o, z.Era)
+		}
 	}
 	return
 }
@@ -1949,6 +1958,12 @@
 					}
 				}
 			}
+		case "e":
+			z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1971,6 +1986,7 @@
 	for za0002 := range z.Marks {
 		s += 1 + 2 + z.Marks[za0002].Command.Msgsize() + 2 + z.Marks[za0002].Revision.Msgsize()
 	}
+	s += 2 + msgp.Uint64Size
 	return
 }
 
