--- a/pkg/system/runner_test.go
+++ b/pkg/system/runner_test.go
@@ -66,6 +66,8 @@
 	opFaultLinkCut
 	opFaultSupersedeAgent
 	opCount
+	// opFaultStoreReturned is drawn only by TestReturnsOfTheStoreKeepGuarantees.
+	opFaultStoreReturned
 )
 
 var faultNames = map[opKind]string{
@@ -74,7 +76,8 @@
 	opFaultStreamsCut: "streams cut", opFaultLoadsFail: "loads fail", opFaultLoadAnswersLost: "load answers lost",
 	opFaultStoreDown: "weight store down", opFaultServiceUnresponsive: "service unresponsive", opFaultKillAgent: "agent killed",
 	opFaultKillEntry: "entry killed", opFaultPauseAgent: "agent paused", opFaultPauseEntry: "entry paused", opFaultLinkCut: "link cut", opFaultSupersedeAgent: "agent superseded while paused",
-	opStop: "planned stop", opConcurrentCommands: "concurrent commands", opDrain: "drain",
+	opFaultStoreReturned: "object API returned from a copy",
+	opStop:               "planned stop", opConcurrentCommands: "concurrent commands", opDrain: "drain",
 }
 
 // runner executes the steps of one run.
@@ -312,6 +315,8 @@
 		rn.objects.SetFaults(standin.ObjectFaults{DropUpdates: 0.4})
 	case opFaultObjectsSlow:
 		rn.objects.SetFaults(standin.ObjectFaults{DelayMS: 300, LoseResponses: 0.1})
+	case opFaultStoreReturned:
+		rn.returnStore(o)
 	case opFaultStoreDown:
 		rn.store.SetFaults(standin.WeightStoreFaults{FailAll: true, Slowdown: 3})
 	case opFaultServiceUnresponsive:
@@ -323,6 +328,19 @@
 	}
 }
 
+// returnStore lets the store return from an older copy without a fault of a process in the
+// seconds around it, after which nobody would know what the store has lost.
+func (rn *runner) returnStore(o op) {
+	time.Sleep(5 * time.Second)
+	for i := range 3 {
+		rn.sendNonIdempotent(request{prompt: rn.prompt()})
+		rn.command(rn.entry(o.b+i), o.a+i)
+		time.Sleep(500 * time.Millisecond)
+	}
+	rn.objects.Restore(time.Duration(o.a%4000) * time.Millisecond)
+	time.Sleep(20 * time.Second)
+}
+
 func (rn *runner) injectEngineFault(o op) {
 	e := rn.engines[o.a%len(rn.engines)]
 	switch o.kind {
@@ -464,6 +482,22 @@
 	})
 }
 
+// TestReturnsOfTheStoreKeepGuarantees plays returns from older copies between requests,
+// commands and kills.
+func TestReturnsOfTheStoreKeepGuarantees(t *testing.T) {
+	kinds := []opKind{opDraft, opDispatch, opBooking, opRepeat, opRepeat, opWait, opCommand, opConcurrentCommands, opFaultKillAgent, opFaultKillEntry, opFaultStoreReturned}
+	cover := newCoverage()
+	rapid.Check(t, func(r *rapid.T) {
+		ops := drawOps(r, 60)
+		for i := range ops {
+			ops[i].kind = kinds[int(ops[i].kind)%len(kinds)]
+		}
+		if v := runSteps(t, ops, correctVariant, 1, cover); len(v) > 0 {
+			r.Fatalf("guarantees violated: %s", strings.Join(v, "; "))
+		}
+	})
+}
+
 // randomOps returns n random steps, with more requests than faults.
 func randomOps(random *rand.Rand, n int) []op {
 	out := make([]op, n)
