A heartbeat changes the view of targets without building it again

Change: a record that differs only in its heartbeat is stored, and nothing else is done. Test: TestHeartbeatsDoNotRebuildTheView (17 allocations for a heartbeat at 200 targets before, 0 now).

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -141,7 +141,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old, known := v.targets[t.Instance]
-	if _, missing := v.missing[t.Instance]; !missing && old == t {
+	if _, missing := v.missing[t.Instance]; !missing && old.differsInHeartbeat(t) {
+		v.put(t)
 		return false
 	}
 	v.put(t)
--- a/pkg/fleet/past.go
+++ b/pkg/fleet/past.go
@@ -77,3 +77,9 @@
 func (t Target) olderThan(other Target) bool {
 	return t.Heartbeat != 0 && t.Heartbeat < other.Heartbeat
 }
+
+// differsInHeartbeat reports whether two records tell nothing else that differs.
+func (t Target) differsInHeartbeat(other Target) bool {
+	t.Heartbeat = other.Heartbeat
+	return t == other
+}
--- a/pkg/fleet/past_test.go
+++ b/pkg/fleet/past_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -74,3 +75,22 @@
 	}
 	require.LessOrEqual(t, len(p.processes(last.Instance)), maxPastProcesses)
 }
+
+// TestHeartbeatsDoNotRebuildTheView guards against work for each heartbeat that grows with
+// the number of targets.
+func TestHeartbeatsDoNotRebuildTheView(t *testing.T) {
+	v := New()
+	for i := range 200 {
+		v.Put(Target{Instance: ident.Target(fmt.Sprint(i)), Service: "s", Address: fmt.Sprint(i), StartMS: 1, Heartbeat: 1})
+	}
+	beat := Target{Instance: "7", Service: "s", Address: "7", StartMS: 1, Heartbeat: 1}
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		beat.Heartbeat++
+		v.Put(beat)
+	}))
+	older := beat
+	older.Heartbeat, older.Slots = 1, 9
+	v.Put(older)
+	known, _ := v.Find("7")
+	require.Equal(t, beat, known, "the newest heartbeat counts")
+}
