Reading of the change: a record is stored once, whatever its heartbeat

Two branches of the view stored a record, and the name of the comparison said the opposite of what it reports. No change of behaviour: go test of fleet and gateway and the proofs of pkg/fleet pass.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -141,11 +141,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old, known := v.targets[t.Instance]
-	if _, missing := v.missing[t.Instance]; !missing && old.differsInHeartbeat(t) {
-		v.put(t)
+	_, missing := v.missing[t.Instance]
+	v.put(t)
+	if !missing && old.equalsButHeartbeat(t) {
 		return false
 	}
-	v.put(t)
 	v.rebuild()
 	return known && v.targets[t.Instance].Draining && !old.Draining
 }
--- a/pkg/fleet/past.go
+++ b/pkg/fleet/past.go
@@ -78,8 +78,8 @@
 	return t.Heartbeat != 0 && t.Heartbeat < other.Heartbeat
 }
 
-// differsInHeartbeat reports whether two records tell nothing else that differs.
-func (t Target) differsInHeartbeat(other Target) bool {
+// equalsButHeartbeat reports whether two records tell the same but for their heartbeats.
+func (t Target) equalsButHeartbeat(other Target) bool {
 	t.Heartbeat = other.Heartbeat
 	return t == other
 }
