--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -25,16 +25,19 @@
 // step is one random step of a test with two ledgers that share an object API.
 type step struct{ op, owner, key, attempt int }
 
+func drawSteps(r *rapid.T) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		small := rapid.IntRange(0, 5)
+		return step{small.Draw(t, "op"), small.Draw(t, "owner") % 2, small.Draw(t, "key") % 3, small.Draw(t, "attempt")}
+	}), 1, 60).Draw(r, "steps")
+}
+
 // TestGrantsKeyToOneAttempt guards against granting a key twice. Two owners claim
 // and release keys while the object API loses replies, drops updates and fails.
 // No other attempt may be granted a key until its holder releases it.
 func TestGrantsKeyToOneAttempt(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-			small := rapid.IntRange(0, 5)
-			return step{small.Draw(t, "op"), small.Draw(t, "owner") % 2, small.Draw(t, "key") % 3, small.Draw(t, "attempt")}
-		}), 1, 60).Draw(r, "steps")
-		if violation := runSteps(t, steps); violation != "" {
+		if violation := runSteps(t, drawSteps(r)); violation != "" {
 			r.Fatal(violation)
 		}
 	})
--- a/pkg/ledger/restored_test.go
+++ b/pkg/ledger/restored_test.go
@@ -91,11 +91,7 @@
 // store from older copies in place of its other faults.
 func TestGrantsKeyToOneAttemptInEachHistory(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-			small := rapid.IntRange(0, 5)
-			return step{small.Draw(t, "op"), small.Draw(t, "owner") % 2, small.Draw(t, "key") % 3, small.Draw(t, "pause")}
-		}), 1, 60).Draw(r, "steps")
-		if violation := runHistories(t, steps); violation != "" {
+		if violation := runHistories(t, drawSteps(r)); violation != "" {
 			r.Fatal(violation)
 		}
 	})
