--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -132,3 +132,14 @@
 		c.all = append(c.all, x)
 	})
 }
+
+// served returns the number of requests that have a complete answer of an engine.
+func (c *clients) served() int {
+	n := 0
+	for _, x := range c.all {
+		if x.Complete && x.Status == http.StatusOK {
+			n++
+		}
+	}
+	return n
+}
