A stopping gateway forecasts requests by what earlier ones took

Cause: the forecast of a plain request was five objectives, that of a stream's first event two, whatever was measured. Ruled out: the end of the process alone; the answers were there, but the requests should not have been sent. Change: forecast.Durations bounds both by route with mean and mean deviation; until eight samples the constants hold. Test: TestStoppingGatewayAnswersRequestsAtSlowServices failed on (no answer, sent 5.3 s after SIGTERM) and with the constant (504, sent 5.2 s after it).

--- a/pkg/forecast/length_test.go
+++ b/pkg/forecast/length_test.go
@@ -24,7 +24,8 @@
 		{"unstated", func() int { return 0 }, func() int { return 30 + random.IntN(31) }, 50, 61},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			l, stated := forecast.NewLengths(), 0
+			var l forecast.Lengths
+			stated := 0
 			for range n {
 				stated = test.stated()
 				l.Record("r", stated, test.events(), true)
@@ -38,7 +39,7 @@
 }
 
 func TestLengthsBeforeTheFirstStreams(t *testing.T) {
-	l := forecast.NewLengths()
+	var l forecast.Lengths
 	_, known := l.Bound("r", 0)
 	require.False(t, known, "nothing says how long it will be")
 	bound, known := l.Bound("r", 80)
--- a/pkg/gateway/forecast.go
+++ b/pkg/gateway/forecast.go
@@ -8,11 +8,10 @@
 )
 
 const (
-	// plainRequestObjectives is the number of latency objectives within which
-	// nearly all plain requests finish.
+	// plainRequestObjectives is the number of latency objectives within which nearly all
+	// plain requests finish, as long as no earlier ones tell more.
 	plainRequestObjectives = 5
-	// firstEventObjectives is the number of latency objectives within which nearly all
-	// streams begin once they were sent.
+	// firstEventObjectives is the same for the first events of streams.
 	firstEventObjectives = 2
 	// streamDurationFactor scales the forecast duration of a stream while the
 	// process is stopping: the engine may be slower than most, and a cut stream
@@ -22,11 +21,13 @@
 
 // forecastDuration forecasts how long the request takes once it is sent to a target.
 func (x *exchange) forecastDuration() time.Duration {
+	route, objective := x.route.Name, x.route.Objective
 	if x.route.RetryPolicy == platform.RunStream {
-		return firstEventObjectives*x.route.Objective + x.forecastEvents()
+		return max(x.g.firstEvents.Bound(route, firstEventObjectives*objective), firstEventReserve) + x.forecastEvents()
 	}
+	bound := max(x.g.plainTimes.Bound(route, plainRequestObjectives*objective), objective)
 	deadline, _ := x.ctx.Deadline()
-	return min(time.Until(deadline), plainRequestObjectives*x.route.Objective)
+	return min(time.Until(deadline), bound) + targetAnswerReserve
 }
 
 // forecastEvents forecasts how long a stream takes from its first event on. One of unknown
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,9 +67,12 @@
 	listener      net.Listener
 	stop          stopState
 	eventInterval eventInterval
-	lengths       *forecast.Lengths
-	active        atomic.Int64
-	conns         *connTable
+	// lengths, firstEvents and plainTimes are of streams, until their first event and of
+	// other requests, from their send on.
+	lengths                 forecast.Lengths
+	firstEvents, plainTimes forecast.Durations
+	active                  atomic.Int64
+	conns                   *connTable
 }
 
 // budget is a retry budget that is safe for concurrent use.
@@ -99,7 +102,7 @@
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
 		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
 		loads: newLoadTracker(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
-		conns: newConnTable(), stop: newStopState(), lengths: forecast.NewLengths(),
+		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
 	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.tellKnown,
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -276,3 +277,41 @@
 		})
 	}
 }
+
+// Guards against LOST on plain services: a service that was slower than its objective held
+// requests that may not be repeated until the process exited, or their time limit passed.
+func TestStoppingGatewayAnswersRequestsAtSlowServices(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		work     time.Duration
+		servedTo time.Duration
+	}{
+		{"as fast as its objective", 80 * time.Millisecond, 6 * time.Second},
+		{"far slower than its objective", 2 * time.Second, 4 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testHarness(t, func(t *testing.T, h *harness) {
+				h.repeat(func(w net.Conn, call receivedRequest) bool {
+					limit, err := strconv.Atoi(call.Header.Get("X-Deadline-Ms"))
+					require.NoError(t, err)
+					left := time.Duration(limit) * time.Millisecond
+					time.Sleep(min(test.work, left))
+					if left < test.work {
+						return respond(504, "timed out")(w, call)
+					}
+					return respond(200, "done")(w, call)
+				})
+				raw := patient(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+				answers, took := h.playStop(stopCalls(raw, every(100*time.Millisecond, -6*time.Second, 7100*time.Millisecond)...))
+				require.Less(t, took, 8*time.Second)
+				for _, a := range answers {
+					require.NoError(t, a.err, "sent %s after SIGTERM, ended %s after it", a.after, a.ended)
+					require.Contains(t, []int{200, 503}, a.status, "sent %s after SIGTERM", a.after)
+					if a.after <= test.servedTo {
+						require.Equal(t, 200, a.status, "sent %s after SIGTERM", a.after)
+					}
+				}
+			})
+		})
+	}
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -85,6 +85,7 @@
 				a.reportFirstEvent(time.Since(sent))
 				x.g.clearParts(x.q.parts)
 				timing.firstEvent = time.Since(sent)
+				x.g.firstEvents.Record(x.route.Name, timing.firstEvent)
 				x.g.metrics.grantWait.RecordDuration(timing.grantWait)
 				x.g.metrics.firstEvent.RecordDuration(timing.firstEvent)
 				first, x.eventSeen = false, true
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -155,7 +155,10 @@
 		for _, r := range c.Routes {
 			routes[r.Name] = true
 		}
-		g.lengths.Retain(func(route string) bool { return routes[route] })
+		isKept := func(route string) bool { return routes[route] }
+		g.lengths.Retain(isKept)
+		g.firstEvents.Retain(isKept)
+		g.plainTimes.Retain(isKept)
 		g.Info("msg", "configuration in force", "version", c.Version, "revision", o.Revision, "routes", len(c.Routes))
 	}
 }
