Listeners for callers stop first, those for metrics last

Seen: by the review in the code: an open connection to the metrics listener that has sent nothing delays the gateway's stop by up to 5 s of its 8 s of grace; requests in progress would be cut by the kill. Cause: hooks stop in reverse order of their plugins' names. Entries had the same order with their operators' and status listeners, agents with their status listener. Ruled out: a shorter wait of the metrics listener alone; operators' requests may take 8 s as well. Change: hooks of faces stop first and together. Hooks of observers start first, stop last and wait 100 ms for readers.

--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -81,6 +81,7 @@
 		Name:  "callers",
 		Start: func(context.Context) error { return srv.start() },
 		Stop:  func(ctx context.Context) error { return srv.stop(ctx, p, s.StopGrace.Std()) },
+		Faces: true,
 	})
 	return srv
 }
--- a/pkg/exposition/exposition.go
+++ b/pkg/exposition/exposition.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
@@ -32,6 +33,26 @@
 	return Metrics{Scope: scope, reporter: reporter}
 }
 
+// StopGrace is how long a reader of metrics or checks may take when the process stops.
+const StopGrace = 100 * time.Millisecond
+
+// Observer returns the hook of a server that shows how the process is doing. Its stop
+// waits for readers for at most StopGrace.
+func Observer(name string, start func() error, server *fasthttp.Server) kernel.Hook {
+	return kernel.Hook{
+		Name: name, Observes: true,
+		Start: func(context.Context) error { return start() },
+		Stop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, StopGrace)
+			defer cancel()
+			if err := server.ShutdownWithContext(ctx); err != nil && ctx.Err() == nil {
+				return errors.Trace(err)
+			}
+			return nil
+		},
+	}
+}
+
 // Handler returns the HTTP handler that serves the metrics.
 func (m Metrics) Handler() fasthttp.RequestHandler {
 	return fasthttpadaptor.NewFastHTTPHandler(m.reporter.HTTPHandler())
--- a/pkg/gateway/plugin.go
+++ b/pkg/gateway/plugin.go
@@ -32,7 +32,7 @@
 				Stop: func(context.Context) error { cancel(); return nil },
 			})
 			life.Append(kernel.Hook{Name: "readiness", Start: g.startReadiness})
-			life.Append(kernel.Hook{Name: "callers", Start: g.Start, Stop: g.Stop})
+			life.Append(kernel.Hook{Name: "callers", Start: g.Start, Stop: g.Stop, Faces: true})
 		},
 	})
 }
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 
@@ -44,6 +45,12 @@
 	Stop func(ctx context.Context) error
 	// Ready returns an error while the component cannot serve.
 	Ready func() error
+	// Faces says that the component takes requests from outside the system. Such
+	// components stop first and together, so that none delays the stop of another.
+	Faces bool
+	// Observes says that the component only shows how the process is doing. It starts
+	// before the others and stops after them, so that a slow reader delays none.
+	Observes bool
 }
 
 // Lifecycle runs the hooks of a program's components in dependency order.
@@ -59,7 +66,12 @@
 func (l *Lifecycle) Append(h Hook) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hooks = append(l.hooks, h)
+	at := len(l.hooks)
+	if h.Observes {
+		at = slices.IndexFunc(l.hooks, func(other Hook) bool { return !other.Observes })
+		at = max(at, 0)
+	}
+	l.hooks = slices.Insert(l.hooks, at, h)
 }
 
 // Ready returns an error that says why the program cannot serve, or nil.
@@ -98,24 +110,43 @@
 	return nil
 }
 
-// Stop runs all stop hooks in reverse order and returns the first error.
+// Stop runs all stop hooks, those of faces first and together, and the others in reverse
+// order. It returns the first error.
 func (l *Lifecycle) Stop(ctx context.Context) error { return l.stop(ctx, len(l.hooks)) }
 
 func (l *Lifecycle) stop(ctx context.Context, n int) error {
 	l.mu.Lock()
 	l.stopping = true
 	l.mu.Unlock()
-	var first error
-	for i := n - 1; i >= 0; i-- {
-		h := l.hooks[i]
-		if h.Stop == nil {
-			continue
+	var faces, others []Hook
+	for _, h := range slices.Backward(l.hooks[:n]) {
+		switch {
+		case h.Stop == nil:
+		case h.Faces:
+			faces = append(faces, h)
+		default:
+			others = append(others, h)
 		}
-		if err := h.Stop(ctx); err != nil && first == nil {
-			first = errors.Annotatef(err, "stopping %s", h.Name)
+	}
+	errs := make([]error, len(faces))
+	var group sync.WaitGroup
+	for i, h := range faces {
+		group.Go(func() { errs[i] = h.stop(ctx) })
+	}
+	group.Wait()
+	for _, h := range others {
+		errs = append(errs, h.stop(ctx))
+	}
+	for _, err := range errs {
+		if err != nil {
+			return err
 		}
 	}
-	return first
+	return nil
+}
+
+func (h Hook) stop(ctx context.Context) error {
+	return errors.Annotatef(h.Stop(ctx), "stopping %s", h.Name)
 }
 
 // Run builds the registered plugins and starts them in dependency order. When
--- a/pkg/monitor/monitor.go
+++ b/pkg/monitor/monitor.go
@@ -3,7 +3,6 @@
 package monitor
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -53,11 +52,7 @@
 	r.GET("/traffic", func(ctx *fasthttp.RequestCtx) { writeTraffic(ctx) })
 	r.GET("/debug/pprof/{profile:*}", fasthttpadaptor.NewFastHTTPHandler(http.DefaultServeMux))
 	mon := &Monitor{Common: c.With("monitor"), server: &fasthttp.Server{Handler: r.Handler, Name: "hyssoproad"}}
-	lifecycle.Append(kernel.Hook{
-		Name:  "monitor",
-		Start: func(context.Context) error { return mon.start(p.Status) },
-		Stop:  mon.server.ShutdownWithContext,
-	})
+	lifecycle.Append(exposition.Observer("monitor", func() error { return mon.start(p.Status) }, mon.server))
 	return mon
 }
 
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"net"
 	"strconv"
 
@@ -30,20 +29,16 @@
 	r := router.New()
 	r.GET(metricsPath, m.Handler())
 	server := &fasthttp.Server{Handler: r.Handler, Name: "hyssoproad"}
-	life.Append(kernel.Hook{
-		Name: "metrics listener",
-		Start: func(context.Context) error {
-			listener, err := net.Listen("tcp4", net.JoinHostPort(n.IP, strconv.Itoa(metricsPort)))
-			if err != nil {
-				return errors.Trace(err)
+	life.Append(exposition.Observer("metrics listener", func() error {
+		listener, err := net.Listen("tcp4", net.JoinHostPort(n.IP, strconv.Itoa(metricsPort)))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		go func() {
+			if err := server.Serve(listener); err != nil {
+				c.Warn("msg", "metrics listener failed", "err", err)
 			}
-			go func() {
-				if err := server.Serve(listener); err != nil {
-					c.Warn("msg", "metrics listener failed", "err", err)
-				}
-			}()
-			return nil
-		},
-		Stop: func(context.Context) error { return server.Shutdown() },
-	})
+		}()
+		return nil
+	}, server))
 }
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -48,6 +52,7 @@
 // its requests have finished.
 func TestIgnoresSIGHUPWhileStopping(t *testing.T) {
 	stopped := make(chan struct{})
+	closeStopped := sync.OnceFunc(func() { close(stopped) }) // the plugin also runs in the next test
 	kernel.Register(kernel.Plugin{Name: "slow", Start: func(life *kernel.Lifecycle) {
 		life.Append(kernel.Hook{
 			Name: "slow",
@@ -55,7 +60,7 @@
 				return syscall.Kill(os.Getpid(), syscall.SIGTERM)
 			},
 			Stop: func(context.Context) error {
-				defer close(stopped)
+				defer closeStopped()
 				for range 20 {
 					if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 						return err
@@ -70,3 +75,34 @@
 	require.Equal(t, ExitOK, Program{Name: "program", Check: acceptAny}.Main([]string{"-settings", writeSettings(t, validSettings)}, &out, &out))
 	<-stopped
 }
+
+// Guards against LOST: the metrics listener stopped first and waited up to 5 s for a
+// connection that had sent nothing, and only then the stop of the callers began.
+func TestMetricsAreServedUntilTheEnd(t *testing.T) {
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(metricsPort))
+	status := 0
+	kernel.Register(kernel.Plugin{Name: "callers", Start: func(life *kernel.Lifecycle) {
+		var silent net.Conn
+		life.Append(kernel.Hook{
+			Name: "callers", Faces: true,
+			Start: func(context.Context) (err error) {
+				if silent, err = net.Dial("tcp4", address); err != nil {
+					return err
+				}
+				return syscall.Kill(os.Getpid(), syscall.SIGTERM)
+			},
+			Stop: func(context.Context) error {
+				defer silent.Close()
+				res, err := http.Get("http://" + address + metricsPath)
+				if err == nil {
+					status = res.StatusCode
+					err = res.Body.Close()
+				}
+				return err
+			},
+		})
+	}})
+	var out bytes.Buffer
+	require.Equal(t, ExitOK, Program{Name: "program", Check: acceptAny}.Main([]string{"-settings", writeSettings(t, validSettings)}, &out, &out), out.String())
+	require.Equal(t, http.StatusOK, status)
+}
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -62,6 +62,7 @@
 		Name:  "operators",
 		Start: func(context.Context) error { return srv.start() },
 		Stop:  srv.server.ShutdownWithContext,
+		Faces: true,
 	})
 	return srv
 }
