A caller that leaves closes no connection of another request

Cause: the connection to the target went back to the pool before the function that closes it for a caller that leaves was removed; in between another request may use it. Change: the binding of a connection to a request ends when the connection returns to the pool. Test: TestCallerThatLeavesClosesNoConnectionOfAnotherRequest got a 502 before.

--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -41,6 +41,8 @@
 	idleSince time.Time // when it was last returned to the pool
 	reused    bool      // it has carried another request
 	maxIdle   time.Duration
+	// unbind ends the binding to the request in progress.
+	unbind func() bool
 	// onStall is called when a read's deadline has passed.
 	onStall func() (next time.Time, wait bool)
 }
@@ -71,6 +73,9 @@
 	}
 }
 
+// Bind closes the connection when ctx ends, until it is returned to the pool.
+func (c *Conn) Bind(ctx context.Context) { c.unbind = context.AfterFunc(ctx, c.Close) }
+
 // Close closes the connection, which makes the target stop its work on the request
 // in progress.
 func (c *Conn) Close() { _ = c.nc.Close() }
@@ -132,8 +137,13 @@
 // that belong to no request.
 func (c *Conn) alive() bool { return c.r.Buffered() == 0 && socket.Quiet(c.nc) }
 
-// Put returns a connection to the pool, after the whole response was read.
+// Put returns a connection to the pool, after the whole response was read. The request no
+// longer closes it.
 func (p *Pool) Put(c *Conn) {
+	if c.unbind != nil && !c.unbind() {
+		return // it is being closed
+	}
+	c.unbind = nil
 	c.idleSince, c.reused, c.onStall = time.Now(), true, nil
 	if err := c.nc.SetDeadline(time.Time{}); err != nil {
 		c.Close()
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -286,8 +286,7 @@
 		return outcomeUnsent
 	}
 	// Closing the connection makes the target stop its work on the request.
-	stop := context.AfterFunc(x.ctx, conn.Close)
-	defer stop()
+	conn.Bind(x.ctx)
 	buffer := bytebufferpool.Get()
 	buffer.B = x.q.encode(buffer.B, sendParams{remaining: x.targetTime(), instance: a.instance, version: a.version, lastEvent: x.lastEvent})
 	sent := time.Now()
