Alone in its failure domain, a stopping gateway sends no caller elsewhere

Seen by callers: a request on a kept connection that the stopping gateway refuses is told to come back in 0.1 s. If that gateway is the only one of its failure domain, the next connection reaches it again, is refused again, and the caller's one retry is spent. Cause: whether the balancer has another entry was kept for each connection by the time at which it was accepted. Ruled out: the Retry-After of new connections, which is the time of the restart. Change: the first connection that is accepted although the balancer knows of the stop shows that it has no other entry; from then on all refusals tell the time of the restart. Test: TestRetryAfterWhileStopping, with a third caller: on an older connection, after the first new one (0.122 s before, 3.5 s and more now). It replaces the order of the old test, in which both connections were opened before either request; both of its bounds are kept.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -38,10 +38,6 @@
 	// response.
 	closeAfterResponse bool
 	http11             bool
-	// acceptedWhileStopping reports whether the connection was accepted after the
-	// balancer had time to see that the process is stopping. The balancer then has
-	// no other entry to choose.
-	acceptedWhileStopping bool
 }
 
 // serve handles the connection's requests one after the other.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -83,7 +83,7 @@
 	if !g.awaitSync(ctx, q.callerTimeout) {
 		wait := syncRetryAfter
 		if g.stop.begun() {
-			wait = c.stopRetryAfter()
+			wait = g.stop.retryAfter()
 		}
 		return context.Cause(ctx) != errCallerDisconnected &&
 			c.writeError(fasthttp.StatusServiceUnavailable, "no configuration yet", g.addJitter(wait)) == nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -224,7 +224,8 @@
 func (g *Gateway) serve(nc net.Conn) {
 	limits := g.limits()
 	_ = nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	c := &callerConn{g: g, nc: nc, r: bufio.NewReaderSize(nc, limits.HeaderBytes), acceptedWhileStopping: g.stop.unready(time.Now())}
+	c := &callerConn{g: g, nc: nc, r: bufio.NewReaderSize(nc, limits.HeaderBytes)}
+	g.stop.observeAccept(time.Now())
 	g.conns.set(c, connIdle)
 	defer g.conns.remove(c)
 	c.serve()
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -375,13 +375,15 @@
 	})
 }
 
-// When all entries stop, the balancer still sends new connections to a stopping
-// one. Those callers are told to retry after the restart; callers on older
-// connections retry at once on another entry.
+// Guards against callers that spend their retries on a process that is stopping. When
+// all entries of a failure domain stop, the balancer still sends new connections to a
+// stopping one. From the first such connection on all callers are told to retry after the
+// restart; until then they retry at once on another entry.
 func TestRetryAfterWhileStopping(t *testing.T) {
 	long := rawRequest("POST", "/stream/x", "Content-Length: 0\r\nX-Token-Count: 100,400\r\n")
-	retryAfter := func(t *testing.T, r io.Reader) float64 {
-		res, err := http.ReadResponse(bufio.NewReader(r), nil)
+	retryAfter := func(t *testing.T, c net.Conn) float64 {
+		go func() { _, _ = io.WriteString(c, long) }()
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
 		require.NoError(t, err)
 		require.Equal(t, 503, res.StatusCode)
 		seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
@@ -389,15 +391,12 @@
 		return seconds
 	}
 	testHarness(t, func(t *testing.T, h *harness) {
-		kept := h.connect()
+		kept, other := h.connect(), h.connect()
 		synctest.Wait()
 		h.stopIn(2 * time.Second)
-		fresh := h.connect()
-		for _, c := range []net.Conn{kept, fresh} {
-			go func() { _, _ = io.WriteString(c, long) }()
-		}
 		require.Less(t, retryAfter(t, kept), 0.2, "another entry serves it")
-		require.GreaterOrEqual(t, retryAfter(t, fresh), 3.5, "the restarted process serves it")
+		require.GreaterOrEqual(t, retryAfter(t, h.connect()), 3.5, "the restarted process serves it")
+		require.GreaterOrEqual(t, retryAfter(t, other), 3.5, "there is no other entry")
 	})
 }
 
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -65,10 +65,13 @@
 type stopState struct {
 	schedule *atomic.Pointer[stopSchedule]
 	done     chan struct{} // closed when the stop begins
+	// noOtherEntry says that the balancer still chooses this process although it knows
+	// that it is stopping: it has no other entry to choose.
+	noOtherEntry *atomic.Bool
 }
 
 func newStopState() stopState {
-	return stopState{schedule: new(atomic.Pointer[stopSchedule]), done: make(chan struct{})}
+	return stopState{schedule: new(atomic.Pointer[stopSchedule]), done: make(chan struct{}), noOtherEntry: new(atomic.Bool)}
 }
 
 // begin begins the stop.
@@ -86,6 +89,22 @@
 	return schedule != nil && !now.Before(schedule.unready)
 }
 
+// observeAccept records that the balancer has chosen this process for a connection.
+func (s stopState) observeAccept(now time.Time) {
+	if s.unready(now) {
+		s.noOtherEntry.Store(true)
+	}
+}
+
+// retryAfter returns the Retry-After time of a request that would not finish before the
+// process exits: at once at another entry, or else when this one is back.
+func (s stopState) retryAfter() time.Duration {
+	if schedule := s.schedule.Load(); schedule != nil && s.noOtherEntry.Load() {
+		return time.Until(schedule.answerBy) + restartTime
+	}
+	return otherEntryRetryAfter
+}
+
 // Stop answers all requests that it has read: with their targets' responses if these are
 // complete in time, or else by itself. It still takes new requests that can finish in
 // time, because the balancer has no other choice when all entries of a failure domain stop
@@ -238,7 +257,7 @@
 
 // stopRefusal is the refusal of a request that the stop of the process leaves no time for.
 func (x *exchange) stopRefusal() refusal {
-	return refusal{reason: reasonStopping, wait: x.c.stopRetryAfter()}
+	return refusal{reason: reasonStopping, wait: x.g.stop.retryAfter()}
 }
 
 const (
@@ -249,13 +268,3 @@
 	// balancer sees that it is ready. The balancer probes once a second.
 	restartTime = 1500 * time.Millisecond
 )
-
-// stopRetryAfter returns the Retry-After time of a request that would not finish
-// before the process stops.
-func (c *callerConn) stopRetryAfter() time.Duration {
-	s := c.g.stop.schedule.Load()
-	if s != nil && c.acceptedWhileStopping {
-		return time.Until(s.answerBy) + restartTime
-	}
-	return otherEntryRetryAfter
-}
