An entry answers its requests in progress before it exits

Seen: when stop-grace of the product's own entry is over, requests in progress end without an answer and the process exits with an error. Cause: the server's shutdown has a time limit, the requests have none. Ruled out: the agent's stop; it hands waiting requests back, and its entry answers those whose agent has gone. The gateway's orderer carries no requests: a lost link ends waits for grants at once. Change: at 90% of the grace the dispatcher cancels all requests in progress and each later one: not-run while that is true, else unknown.

--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -56,6 +56,8 @@
 	catalog  *catalog.Catalog
 	run      func(context.Context, *dispatch.Job, dispatch.Output) dispatch.Result
 	confirm  func(ident.Caller, string, bool, *dispatch.Refusal) *dispatch.Refusal
+	// cancelAll ends the requests in progress.
+	cancelAll func()
 	// admissible returns an error while the entry must not admit requests.
 	admissible func() error
 	inFlight   inFlight
@@ -80,7 +82,7 @@
 	life.Append(kernel.Hook{
 		Name:  "callers",
 		Start: func(context.Context) error { return srv.start() },
-		Stop:  func(ctx context.Context) error { return srv.stop(ctx, p, s.StopGrace.Std()) },
+		Stop:  func(ctx context.Context) error { return srv.stop(ctx, p.AnnounceDrain, s.StopGrace.Std()) },
 		Faces: true,
 	})
 	return srv
@@ -107,6 +109,7 @@
 func (srv *Server) UseDispatcher(d *dispatch.Dispatcher) {
 	srv.run = d.Run
 	srv.confirm = d.ConfirmRefusal
+	srv.cancelAll = d.CancelAll
 }
 
 // Handler returns the handler that routes callers' requests by path.
@@ -137,14 +140,20 @@
 	return nil
 }
 
+// answerShare is the share of the grace period after which requests in progress are ended,
+// so that their callers still get an answer.
+const answerShare = 0.9
+
 // stop announces the drain and waits DrainDelay for the platform's load balancer
 // to notice it. It then shuts the server down, which gives running requests the
 // grace period to finish.
-func (srv *Server) stop(ctx context.Context, p *peer.Peer, grace time.Duration) error {
-	p.AnnounceDrain(ctx)
+func (srv *Server) stop(ctx context.Context, announce func(context.Context), grace time.Duration) error {
+	announce(ctx)
 	time.Sleep(srv.settings.DrainDelay.Std())
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
+	abandon := time.AfterFunc(time.Duration(answerShare*float64(grace)), srv.cancelAll)
+	defer abandon.Stop()
 	return errors.Trace(srv.server.ShutdownWithContext(ctx))
 }
 
--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -51,6 +51,7 @@
 	hold   chan struct{}
 	held   chan struct{}
 	stale  error
+	served *Server
 }
 
 func newTestServer(t *testing.T) *testServer {
@@ -72,6 +73,7 @@
 		return dispatch.Result{Tokens: []string{"a", "b"}, TokenCount: 2, FinishReason: "stop", Status: 200, Body: []byte("done")}
 	}
 	served.confirm = func(_ ident.Caller, _ string, _ bool, r *dispatch.Refusal) *dispatch.Refusal { return r }
+	ts.served = served
 	listener := fasthttputil.NewInmemoryListener()
 	go func() { _ = served.server.Serve(listener) }()
 	t.Cleanup(func() { _ = listener.Close() })
@@ -206,3 +208,22 @@
 		})
 	}
 }
+
+// Guards against an entry whose grace period ends with requests in progress: their callers
+// got no answer when the process exited.
+func TestStopAnswersRequestsInProgress(t *testing.T) {
+	ts := newTestServer(t)
+	ts.hold, ts.held = make(chan struct{}), make(chan struct{}, 1)
+	ts.served.settings.DrainDelay = 0
+	ts.served.cancelAll = func() { close(ts.hold) }
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := ts.do(t, call{method: "POST", path: "/v1/completions", body: `{"model": "guide@2", "prompt": "p"}`})
+		answered <- status
+	}()
+	<-ts.held
+	announced := false
+	require.NoError(t, ts.served.stop(t.Context(), func(context.Context) { announced = true }, time.Second))
+	require.True(t, announced)
+	require.Equal(t, 200, <-answered)
+}
--- a/pkg/dispatch/active.go
+++ b/pkg/dispatch/active.go
@@ -14,8 +14,16 @@
 // ReasonCancelled is the refusal reason of a request that an operator cancelled.
 const ReasonCancelled = "cancelled"
 
-// errCancelled is the context cause of a request that an operator cancelled.
-const errCancelled = errors.ConstError("cancelled by an operator")
+// ReasonStopping is the refusal reason of a request that the entry cannot finish before
+// it exits.
+const ReasonStopping = "stopping"
+
+// The context causes of requests that an operator cancelled, and of those that the stop of
+// the entry ends.
+const (
+	errCancelled = errors.ConstError("cancelled by an operator")
+	errStopping  = errors.ConstError("entry is stopping")
+)
 
 const activeShards = 16
 
@@ -119,3 +127,17 @@
 	}
 	return ok
 }
+
+// CancelAll ends all requests in progress, as Cancel does, and every further one at once.
+// The entry is about to exit.
+func (d *Dispatcher) CancelAll() {
+	d.stopping.Store(true)
+	for i := range d.active {
+		shard := &d.active[i]
+		shard.mu.Lock()
+		for _, r := range shard.requests {
+			r.cancel(errStopping)
+		}
+		shard.mu.Unlock()
+	}
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,6 +32,7 @@
 	breakers     breakers
 	metrics      metrics
 	active       active
+	stopping     atomic.Bool
 }
 
 type metrics struct {
@@ -95,6 +97,9 @@
 	r := &run{d: d, ctx: ctx, job: job, output: output, reason: ReasonNoTarget}
 	r.active = d.active.add(job, cancel)
 	defer d.active.remove(job.Request)
+	if d.stopping.Load() {
+		cancel(errStopping)
+	}
 	// Agents enforce the deadline. This timer covers agents that stop
 	// responding; it is stopped once the request starts.
 	r.silenceTimer = time.AfterFunc(time.Until(job.Deadline)+refusalGrace, func() { cancel(nil) })
@@ -114,6 +119,9 @@
 
 func (r *run) runAttempts() *Refusal {
 	for r.result.Attempts = 1; ; r.result.Attempts++ {
+		if errors.Is(context.Cause(r.ctx), errStopping) {
+			return r.giveUp(refused)
+		}
 		if refusal := r.refreshJob(); refusal != nil {
 			return refusal
 		}
@@ -220,9 +228,13 @@
 		Outcome: wire.NotRun, Reason: r.reason, Status: 503,
 		RetryAfter: max(r.retryAfter, time.Second), settled: r.claimedAttempt != "",
 	}
-	if errors.Is(context.Cause(r.ctx), errCancelled) {
+	switch cause := context.Cause(r.ctx); {
+	case errors.Is(cause, errCancelled):
 		out.Reason, out.RetryAfter = ReasonCancelled, 0
 		return out
+	case errors.Is(cause, errStopping):
+		out.Reason, out.RetryAfter = ReasonStopping, time.Second // another entry serves it
+		return out
 	}
 	if r.reason == ReasonDeadline || time.Now().After(r.job.Deadline) {
 		// Without a retry delay from an agent, the refusal gives none.
