Entries and agents survive SIGHUP

Seen: a SIGHUP ends an entry or an agent at once and cuts all its requests. Found while asking what a SIGHUP during a planned stop does; the programs of the users' platform handle it. Cause: the daemons handled SIGTERM and SIGINT only, and the default action of SIGHUP is to end the process. Ruled out: a second SIGTERM, which the process ignores while it stops. Change: SIGHUP is logged and changes nothing; settings are read at the start.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3"
@@ -83,6 +84,9 @@
 	logger := common.NewLog(stderr, p.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go logHangups(hup, logger)
 	provide := append([]any{
 		func() settings.Process { return p },
 		func() *objects.Client { return objects.NewClient(p.Platform) },
@@ -96,3 +100,11 @@
 	_ = level.Info(logger).Log("msg", "stopped")
 	return ExitOK
 }
+
+// logHangups logs each SIGHUP until the process ends. Without it a SIGHUP would kill the
+// process with all its requests.
+func logHangups(hup <-chan os.Signal, logger log.Logger) {
+	for range hup {
+		_ = level.Info(logger).Log("msg", "SIGHUP ignored; changes of the settings take effect at the next start")
+	}
+}
