An adapter that the engine is unloading keeps its place

Seen: by the review in the code: an unload that the engine answers 202, since runs of the adapter have not ended, counts as done, so that the next load could exceed the engine's places (LIMIT). Cause: 200 (dropped) and 202 (to be dropped after its runs) were taken for the same. Ruled out: a longer wait before each load; it would cost every eviction a report. Change: after a 202 the adapter counts as held, not as ready, until a report no longer lists it, for at most the longest time of a run. The next order waits for a report. Tests: TestUnloadThatWaitsForRunsFreesNoPlaceYet (3 adapters in 2 places before), TestUnloadingAdapterTakesAPlaceAndNoRequests.

--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -61,7 +61,7 @@
 		}
 		kept = append(kept, req)
 		ahead.requests++
-		if _, ready := s.ready(req); ready {
+		if _, ready := s.ready(req, now); ready {
 			ahead.promptTokens += req.PromptTokens
 		} else if !s.hasCopy(req.weights()) && !s.isLoading(req.weights()) {
 			ahead.loads[req.weights()] = true
@@ -80,7 +80,7 @@
 	waiters := make(map[ident.Weights]int)
 	for _, req := range s.waiting {
 		needs := s.prefillTime(req.PromptTokens)
-		if _, ready := s.ready(req); !ready {
+		if _, ready := s.ready(req, now); !ready {
 			needs += s.loadWait(req.weights(), 0, now)
 		}
 		late[req.ID] = req.objectiveLeft(now) < needs
@@ -113,7 +113,7 @@
 	if s.instance == "" {
 		return wire.GrantReply{Code: wire.GrantBusy}, now.After(req.deadline())
 	}
-	version, ready := s.ready(req)
+	version, ready := s.ready(req, now)
 	if ready && ahead.promptTokens == 0 && !s.prefersReplica(req, ahead) && s.fits(req) && s.limit.Take(now) {
 		s.grant(req, now)
 		return wire.GrantReply{Code: wire.GrantIssued, Version: version, Instance: s.instance}, true
@@ -147,7 +147,7 @@
 		f.redirect = true
 		f.wait = max(f.wait, s.prefillTime(s.pendingPrefill+ahead.promptTokens))
 	}
-	if _, ready := s.ready(req); ready {
+	if _, ready := s.ready(req, now); ready {
 		return f
 	}
 	wait, reason := s.weightsWait(req, len(ahead.loads), now)
@@ -176,7 +176,7 @@
 
 // ready returns the version that the engine holds and reports whether it is the
 // requested version or a newer one.
-func (s *Scheduler) ready(req *Request) (ident.Version, bool) {
+func (s *Scheduler) ready(req *Request, now time.Time) (ident.Version, bool) {
 	if !s.serves(req.Model) {
 		return 0, false
 	}
@@ -184,7 +184,7 @@
 		return 0, true
 	}
 	a := s.held[req.weights().Unversioned()]
-	if a == nil || a.version < req.Adapter.Version || s.isLoading(req.weights()) {
+	if a == nil || a.version < req.Adapter.Version || a.isUnloading(now) || s.isLoading(req.weights()) {
 		return 0, false
 	}
 	return a.version, true
@@ -244,9 +244,9 @@
 	switch {
 	case !s.serves(req.Model):
 		return s.modelWait(req.Model, now), wire.ReasonModelAbsent
-	case adapter != nil && s.inUse(adapter):
+	case adapter != nil && (s.inUse(adapter) || adapter.isUnloading(now)):
 		return s.runTime, wire.ReasonOldVersionInUse
-	case adapter == nil && !s.isLoading(req.weights()) && s.full() && s.victim().IsZero():
+	case adapter == nil && !s.isLoading(req.weights()) && s.full() && s.victim(now).IsZero():
 		return s.runTime, wire.ReasonAdaptersInUse
 	}
 	return s.loadWait(req.weights(), ahead, now), wire.ReasonLoading
--- a/pkg/grant/engine.go
+++ b/pkg/grant/engine.go
@@ -128,6 +128,21 @@
 	s.reset()
 }
 
+// Unloading records that the engine drops an adapter once the runs of the adapter have
+// ended. It counts as held, but not as ready, until a report no longer lists it.
+func (s *Scheduler) Unloading(o Order, now time.Time) {
+	s.sequence++
+	if a := s.held[o.Weights.Unversioned()]; a != nil {
+		a.unloadingSince = now
+	}
+}
+
+// isUnloading reports whether the engine still waits to drop the adapter. No run lasts
+// longer than maxUnknownTime.
+func (a *heldAdapter) isUnloading(now time.Time) bool {
+	return !a.unloadingSince.IsZero() && now.Sub(a.unloadingSince) < maxUnknownTime
+}
+
 // Accepted records that the engine accepted an order.
 func (s *Scheduler) Accepted(o Order, now time.Time) {
 	s.sequence++
--- a/pkg/grant/order.go
+++ b/pkg/grant/order.go
@@ -79,7 +79,7 @@
 	}
 	key := req.weights().Unversioned()
 	old := s.held[key]
-	if old != nil && (old.version >= req.Adapter.Version || s.inUse(old)) {
+	if old != nil && (old.version >= req.Adapter.Version || s.inUse(old) || old.isUnloading(now)) {
 		return Order{}, false // the new version, and the requests for it, wait until the old one is idle
 	}
 	if !s.full() {
@@ -87,7 +87,7 @@
 		o.Displaces = old != nil
 		return o, true
 	}
-	victim := s.victim()
+	victim := s.victim(now)
 	if victim.IsZero() && old != nil {
 		victim = key
 	}
@@ -120,7 +120,7 @@
 
 // victim returns the least recently used idle adapter, or zero weights. Adapters
 // that waiting requests need are kept.
-func (s *Scheduler) victim() ident.Weights {
+func (s *Scheduler) victim(now time.Time) ident.Weights {
 	requested := make(map[ident.Weights]bool)
 	for _, req := range s.waiting {
 		requested[req.weights().Unversioned()] = true
@@ -128,7 +128,7 @@
 	var victim ident.Weights
 	var oldest time.Time
 	for key, a := range s.held {
-		if s.inUse(a) || requested[key] {
+		if s.inUse(a) || a.isUnloading(now) || requested[key] {
 			continue
 		}
 		if victim.IsZero() || a.lastUse.Before(oldest) {
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -61,6 +61,9 @@
 	version ident.Version
 	uses    int
 	lastUse time.Time
+	// unloadingSince is when the engine began to unload it, or zero. It still takes a
+	// place until its runs have ended.
+	unloadingSince time.Time
 }
 
 // Scheduler tracks the state of one engine and the requests that wait for it or
--- a/pkg/grant/scheduler_test.go
+++ b/pkg/grant/scheduler_test.go
@@ -75,6 +75,40 @@
 	require.Equal(t, Order{Weights: weightsOf(3, 0), Sequence: 1, Instance: "i-1"}, order)
 }
 
+// An engine drops an adapter only after the runs of the adapter have ended. Until a report
+// shows that, the adapter takes a place, and no request is granted on it; if no report ever
+// does, it counts as held again.
+func TestUnloadingAdapterTakesAPlaceAndNoRequests(t *testing.T) {
+	sched := schedulerWith(1, 1)
+	sched.Enqueue(request(1, 2, start))
+	require.Empty(t, sched.Decide(start))
+	order, ok := sched.Order(start)
+	require.True(t, ok)
+	require.True(t, order.Unload)
+	sched.Unloading(order, start)
+	listed := Report{StartMS: 1, Sequence: 1, Models: []ident.Model{model}, Held: []ident.Weights{weightsOf(1, 1)}}
+	sched.Observe(listed, start)
+	_, ok = sched.Order(start)
+	require.False(t, ok, "the place is not free")
+	sched.Enqueue(request(2, 1, start))
+	require.Empty(t, sched.Decide(start), "the engine refuses requests for the adapter")
+	later := start.Add(time.Second)
+	sched.Observe(Report{StartMS: 1, Sequence: 1, Models: []ident.Model{model}}, later)
+	order, ok = sched.Order(later)
+	require.True(t, ok)
+	require.False(t, order.Unload)
+
+	sched.Observe(listed, later)
+	sched.Unloading(Order{Weights: weightsOf(1, 0), Unload: true}, later)
+	sched.Withdraw(1, later)
+	sched.Withdraw(2, later)
+	end := later.Add(maxUnknownTime)
+	sched.Enqueue(request(3, 1, end))
+	replies := sched.Decide(end)
+	require.Len(t, replies, 1)
+	require.Equal(t, wire.GrantIssued, replies[0].Code)
+}
+
 // Entries may learn from the store only later that the engine drains.
 func TestDrainingEngineGrantsNothing(t *testing.T) {
 	sched := schedulerWith(4, 1)
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -335,7 +335,8 @@
 // sends all of the engine's orders, so the token never passes to another holder.
 const fencingToken = 1
 
-// sendOrder sends one order and reports whether it was accepted.
+// sendOrder sends one order and reports whether it was accepted and the next one may
+// follow.
 func (o *Orderer) sendOrder(g grant.Order) bool {
 	result, err := o.Engine.Send(platform.Order{
 		Unload: g.Unload, Model: g.Weights.Model, Adapter: g.Weights.AdapterVersion,
@@ -349,6 +350,11 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if g.Unload && !g.Weights.AdapterVersion.IsZero() && result == platform.OrderAccepted {
+		// An adapter without runs is dropped at once, which is answered otherwise.
+		o.scheduler.Unloading(g, time.Now())
+		return false
+	}
 	o.scheduler.Accepted(g, time.Now())
 	return true
 }
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -37,6 +37,7 @@
 	reportDelay time.Duration   // delay of a report, which shows the state at its start
 	lostReplies int             // number of replies to lose
 	lateOrders  int             // number of orders to execute 3 s later without a reply
+	unloadTime  time.Duration   // time that unloads wait for runs to end; the adapter is held meanwhile
 	down        bool            // reports fail
 	draining    bool
 	notice      platform.TargetNotice // in the head of each report
@@ -132,6 +133,12 @@
 	switch {
 	case a == "":
 		e.model = true
+	case o.Unload && e.unloadTime > 0:
+		time.AfterFunc(e.unloadTime, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			delete(e.held, a)
+		})
 	case o.Unload:
 		delete(e.held, a)
 		e.unloaded = append(e.unloaded, a)
@@ -374,3 +381,25 @@
 		}
 	})
 }
+
+// Guards against LIMIT: an engine that answers an unload 202 holds the adapter until its
+// runs have ended. The place counted as free, and the next load overfilled the engine.
+func TestUnloadThatWaitsForRunsFreesNoPlaceYet(t *testing.T) {
+	testOrderer(t, func(t *testing.T, e *fakeEngine, entry func() *link.Conn) {
+		c := entry()
+		for _, a := range []ident.Adapter{"a1", "a2"} {
+			reply, s := requestGrant(t, c, a)
+			require.Equal(t, wire.GrantIssued, reply.Code)
+			s.Close()
+		}
+		e.mu.Lock()
+		e.unloadTime = 600 * time.Millisecond
+		e.mu.Unlock()
+		reply, s := requestGrant(t, c, "a3")
+		require.Equal(t, wire.GrantIssued, reply.Code)
+		s.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		require.Equal(t, 2, e.maxAdapters)
+	})
+}
