Soak: callers that state no number of output tokens, or too few

A third of the streams' callers state 0 or a quarter of their answer's length, so that planned stops meet forecasts that the callers' words don't support.

--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -81,6 +81,7 @@
 	Request
 	method, path string
 	stream       bool
+	statedTokens int // of output; some callers state none or too few
 	timeout      time.Duration
 	disconnects  bool
 }
@@ -102,6 +103,7 @@
 	}
 	if r.stream = r.path == draftPrefix || r.path == notePrefix; r.stream {
 		r.Service, r.Adapter, r.timeout = draftService, randomAdapter(c.random), streamTimeout
+		r.statedTokens = statedTokens[c.random.IntN(len(statedTokens))]
 		if part := c.d.deadlyPart.Load(); part != nil && c.random.Float64() < deadlyShare {
 			r.DeadlyPart = *part
 		}
@@ -109,6 +111,9 @@
 	return r
 }
 
+// statedTokens are the numbers of output tokens that callers state, each as often.
+var statedTokens = []int{0, streamLength / 4, streamLength, streamLength, streamLength, streamLength}
+
 // deadlyShare is the share of streams whose prompts have the deadly part, while there is one.
 const deadlyShare = 0.15
 
@@ -153,7 +158,8 @@
 	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(r.timeout.Milliseconds(), 10))
 	if r.stream {
 		req.Header.Set(platform.HeaderModel, string(model)+"/"+string(r.Adapter))
-		req.Header.Set(platform.HeaderTokenCount, "100,"+strconv.Itoa(streamLength))
+		req.Header.Set(platform.HeaderTokenCount, "100,"+strconv.Itoa(r.statedTokens))
+		req.Header.Set(standin.HeaderEvents, strconv.Itoa(streamLength))
 		req.Header.Set(platform.HeaderPromptParts, promptParts(c.number, r))
 	}
 	r.At = time.Now()
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -35,6 +35,10 @@
 	events         int // number of events of a stream; 0 for a plain response
 }
 
+// HeaderEvents is the number of events of a stream whose caller states no number of output
+// tokens, or a wrong one.
+const HeaderEvents = "X-Standin-Events"
+
 func readWorkerRequest(r *http.Request) workerRequest {
 	h := r.Header
 	req := workerRequest{
@@ -47,6 +51,9 @@
 	req.model, req.adapter = platform.ParseModel([]byte(h.Get(platform.HeaderModel)))
 	if _, output := platform.ParseTokenCount([]byte(h.Get(platform.HeaderTokenCount))); req.model != "" {
 		req.events = output
+		if n := parseNumber(h.Get(HeaderEvents)); n > 0 {
+			req.events = n
+		}
 	}
 	return req
 }
