A stopping gateway refuses no stream that would finish

Cause: the check before the first event took the same safety factor as the one before the send, where a refusal is free. Ruled out: no check; a first event that comes late in the grace would begin a stream that is cut. Change: before the first event the plain forecast decides, and nothing does while no length is known. Test: "answers that take half of the grace" in TestStoppingGatewayCutsNoStreamThatItTakes got 502 before.

--- a/pkg/gateway/forecast.go
+++ b/pkg/gateway/forecast.go
@@ -23,21 +23,23 @@
 func (x *exchange) forecastDuration() time.Duration {
 	route, objective := x.route.Name, x.route.Objective
 	if x.route.RetryPolicy == platform.RunStream {
-		return max(x.g.firstEvents.Bound(route, firstEventObjectives*objective), firstEventReserve) + x.forecastEvents()
+		events, known := x.forecastEvents()
+		if !known {
+			return x.route.Timeout // it lasts at most as long as its route allows
+		}
+		first := max(x.g.firstEvents.Bound(route, firstEventObjectives*objective), firstEventReserve)
+		return first + time.Duration(streamDurationFactor*float64(events))
 	}
 	bound := max(x.g.plainTimes.Bound(route, plainRequestObjectives*objective), objective)
 	deadline, _ := x.ctx.Deadline()
 	return min(time.Until(deadline), bound) + targetAnswerReserve
 }
 
-// forecastEvents forecasts how long a stream takes from its first event on. One of unknown
-// length lasts at most as long as its route allows.
-func (x *exchange) forecastEvents() time.Duration {
+// forecastEvents forecasts how long a stream takes from its first event on, if anything is
+// known of its length.
+func (x *exchange) forecastEvents() (time.Duration, bool) {
 	events, known := x.g.lengths.Bound(x.route.Name, x.statedEvents())
-	if !known {
-		return x.route.Timeout
-	}
-	return time.Duration(streamDurationFactor * float64(x.g.eventInterval.forecast(int(math.Ceil(events)))))
+	return x.g.eventInterval.forecast(int(math.Ceil(events))), known
 }
 
 // statedEvents returns the number of events that hold the stated number of output tokens,
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -233,11 +233,12 @@
 func (x *exchange) endSend() { x.phase.CompareAndSwap(phaseSent, phaseWaiting) }
 
 // beginStream reports whether the response may begin: it has to be complete when the
-// process exits.
+// process exits. No margin is added to the forecast, since a refusal wastes a run by now.
 func (x *exchange) beginStream() bool {
-	s := x.g.stop.schedule.Load()
-	if s != nil && x.g.stop.unready(time.Now()) && time.Now().Add(x.forecastEvents()).After(s.exit) {
-		return false
+	if s := x.g.stop.schedule.Load(); s != nil && x.g.stop.unready(time.Now()) {
+		if left, known := x.forecastEvents(); known && time.Now().Add(left).After(s.exit) {
+			return false
+		}
 	}
 	return x.phase.CompareAndSwap(phaseSent, phaseStreaming) || x.phase.Load() == phaseStreaming
 }
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -253,6 +253,7 @@
 		{"short answers", request("X-Token-Count: 500,8\r\n"), 8, 20 * time.Millisecond, 5 * time.Second},
 		{"short answers that wait for a grant", request("X-Token-Count: 500,8\r\n"), 8, 1500 * time.Millisecond, 3500 * time.Millisecond},
 		{"long answers that wait for a grant", request("X-Token-Count: 500,57\r\n"), 57, 1500 * time.Millisecond, 500 * time.Millisecond},
+		{"answers that take half of the grace", request("X-Token-Count: 500,100\r\n"), 100, 20 * time.Millisecond, 2400 * time.Millisecond},
 		{"long answers of unstated length", request("X-Token-Count: 500,0\r\n"), 57, 20 * time.Millisecond, 2 * time.Second},
 		{"long answers without a token count", request(""), 57, 20 * time.Millisecond, 2 * time.Second},
 		{"answers longer than stated", request("X-Token-Count: 500,8\r\n"), 57, 20 * time.Millisecond, 2 * time.Second},
