The end of a wait ends no request that was sent meanwhile

Seen in a reading of the code: between the check that a waiting request has run out of time and its end, the request may be sent in time; it was then ended as a sent one, and its caller got a 502. Cause: the end looked at the phase again instead of that for which the time had been checked. Change: a request is ended only in the phase that was due. Tests: TestStopEndsARequestOnlyInThePhaseThatIsDue; TestStoppingGatewayBeginsNoStreamThatItWouldCut covers the check before the first event, which no test did.

--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -157,8 +157,9 @@
 // endOverdue ends the requests that have run out of time.
 func (g *Gateway) endOverdue(now time.Time) {
 	for _, x := range g.conns.exchanges() {
-		if due, stopping := x.stopDue(); stopping && !now.Before(due) {
-			x.endForStop()
+		p := x.phase.Load()
+		if due, stopping := x.stopDue(p); stopping && !now.Before(due) {
+			x.endForStop(p)
 		}
 	}
 }
@@ -173,15 +174,15 @@
 	phaseEnded                  // the stop of the process has ended it
 )
 
-// stopDue returns when the stop of the process ends the request, if the process is
-// stopping. A request that no target has is refused as long as that is true and in time;
+// stopDue returns when the stop of the process ends the request in a phase, if the process
+// is stopping. A request that no target has is refused as long as that is true and in time;
 // one that was sent is answered at the end; a stream may go on until the process exits.
-func (x *exchange) stopDue() (time.Time, bool) {
+func (x *exchange) stopDue(p phase) (time.Time, bool) {
 	s := x.g.stop.schedule.Load()
 	if s == nil {
 		return time.Time{}, false
 	}
-	switch x.phase.Load() {
+	switch p {
 	case phaseStreaming:
 		return s.exit, true
 	case phaseSent:
@@ -197,7 +198,7 @@
 // untilStop returns how long the request may still wait for a target before the stop of
 // the process ends it.
 func (x *exchange) untilStop() time.Duration {
-	due, stopping := x.stopDue()
+	due, stopping := x.stopDue(x.phase.Load())
 	if !stopping {
 		return math.MaxInt64
 	}
@@ -212,12 +213,11 @@
 	return x.phase.Load() == phaseEnded || context.Cause(x.ctx) == errStopping
 }
 
-// endForStop ends the request, in whatever it is waiting for.
-func (x *exchange) endForStop() {
-	if !x.phase.CompareAndSwap(phaseWaiting, phaseEnded) {
-		x.phase.CompareAndSwap(phaseSent, phaseEnded)
+// endForStop ends the request, in whatever it is waiting for, unless it has left the phase.
+func (x *exchange) endForStop(p phase) {
+	if p == phaseStreaming || x.phase.CompareAndSwap(p, phaseEnded) {
+		x.cancel(errStopping)
 	}
-	x.cancel(errStopping)
 }
 
 // beginSend reports whether the request may be sent to a target. Once it has begun, a
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -316,3 +316,36 @@
 		})
 	}
 }
+
+// Guards against LOST: the first event of a stream that was sent in time came so late that
+// the rest would be cut. Its caller gets a whole response that promises nothing instead.
+func TestStoppingGatewayBeginsNoStreamThatItWouldCut(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.repeat(respondStream(4200*time.Millisecond, 35*time.Millisecond, 57))
+		raw := patient(rawRequest("POST", "/once-stream/x", "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "X-Token-Count: 500,57\r\n"))
+		answers, _ := h.playStop(stopCalls(raw, every(100*time.Millisecond, 2*time.Second, 2400*time.Millisecond)...))
+		require.Len(t, answers, 5)
+		for _, a := range answers {
+			require.NoError(t, a.err, "sent %s after SIGTERM, status %d, ended %s after it", a.after, a.status, a.ended)
+			require.Equal(t, 502, a.status)
+		}
+	})
+}
+
+// A request that was sent between the check of its time and its end is not ended as one
+// that waits.
+func TestStopEndsARequestOnlyInThePhaseThatIsDue(t *testing.T) {
+	for _, test := range []struct {
+		due, now phase
+		ended    bool
+	}{
+		{phaseWaiting, phaseWaiting, true}, {phaseWaiting, phaseSent, false}, {phaseWaiting, phaseStreaming, false},
+		{phaseSent, phaseSent, true}, {phaseSent, phaseStreaming, false}, {phaseStreaming, phaseStreaming, true},
+	} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		x := &exchange{ctx: ctx, cancel: cancel}
+		x.phase.Store(test.now)
+		x.endForStop(test.due)
+		require.Equal(t, test.ended, x.stopped(), "due in phase %d, now in %d", test.due, test.now)
+	}
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -98,7 +98,7 @@
 			x.events += events
 			if !x.streamStarted && !x.beginStream() {
 				res.Close()
-				x.endForStop()
+				x.endForStop(phaseSent)
 				return outcomeUnknown
 			}
 			if !x.forwardEvents(res, pending[:complete]) {
