--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -317,6 +318,46 @@
 	}
 }
 
+// A request whose head is still being read when the stop ends its requests is either read
+// whole and answered, or not read at all, and doesn't hold up the exit.
+func TestStopAnswersOrLeavesRequestsHalfRead(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		h.listener = l
+		go h.accept(l)
+		raw := rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n")
+		term := time.Now()
+		var answered, left atomic.Int32
+		var group sync.WaitGroup
+		h.repeat(func(net.Conn, receivedRequest) bool { time.Sleep(time.Minute); return false })
+		group.Go(func() { require.Equal(t, 502, h.send(patient(raw)).StatusCode) }) // the stop waits for it
+		for _, rest := range every(50*time.Millisecond, 7100*time.Millisecond, 8*time.Second) {
+			c, err := l.dial()
+			require.NoError(t, err)
+			group.Go(func() {
+				defer c.Close()
+				time.Sleep(7 * time.Second)
+				_, err := io.WriteString(c, raw[:20])
+				require.NoError(t, err)
+				time.Sleep(time.Until(term.Add(rest)))
+				if _, err := io.WriteString(c, raw[20:]); err != nil {
+					left.Add(1)
+					return
+				}
+				res, err := http.ReadResponse(bufio.NewReader(c), nil)
+				require.NoError(t, err, "the rest was sent %s after SIGTERM", rest)
+				require.Equal(t, 503, res.StatusCode)
+				answered.Add(1)
+			})
+		}
+		require.NoError(t, h.Stop(t.Context()))
+		require.Less(t, time.Since(term), 7500*time.Millisecond)
+		group.Wait()
+		require.Positive(t, answered.Load())
+		require.Positive(t, left.Load())
+	})
+}
+
 // Guards against LOST: the first event of a stream that was sent in time came so late that
 // the rest would be cut. Its caller gets a whole response that promises nothing instead.
 func TestStoppingGatewayBeginsNoStreamThatItWouldCut(t *testing.T) {
