--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -54,7 +54,7 @@
 	// configuration is the configuration that the request is served by.
 	configuration *platform.Configuration
 
-	phase       atomic.Uint32
+	phase       atomic.Uint32 // one of the phases; the stop of the process ends some
 	sends, runs int
 	excluded    []ident.Target
 	// reserved is an assignment that was acquired while another target stalled.
