--- a/pkg/gateway/agents.go
+++ b/pkg/gateway/agents.go
@@ -28,6 +28,8 @@
 
 	mu         sync.Mutex
 	sentSetups map[*link.Conn]setupID
+	// established holds the links over which setups were sent, by the target's address.
+	established map[string]establishedLink
 	// backoffUntil maps an unresponsive agent's address to the time of its next
 	// attempt.
 	backoffUntil map[string]time.Time
@@ -39,8 +41,14 @@
 	instance      ident.Target
 }
 
+// establishedLink is a link with the newest setup that was sent over it.
+type establishedLink struct {
+	conn  *link.Conn
+	setup setupID
+}
+
 func newAgentLinks(self link.Identity, port int, greet func(*link.Conn, fleet.Target), handlers link.Handlers) *agentLinks {
-	return &agentLinks{pool: link.NewPool(self, handlers), port: port, greet: greet, sentSetups: make(map[*link.Conn]setupID), backoffUntil: make(map[string]time.Time)}
+	return &agentLinks{pool: link.NewPool(self, handlers), port: port, greet: greet, sentSetups: make(map[*link.Conn]setupID), established: make(map[string]establishedLink), backoffUntil: make(map[string]time.Time)}
 }
 
 // agentBackoff is how long no request is sent to an agent that did not answer, so
@@ -52,6 +60,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.backoffUntil[agentAddress(t, a.port)] = time.Now().Add(agentBackoff)
+	delete(a.established, t.Address)
 }
 
 // conn returns the link to the target's agent. It returns a Timeout error while the
@@ -80,17 +89,22 @@
 // connWithSetup returns the link to the target's agent. It first sends the engine's
 // setup, unless that was sent over this link before.
 func (a *agentLinks) connWithSetup(ctx context.Context, t fleet.Target, c *platform.Configuration, s platform.Service) (*link.Conn, error) {
+	current := setupID{configuration: c.Version, instance: t.Instance}
+	if conn := a.establishedTo(t, current); conn != nil {
+		return conn, nil
+	}
 	conn, err := a.conn(ctx, t)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	current := setupID{configuration: c.Version, instance: t.Instance}
 	a.mu.Lock()
-	sent := a.sentSetups[conn] == current
-	if !sent {
-		a.sentSetups[conn] = current
-		a.removeClosed()
+	before, known := a.sentSetups[conn]
+	sent := before == current
+	if !known {
+		a.removeClosed() // the new link may replace one
 	}
+	a.sentSetups[conn] = current
+	a.established[t.Address] = establishedLink{conn, current}
 	a.mu.Unlock()
 	if sent {
 		return conn, nil
@@ -109,15 +123,38 @@
 	return conn, nil
 }
 
+// establishedTo returns the open link to the target's agent over which the setup was sent,
+// or nil. Each request and each round of maintenance asks for it.
+func (a *agentLinks) establishedTo(t fleet.Target, setup setupID) *link.Conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e, ok := a.established[t.Address]; ok && e.setup == setup && !isClosed(e.conn) {
+		return e.conn
+	}
+	return nil
+}
+
 // removeClosed removes the links that are closed.
 func (a *agentLinks) removeClosed() {
 	for conn := range a.sentSetups {
-		select {
-		case <-conn.Done():
+		if isClosed(conn) {
 			delete(a.sentSetups, conn)
-		default:
 		}
 	}
+	for address, e := range a.established {
+		if isClosed(e.conn) {
+			delete(a.established, address)
+		}
+	}
+}
+
+func isClosed(c *link.Conn) bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
 }
 
 func engineSetup(t fleet.Target, c *platform.Configuration, s platform.Service) wire.EngineSetup {
