--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -150,7 +150,7 @@
 		x.sends++
 		o := x.sendOnce(assigned)
 		assigned.release()
-		x.g.metrics.outcomes[o].Inc(1)
+		x.logSendEnd(assigned, o)
 		if o == outcomeDelivered {
 			return !x.callerDisconnected()
 		}
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -120,6 +120,13 @@
 		"limited", limited, "limit", limit.PerSecond, "limit-age", limit.Age(now))
 }
 
+// logSendEnd counts and logs how a send ended: with a later "sending" row of the same
+// request, what the gateway knew of the target before it went on.
+func (x *exchange) logSendEnd(a *assignment, o outcome) {
+	x.g.metrics.outcomes[o].Inc(1)
+	x.g.Debug("msg", "send ended", "request", x.q.attempt, "target", a.target.Instance, "outcome", o, "step", x.last.step, "err", x.last.err, "last-event", x.lastEvent, "after", time.Since(x.began))
+}
+
 // begin records the step that is taken next.
 func (x *exchange) begin(a *assignment, step string) {
 	x.last = attemptStep{target: a.target.Instance, step: step}
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -50,6 +50,8 @@
 	KindTargetNotice
 	KindPermitRequest
 	KindPermitReply
+	KindRunQuery
+	KindRunReply
 	kindLimit
 )
 
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -o grant_schema_gen.go -tests=false -io=false
 
-//msgp:tuple EngineSetup ModelSetup GrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport TargetNotice PermitRequest PermitReply
+//msgp:tuple EngineSetup ModelSetup GrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport TargetNotice PermitRequest PermitReply RunQuery RunReply
 
 // EngineSetup tells the agent beside an engine what the engine serves and how
 // much it holds. For the same instance, a setup from an older configuration
@@ -151,3 +151,14 @@
 	// LinkedEntries is the number of entries linked to the agent.
 	LinkedEntries int
 }
+
+// RunQuery asks the agent beside an engine whether the engine runs a request.
+type RunQuery struct {
+	Attempt ident.Attempt
+}
+
+// RunReply answers a RunQuery.
+type RunReply struct {
+	Known   bool // the engine has just listed the requests that it runs
+	Running bool // the request is one of them
+}
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -756,6 +756,88 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RunQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o, err = z.Attempt.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	bts, err = z.Attempt.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RunQuery) Msgsize() (s int) {
+	s = 1 + z.Attempt.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RunReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBool(o, z.Known)
+	o = msgp.AppendBool(o, z.Running)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Known, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	z.Running, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RunReply) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *TargetNotice) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
