Reproduce a stream at two engines at once

A stream goes on at another engine while the one before, which notices late that its connection is closed, still runs it.

With real processes: a fault target-ends-runs-late (streams stall, and run on for 3 s after their connection is closed), the guarantee one-engine-at-a-time with the rule's 400 ms and the usual margin, and ONLY= to inject one kind of fault. The links' proxies now pass the end of one direction on alone; before, they closed both and hid the fault.

--- a/Makefile
+++ b/Makefile
@@ -62,9 +62,9 @@
 
 # The users' platform's programs as real processes on stand-ins under random
 # faults, against an oracle: make soak SEED=2 TIME=60s, PLANNED=1 for planned
-# operations only.
+# operations only, ONLY=target-ends-runs-late for one kind of fault.
 soak: build
-	SEED=$(SEED) TIME=$(TIME) PLANNED=$(PLANNED) scripts/soak.sh
+	SEED=$(SEED) TIME=$(TIME) PLANNED=$(PLANNED) ONLY=$(ONLY) scripts/soak.sh
 
 # The time from an accepted change to its being in force on every process.
 rollout: build
--- a/pkg/bench/soak.go
+++ b/pkg/bench/soak.go
@@ -19,6 +19,7 @@
 	fs.StringVar(&s.Dir, "dir", "build/soak", "directory for settings files and process ids")
 	fs.Uint64Var(&s.Seed, "seed", 1, "random seed of the faults and the load")
 	fs.DurationVar(&s.FaultTime, "time", time.Minute, "duration of fault injection")
+	fs.StringVar((*string)(&s.Only), "only", "", "the one kind of fault to inject; all kinds if empty")
 	fs.BoolVar(&s.Planned, "planned", false, "planned work only, during which no response may be cut off")
 	fs.IntVar(&s.Gateways, "gateways", 3, "entries")
 	fs.IntVar(&s.Engines, "engines", 4, "engines, each with a process beside it")
--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -23,6 +23,8 @@
 	grant func(address string, r wire.GrantRequest) wire.GrantReply
 	// lost is called for each request that is reported as lost, if it is set.
 	lost func(c *link.Conn, address string, r wire.RequestLost)
+	// runs answers whether the engine of an agent runs a request. Without it none does.
+	runs func(address string) wire.RunReply
 
 	mu       sync.Mutex
 	links    []*link.Conn
@@ -63,6 +65,16 @@
 				}
 				return err
 			},
+			link.KindRunQuery: func(_ context.Context, s *link.Stream, _ link.Frame) error {
+				if err := s.Conn().Ping(); err != nil {
+					return err
+				}
+				reply := wire.RunReply{Known: true}
+				if h.runs != nil {
+					reply = h.runs(address)
+				}
+				return s.Send(link.KindRunReply, &reply)
+			},
 		})
 		if err == nil {
 			h.mu.Lock()
--- /dev/null
+++ b/pkg/gateway/leave_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+)
+
+// duplexConn is one end of a connection whose directions end separately, as those of TCP.
+type duplexConn struct {
+	net.Conn          // that it reads from
+	out      net.Conn // that it writes to
+}
+
+func newDuplex() (near, far duplexConn) {
+	nearIn, farOut := net.Pipe()
+	farIn, nearOut := net.Pipe()
+	return duplexConn{nearIn, nearOut}, duplexConn{farIn, farOut}
+}
+
+func (c duplexConn) Write(b []byte) (int, error)        { return c.out.Write(b) }
+func (c duplexConn) SetWriteDeadline(t time.Time) error { return c.out.SetWriteDeadline(t) }
+func (c duplexConn) CloseWrite() error                  { return c.out.Close() }
+func (c duplexConn) SetDeadline(t time.Time) error {
+	_ = c.out.SetDeadline(t)
+	return c.Conn.SetDeadline(t)
+}
+
+func (c duplexConn) Close() error {
+	_ = c.out.Close()
+	return c.Conn.Close()
+}
+
+// dialDuplex makes the connections to targets end in each direction separately.
+func (h *harness) dialDuplex(_ context.Context, address string) (net.Conn, error) {
+	near, far := newDuplex()
+	h.mu.Lock()
+	h.conns = append(h.conns, far)
+	h.mu.Unlock()
+	go h.serveTarget(far, address)
+	return near, nil
+}
+
+// runAt is the run of a request at an engine that does not notice at once that its
+// connection is closed.
+type runAt struct {
+	address string
+	end     time.Time
+}
+
+// lateEngine returns a reply that writes a part of a response and works on for a while
+// afterwards. If closes is set, it closes the connection at the end of its work.
+func lateEngine(run *runAt, part string, work time.Duration, closes bool) reply {
+	return func(w net.Conn, call receivedRequest) bool {
+		run.address, run.end = call.Address, time.Now().Add(work)
+		_, _ = io.WriteString(w, part)
+		time.Sleep(work)
+		if !closes {
+			time.Sleep(30 * time.Second)
+		}
+		return false
+	}
+}
+
+// Incident: a request goes on at another engine while the one before still works on it. An
+// engine may notice late that its connection is closed: a busy process, a request in its
+// queue or in prefill, a connection that is silent for good.
+func TestRequestGoesOnOnceItsEngineHasEnded(t *testing.T) {
+	const latest = 150 * time.Millisecond // after the end of the run
+	for _, test := range []struct {
+		name, part string
+		work       time.Duration
+		closes     bool
+		rest       string
+	}{
+		{"no event", "", 1500 * time.Millisecond, true, events(1, 4)},
+		{"no event, on a silent connection", "", 1500 * time.Millisecond, false, events(1, 4)},
+		{"a head without an event", streamHead, 1500 * time.Millisecond, true, events(1, 4)},
+		{"a stalled stream", streamHead + chunk(events(1, 2)), 2500 * time.Millisecond, true, events(3, 4)},
+		{"a stalled stream on a silent connection", streamHead + chunk(events(1, 2)), 2500 * time.Millisecond, false, events(3, 4)},
+		{"a malformed stream", streamHead + chunk(events(1, 2)) + "zz\r\n", 900 * time.Millisecond, true, events(3, 4)},
+		{"a malformed head", "error\r\n\r\n", 900 * time.Millisecond, true, events(1, 4)},
+		{"a response to another request", strings.Replace(streamHead, "a-1", "a-0", 1), 900 * time.Millisecond, false, events(1, 4)},
+		{"a success without a signature", strings.Replace(streamHead, "X-Server-Stamp: stamp\r\n", "", 1), 900 * time.Millisecond, true, events(1, 4)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+				h.pool.Dial = h.dialDuplex
+				var run runAt
+				var next time.Time
+				h.runs = func(address string) wire.RunReply {
+					return wire.RunReply{Known: true, Running: address == agentAddressOf(run.address) && time.Now().Before(run.end)}
+				}
+				h.script(lateEngine(&run, test.part, test.work, test.closes), func(w net.Conn, _ receivedRequest) bool {
+					next = time.Now()
+					_, _ = io.WriteString(w, streamHead+chunk(test.rest)+"0\r\n\r\n")
+					return true
+				})
+				res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+				require.Equal(t, events(1, 4), body(t, res))
+				require.Len(t, h.receivedRequests(), 2)
+				require.False(t, next.Before(run.end), "it went on %s before the end of its run", run.end.Sub(next))
+				require.LessOrEqual(t, next.Sub(run.end), latest)
+			})
+		})
+	}
+}
+
+// agentAddressOf returns the address of the agent beside a target.
+func agentAddressOf(target string) string {
+	host, _, _ := net.SplitHostPort(target)
+	return net.JoinHostPort(host, "7380")
+}
--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -32,7 +32,9 @@
 	FaultTime time.Duration // time with faults; a period without faults follows
 	// Planned restricts the faults to planned operations, which may not interrupt
 	// any request.
-	Planned                         bool
+	Planned bool
+	// Only restricts the faults to one kind, unless it is empty.
+	Only                            FaultKind
 	Gateways, Engines, PlainTargets int
 	Clients                         int
 	// SecondOctet is the second octet of the loopback addresses. Runs with different
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -21,46 +21,49 @@
 // fault is one kind of fault. begin injects it and returns the function that ends
 // it, or nil if there is nothing to end.
 type fault struct {
-	kind        FaultKind
-	planned     bool
+	kind    FaultKind
+	planned bool
+	// isolates says that processes may not run, or not reach targets, while the fault acts.
+	isolates    bool
 	maxDuration time.Duration // exact duration if planned
 	begin       func(d *deployment, random *rand.Rand) (end func() error, err error)
 }
 
 // faults lists the kinds in a fixed order, so that a seed always picks the same.
 var faults = []fault{
-	{"process-killed", false, 0, signalFault(syscall.SIGKILL, 0)},
-	{"process-paused", false, 5 * time.Second, signalFault(syscall.SIGSTOP, syscall.SIGCONT)},
-	{"process-stopped", true, 0, signalFault(syscall.SIGTERM, 0)},
-	{"settings-signal", true, 0, signalFault(syscall.SIGHUP, 0)},
-	{"all-killed", false, 0, killAll},
-	{"process-link-cut", false, 4 * time.Second, processLinkFault(standin.LinkCut)},
-	{"process-link-silent", false, 4 * time.Second, processLinkFault(standin.LinkStall)},
-	{"process-link-one-way", false, 4 * time.Second, processLinkFault(standin.LinkOneWay)},
-	{"process-link-slow", false, 4 * time.Second, processLinkFault(standin.LinkDelay)},
-	{"process-link-reset", false, 0, resetProcessLinks},
-	{"target-link-cut", false, 4 * time.Second, targetLinkFault(standin.LinkCut)},
-	{"target-link-silent", false, 4 * time.Second, targetLinkFault(standin.LinkStall)},
-	{"target-link-one-way", false, 4 * time.Second, targetLinkFault(standin.LinkOneWay)},
-	{"target-link-reset", false, 0, resetTargetLink},
-	{"store-down", false, 5 * time.Second, storeFault(standin.ObjectFaults{Outage: true})},
-	{"store-slow", false, 5 * time.Second, storeFault(standin.ObjectFaults{DelayMS: 250})},
-	{"store-forgets", false, 0, discardHistory},
-	{"store-restored", false, 0, restoreStore},
-	{"target-crashes", false, 2 * time.Second, crashTarget},
-	{"prompt-part-ends-targets", false, 8 * time.Second, deadlyPromptPart},
-	{"target-fails", false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
-	{"target-cuts-answers", false, 4 * time.Second, targetFault(standin.WorkerFaults{TruncateShare: 0.3})},
-	{"target-mute", false, 4 * time.Second, targetFault(standin.WorkerFaults{NoResponseShare: 0.3})},
-	{"target-states-limit", true, 10 * time.Second, limitTarget},
-	{"target-sheds", false, 4 * time.Second, targetFault(standin.WorkerFaults{ShedShare: 0.4})},
-	{"target-answers-twice", false, 4 * time.Second, targetFault(standin.WorkerFaults{DuplicateShare: 0.3})},
-	{"target-answers-late-twice", false, 4 * time.Second, targetFault(standin.WorkerFaults{LateCopyShare: 0.3})},
-	{"target-sends-without-end", false, 3 * time.Second, targetFault(standin.WorkerFaults{EndlessShare: 0.15})},
-	{"target-clock-jumps", false, 6 * time.Second, jumpTargetClock},
-	{"target-replaced", true, 4500 * time.Millisecond, replaceTarget},
-	{"configuration-changes", true, 0, changeConfiguration},
-	{"version-announced", true, 0, announceVersion},
+	{"process-killed", false, true, 0, signalFault(syscall.SIGKILL, 0)},
+	{"process-paused", false, true, 5 * time.Second, signalFault(syscall.SIGSTOP, syscall.SIGCONT)},
+	{"process-stopped", true, true, 0, signalFault(syscall.SIGTERM, 0)},
+	{"settings-signal", true, false, 0, signalFault(syscall.SIGHUP, 0)},
+	{"all-killed", false, true, 0, killAll},
+	{"process-link-cut", false, true, 4 * time.Second, processLinkFault(standin.LinkCut)},
+	{"process-link-silent", false, true, 4 * time.Second, processLinkFault(standin.LinkStall)},
+	{"process-link-one-way", false, true, 4 * time.Second, processLinkFault(standin.LinkOneWay)},
+	{"process-link-slow", false, true, 4 * time.Second, processLinkFault(standin.LinkDelay)},
+	{"process-link-reset", false, true, 0, resetProcessLinks},
+	{"target-link-cut", false, true, 4 * time.Second, targetLinkFault(standin.LinkCut)},
+	{"target-link-silent", false, true, 4 * time.Second, targetLinkFault(standin.LinkStall)},
+	{"target-link-one-way", false, true, 4 * time.Second, targetLinkFault(standin.LinkOneWay)},
+	{"target-link-reset", false, true, 0, resetTargetLink},
+	{"store-down", false, false, 5 * time.Second, storeFault(standin.ObjectFaults{Outage: true})},
+	{"store-slow", false, false, 5 * time.Second, storeFault(standin.ObjectFaults{DelayMS: 250})},
+	{"store-forgets", false, false, 0, discardHistory},
+	{"store-restored", false, false, 0, restoreStore},
+	{"target-crashes", false, false, 2 * time.Second, crashTarget},
+	{"prompt-part-ends-targets", false, false, 8 * time.Second, deadlyPromptPart},
+	{"target-fails", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
+	{"target-cuts-answers", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{TruncateShare: 0.3})},
+	{"target-mute", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{NoResponseShare: 0.3})},
+	{"target-states-limit", true, false, 10 * time.Second, limitTarget},
+	{"target-sheds", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{ShedShare: 0.4})},
+	{"target-answers-twice", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{DuplicateShare: 0.3})},
+	{"target-answers-late-twice", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{LateCopyShare: 0.3})},
+	{"target-sends-without-end", false, false, 3 * time.Second, targetFault(standin.WorkerFaults{EndlessShare: 0.15})},
+	{"target-ends-runs-late", false, false, 6 * time.Second, targetFault(standin.WorkerFaults{LateEndShare: 0.4})},
+	{"target-clock-jumps", false, false, 6 * time.Second, jumpTargetClock},
+	{"target-replaced", true, false, 4500 * time.Millisecond, replaceTarget},
+	{"configuration-changes", true, false, 0, changeConfiguration},
+	{"version-announced", true, false, 0, announceVersion},
 }
 
 func randomProcess(d *deployment, random *rand.Rand) *process {
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -18,21 +18,22 @@
 
 // Guarantees that a run checks.
 const (
-	GuaranteeCompleteAnswer Guarantee = "whole-answer"       // a successful response is the target's complete response to this request
-	GuaranteeAtMostOnce     Guarantee = "at-most-once"       // a non-idempotent request runs at most once
-	GuaranteeNotRun         Guarantee = "not-run-is-true"    // a refused request does not run
-	GuaranteeAdapter        Guarantee = "named-adapter"      // a request runs on the adapter that it named
-	GuaranteeVersion        Guarantee = "newest-version"     // a request does not run on a version replaced more than versionGrace ago
-	GuaranteePinned         Guarantee = "pinned-adapter"     // an adapter in use is not unloaded
-	GuaranteeAdapterSlots   Guarantee = "adapter-places"     // an engine is not ordered to hold more adapters than it has slots
-	GuaranteeSoleHolder     Guarantee = "sole-holder"        // only one process sends orders to an engine
-	GuaranteeDraining       Guarantee = "leaving-target"     // a draining target gets no new requests
-	GuaranteeService        Guarantee = "routed-service"     // a request runs on a service of its route
-	GuaranteePlannedStop    Guarantee = "planned-stop"       // a planned stop interrupts no request
-	GuaranteeRecovery       Guarantee = "serves-after-fault" // most requests are served once all faults have ended
-	GuaranteeCrashes        Guarantee = "crashing-part"      // requests that end engines are stopped
-	GuaranteeLimit          Guarantee = "stated-limit"       // a target gets no more requests than the rate limit that it states allows
-	GuaranteeRoutes         Guarantee = "configuration"      // all gateways serve a new route and keep serving it
+	GuaranteeCompleteAnswer Guarantee = "whole-answer"         // a successful response is the target's complete response to this request
+	GuaranteeAtMostOnce     Guarantee = "at-most-once"         // a non-idempotent request runs at most once
+	GuaranteeNotRun         Guarantee = "not-run-is-true"      // a refused request does not run
+	GuaranteeAdapter        Guarantee = "named-adapter"        // a request runs on the adapter that it named
+	GuaranteeVersion        Guarantee = "newest-version"       // a request does not run on a version replaced more than versionGrace ago
+	GuaranteePinned         Guarantee = "pinned-adapter"       // an adapter in use is not unloaded
+	GuaranteeAdapterSlots   Guarantee = "adapter-places"       // an engine is not ordered to hold more adapters than it has slots
+	GuaranteeSoleHolder     Guarantee = "sole-holder"          // only one process sends orders to an engine
+	GuaranteeDraining       Guarantee = "leaving-target"       // a draining target gets no new requests
+	GuaranteeService        Guarantee = "routed-service"       // a request runs on a service of its route
+	GuaranteePlannedStop    Guarantee = "planned-stop"         // a planned stop interrupts no request
+	GuaranteeRecovery       Guarantee = "serves-after-fault"   // most requests are served once all faults have ended
+	GuaranteeCrashes        Guarantee = "crashing-part"        // requests that end engines are stopped
+	GuaranteeLimit          Guarantee = "stated-limit"         // a target gets no more requests than the rate limit that it states allows
+	GuaranteeOneEngine      Guarantee = "one-engine-at-a-time" // a stream goes on at another engine only once the one before has ended it
+	GuaranteeRoutes         Guarantee = "configuration"        // all gateways serve a new route and keep serving it
 )
 
 // Violation is one violation of a guarantee.
@@ -51,6 +52,9 @@
 	// still get new requests after it announces that it is draining.
 	versionGrace = 5 * time.Second
 	drainGrace   = 2 * time.Second
+	// endGrace is how long the platform's rules let an engine work on a request after it
+	// has gone on at another one.
+	endGrace = 400 * time.Millisecond
 	// schedulingMargin allows for scheduling delays of real processes on a busy machine.
 	schedulingMargin = time.Second
 	// recoveryGrace is the time after the end of a fault until the timed guarantees
@@ -78,7 +82,16 @@
 }
 
 // faultInterval is the time during which a fault acts. to is zero until it ends.
-type faultInterval struct{ from, to time.Time }
+type faultInterval struct {
+	from, to time.Time
+	isolates bool // processes may not run, or not reach targets
+}
+
+// run is a run of a request at a target. end is zero until it ends.
+type run struct {
+	standin.WorkerEvent
+	end time.Time
+}
 
 // Oracle collects what callers and targets observe. It reads no clock: all times
 // come with the events.
@@ -86,7 +99,7 @@
 	mu         sync.Mutex
 	requests   map[ident.Attempt]Request
 	answers    map[ident.Attempt]Answer
-	runs       map[ident.Attempt][]standin.WorkerEvent
+	runs       map[ident.Attempt][]*run
 	holders    map[ident.Target]ident.VM
 	versions   map[ident.Adapter][]announcement
 	crashes    map[ident.PromptPart][]time.Time // ends of targets under each part, in order
@@ -111,7 +124,7 @@
 // NewOracle returns an oracle without events.
 func NewOracle() *Oracle {
 	return &Oracle{
-		requests: make(map[ident.Attempt]Request), answers: make(map[ident.Attempt]Answer), runs: make(map[ident.Attempt][]standin.WorkerEvent),
+		requests: make(map[ident.Attempt]Request), answers: make(map[ident.Attempt]Answer), runs: make(map[ident.Attempt][]*run),
 		holders: make(map[ident.Target]ident.VM), versions: make(map[ident.Adapter][]announcement), draining: make(map[ident.Target]time.Time), crashes: make(map[ident.PromptPart][]time.Time),
 		limited: make(map[statedLimit][]time.Time),
 	}
@@ -146,11 +159,11 @@
 }
 
 // RecordFault records the start of a fault and returns a function that records
-// its end.
-func (o *Oracle) RecordFault(at time.Time) (end func(time.Time)) {
+// its end. isolates says that processes may not run, or not reach targets, meanwhile.
+func (o *Oracle) RecordFault(at time.Time, isolates bool) (end func(time.Time)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	f := &faultInterval{from: at}
+	f := &faultInterval{from: at, isolates: isolates}
 	o.faults = append(o.faults, f)
 	return func(at time.Time) {
 		o.mu.Lock()
@@ -176,7 +189,13 @@
 	}
 	switch e.Kind {
 	case standin.WorkerRan:
-		o.runs[e.Attempt] = append(o.runs[e.Attempt], e)
+		o.runs[e.Attempt] = append(o.runs[e.Attempt], &run{WorkerEvent: e})
+	case standin.WorkerEnded:
+		for _, r := range o.runs[e.Attempt] {
+			if r.Instance == e.Instance && r.end.IsZero() {
+				r.end = e.At
+			}
+		}
 	case standin.WorkerCrashed:
 		part := o.requests[e.Attempt].DeadlyPart
 		o.crashes[part] = append(o.crashes[part], e.At)
@@ -264,8 +283,8 @@
 	return nil
 }
 
-func (o *Oracle) checkRuns(r Request, runs []standin.WorkerEvent) []Violation {
-	var out []Violation
+func (o *Oracle) checkRuns(r Request, runs []*run) []Violation {
+	out := o.checkOverlaps(r, runs)
 	if !r.Idempotent && len(runs) > 1 {
 		out = append(out, Violation{GuaranteeAtMostOnce, r.Attempt, fmt.Sprintf("ran %d times", len(runs))})
 	}
@@ -288,6 +307,22 @@
 	return out
 }
 
+// checkOverlaps checks that an engine has ended a stream when it goes on at another one.
+func (o *Oracle) checkOverlaps(r Request, runs []*run) []Violation {
+	if r.Adapter == "" {
+		return nil // a plain request
+	}
+	var out []Violation
+	for i := 1; i < len(runs); i++ {
+		before, next := runs[i-1], runs[i]
+		late := next.At.Add(endGrace + schedulingMargin)
+		if (before.end.IsZero() || before.end.After(late)) && !o.isolated(next.At, late) {
+			out = append(out, Violation{GuaranteeOneEngine, r.Attempt, fmt.Sprintf("ran at %s from %s until %s, and at %s from %s on", before.Instance, before.At.Format(time.StampMilli), before.end.Format(time.StampMilli), next.Instance, next.At.Format(time.StampMilli))})
+		}
+	}
+	return out
+}
+
 func (o *Oracle) checkAnswer(r Request, a Answer, planned bool) []Violation {
 	runs := o.runs[r.Attempt]
 	var out []Violation
@@ -318,6 +353,17 @@
 	return true
 }
 
+// isolated reports whether a fault that keeps processes from targets acted between two
+// times, or until recoveryGrace before.
+func (o *Oracle) isolated(from, to time.Time) bool {
+	for _, f := range o.faults {
+		if f.isolates && f.from.Before(to) && (f.to.IsZero() || f.to.Add(recoveryGrace).After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Served returns how many requests were sent between two times, and how many of
 // them got the expected response. Requests whose caller disconnected don't count.
 func (o *Oracle) Served(from, to time.Time) (sent, served int) {
--- a/pkg/soak/oracle_test.go
+++ b/pkg/soak/oracle_test.go
@@ -25,6 +25,22 @@
 	}
 }
 
+// recordMove records a stream that goes on at a second engine, and the end of its run at
+// the first one, unless that is 0.
+func recordMove(o *Oracle, moved, ended float64) {
+	o.RecordRequest(newRequest("1", true))
+	o.RecordEvent(runEvent("1", 10))
+	second := runEvent("1", moved)
+	second.Instance = "i-2"
+	o.RecordEvent(second)
+	if ended > 0 {
+		e := runEvent("1", ended)
+		e.Kind = standin.WorkerEnded
+		o.RecordEvent(e)
+	}
+	o.RecordAnswer("1", Answer{Status: 200, Complete: true, Correct: true})
+}
+
 // recordCrashes records ends of targets under one part of prompts: five at once, and the
 // others ten seconds later.
 func recordCrashes(o *Oracle, n int) {
@@ -76,6 +92,17 @@
 			o.RecordRequest(newRequest("1", false))
 			o.RecordAnswer("1", correct)
 		}, []Guarantee{GuaranteeCompleteAnswer}},
+		{"goes on while the engine before still runs it", false, func(o *Oracle) { recordMove(o, 12, 13.5) }, []Guarantee{GuaranteeOneEngine}},
+		{"goes on and the engine before never ends it", false, func(o *Oracle) { recordMove(o, 12, 0) }, []Guarantee{GuaranteeOneEngine}},
+		{"goes on once the engine before has ended it", false, func(o *Oracle) { recordMove(o, 12, 11.9) }, nil},
+		{"goes on while a cut engine still runs it", false, func(o *Oracle) {
+			o.RecordFault(at(8), true)(at(9.5))
+			recordMove(o, 12, 20)
+		}, nil},
+		{"goes on while the engine before still runs it, beside an outage of the store", false, func(o *Oracle) {
+			o.RecordFault(at(8), false)(at(15))
+			recordMove(o, 12, 20)
+		}, []Guarantee{GuaranteeOneEngine}},
 		{"requests that end targets go on", false, func(o *Oracle) { recordCrashes(o, 9) }, []Guarantee{GuaranteeCrashes}},
 		{"requests that end targets are stopped", false, func(o *Oracle) { recordCrashes(o, 8) }, nil},
 		{"more requests than a target states", false, func(o *Oracle) { recordLimited(o, 12, 10, 0.3) }, []Guarantee{GuaranteeLimit}},
@@ -86,12 +113,21 @@
 		{"non-idempotent request runs twice", false, func(o *Oracle) {
 			o.RecordRequest(newRequest("1", false))
 			o.RecordEvent(runEvent("1", 10))
+			e := runEvent("1", 10.5)
+			e.Kind = standin.WorkerEnded
+			o.RecordEvent(e)
 			o.RecordEvent(runEvent("1", 11))
 		}, []Guarantee{GuaranteeAtMostOnce}},
-		{"idempotent request runs twice", false, func(o *Oracle) {
-			o.RecordRequest(newRequest("1", true))
-			o.RecordEvent(runEvent("1", 10))
-			o.RecordEvent(runEvent("1", 11))
+		{"idempotent request runs twice, one run after the other", false, func(o *Oracle) { recordMove(o, 11, 10.5) }, nil},
+		{"idempotent plain request runs twice at once", false, func(o *Oracle) {
+			r := newRequest("1", true)
+			r.Adapter, r.Service = "", deskService
+			o.RecordRequest(r)
+			for _, s := range []float64{10, 11} {
+				e := runEvent("1", s)
+				e.Service, e.Adapter = deskService, ident.AdapterVersion{}
+				o.RecordEvent(e)
+			}
 		}, nil},
 		{"refused request runs later", false, func(o *Oracle) {
 			o.RecordRequest(newRequest("1", false))
@@ -122,7 +158,7 @@
 		}, nil},
 		{"old version soon after a fault", false, func(o *Oracle) {
 			o.RecordRequest(newRequest("1", false))
-			o.RecordFault(at(0))(at(1))
+			o.RecordFault(at(0), true)(at(1))
 			o.RecordVersion(ident.AdapterVersion{Adapter: "a1", Version: 2}, at(3))
 			o.RecordEvent(runEvent("1", 10))
 		}, nil},
--- a/pkg/soak/run.go
+++ b/pkg/soak/run.go
@@ -51,6 +51,10 @@
 // returns an error if the run could not be completed.
 func Run(ctx context.Context, s Settings, logger log.Logger) (Result, error) {
 	result := Result{Settings: s, FaultCounts: FaultCounts{Kinds: make(map[FaultKind]int), Pairs: make(map[[2]FaultKind]int)}}
+	candidates := s.candidates()
+	if len(candidates) == 0 {
+		return result, errors.NotFoundf("fault %q", s.Only)
+	}
 	if err := os.MkdirAll(filepath.Join(s.Dir, "pids"), 0o755); err != nil {
 		return result, errors.Trace(err)
 	}
@@ -70,7 +74,7 @@
 	}
 	began := time.Now()
 	stopLoad := d.startLoad(ctx)
-	d.injectFaults(ctx, log.With(logger, "component", "soak"), result.FaultCounts)
+	d.injectFaults(ctx, log.With(logger, "component", "soak"), candidates, result.FaultCounts)
 	faultsEnded := time.Now()
 	select {
 	case <-ctx.Done():
@@ -102,16 +106,21 @@
 	}
 }
 
-// injectFaults injects random faults for the length of the run and returns when
-// all of them have ended.
-func (d *deployment) injectFaults(ctx context.Context, logger log.Logger, counts FaultCounts) {
-	random := rand.New(rand.NewPCG(d.Seed, 3))
-	var candidates []fault
+// candidates returns the faults that a run may inject.
+func (s Settings) candidates() []fault {
+	var out []fault
 	for _, f := range faults {
-		if f.planned || !d.Planned {
-			candidates = append(candidates, f)
+		if (f.planned || !s.Planned) && (s.Only == "" || s.Only == f.kind) {
+			out = append(out, f)
 		}
 	}
+	return out
+}
+
+// injectFaults injects random faults of the candidates for the length of the run and
+// returns when all of them have ended.
+func (d *deployment) injectFaults(ctx context.Context, logger log.Logger, candidates []fault, counts FaultCounts) {
+	random := rand.New(rand.NewPCG(d.Seed, 3))
 	var mu sync.Mutex
 	active := make(map[FaultKind]int)
 	var group sync.WaitGroup
@@ -129,7 +138,7 @@
 			_ = level.Info(logger).Log("msg", "failed to inject fault", "kind", f.kind, "err", err)
 		} else {
 			_ = level.Info(logger).Log("msg", "fault", "kind", f.kind, "lasts", duration)
-			recordEnd := d.oracle.RecordFault(time.Now())
+			recordEnd := d.oracle.RecordFault(time.Now(), f.isolates)
 			mu.Lock()
 			counts.add(f.kind, active)
 			active[f.kind]++
--- a/pkg/standin/proxy.go
+++ b/pkg/standin/proxy.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -103,11 +104,15 @@
 	done := make(chan struct{}, 2)
 	for _, pair := range [][2]net.Conn{{client, upstream}, {upstream, client}} {
 		go func() {
-			p.copy(pair[0], pair[1], pair[0] == upstream)
+			if p.copy(pair[0], pair[1], pair[0] == upstream) != io.EOF || closeWrite(pair[1]) != nil {
+				_ = client.Close()
+				_ = upstream.Close()
+			}
 			done <- struct{}{}
 		}()
 	}
 	<-done
+	<-done
 	_ = client.Close()
 	_ = upstream.Close()
 	p.track(client, false)
@@ -124,9 +129,19 @@
 	delete(p.conns, c)
 }
 
+// closeWrite ends one direction of a connection.
+func closeWrite(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return errors.NotSupportedf("end of one direction of a %T", c)
+	}
+	return errors.Trace(tcp.CloseWrite())
+}
+
 const proxyBufferBytes = 16 << 10
 
-func (p *Proxy) copy(from, to net.Conn, toClient bool) {
+// copy copies data until from ends, and returns io.EOF then, or until another error.
+func (p *Proxy) copy(from, to net.Conn, toClient bool) error {
 	buffer := make([]byte, proxyBufferBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -139,11 +154,11 @@
 		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
-				return
+				return errors.Trace(err)
 			}
 		}
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -44,6 +44,9 @@
 	// connection may be in use again.
 	LateCopyShare float64
 	EndlessShare  float64 // of responses that go on without end, in the head or the body
+	// LateEndShare is the share of streams that stall halfway, and that go on to run for
+	// lateEnd after their connection is closed.
+	LateEndShare float64
 	// DeadlyPart is a part of prompts: OnCrash is called when the worker begins to answer
 	// a request with it.
 	DeadlyPart ident.PromptPart
@@ -63,6 +66,7 @@
 	WorkerOvercommitted                            // an order asked for more adapters than there are slots
 	WorkerEvictedInUse                             // an order unloads or replaces an adapter in use
 	WorkerCrashed                                  // a request with the deadly part ends the worker
+	WorkerEnded                                    // the worker stopped work on a request
 )
 
 // WorkerEvent is an event that a worker reports to OnEvent.
@@ -260,6 +264,13 @@
 	}
 }
 
+// restarted reports whether the worker has restarted since it admitted a request.
+func (w *Worker) restarted(a admission) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return a.startCount != w.starts
+}
+
 // workerOrder is the JSON form of an order.
 type workerOrder struct {
 	Operation    string        `json:"operation"`
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -147,9 +147,13 @@
 		out.WriteHeader(a.status)
 		return
 	}
-	defer w.release(a, req)
 	event.Kind, event.Adapter = WorkerRan, ident.AdapterVersion{Adapter: req.adapter, Version: a.version}
 	w.notify(event)
+	defer func() {
+		w.release(a, req)
+		event.Kind = WorkerEnded
+		w.notify(event)
+	}()
 	out.Header().Set(platform.HeaderSignature, WorkerSignature(req.attempt))
 	if slices.Contains(req.parts, faults.DeadlyPart) && w.OnCrash != nil {
 		event.Kind = WorkerCrashed
@@ -164,6 +168,11 @@
 		w.sendWithoutEnd(out, req)
 	case w.drawFault(faults.FailShare):
 		out.WriteHeader(http.StatusInternalServerError)
+	case req.events > 0 && w.drawFault(faults.LateEndShare):
+		half := req
+		half.events = (req.lastEvent + req.events) / 2
+		w.stream(out, r, half, false)
+		w.endLate(r, a)
 	case req.events > 0:
 		w.stream(out, r, req, w.drawFault(faults.TruncateShare))
 	default:
@@ -174,6 +183,29 @@
 	}
 }
 
+// lateEnd is how long a run may go on after its connection is closed. Its worker looks for
+// that every lateEndPoll.
+const (
+	lateEnd     = 3 * time.Second
+	lateEndPoll = 20 * time.Millisecond
+)
+
+// endLate runs on, without an event, until lateEnd after the connection is closed, or until
+// the worker restarts. It then breaks the response off.
+func (w *Worker) endLate(r *http.Request, a admission) {
+	var closed time.Time
+	for closed.IsZero() || time.Since(closed) < lateEnd {
+		if w.restarted(a) {
+			break
+		}
+		if closed.IsZero() && r.Context().Err() != nil {
+			closed = time.Now()
+		}
+		time.Sleep(lateEndPoll)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // plainResponse returns a complete plain response to the attempt.
 func plainResponse(attempt ident.Attempt) string {
 	body := WorkerBody(attempt)
