A request goes on at another engine once the one before has ended it

Cause: closing a connection was taken for the end of the run. The gateway closed it and sent to the next engine less than 1 ms later, without any sign from the one before, which may notice the close late: a busy process, a request in prefill, a half-closed connection, a lost FIN, a connection that is silent for good. Class: a message without an acknowledgement that is taken for its effect. Change: a send that is given up ends the direction to the target (FIN); before the next send the gateway waits up to 50 ms for the target's own close, resets a target that has acknowledged the FIN and goes on, and asks the agent beside the engine until the engine no longer lists the request. If neither the target nor its agent answers, it goes on after 300 ms at most (600 ms if the agent lives and its engine gives no report). Metrics left_runs (by what showed the end), left_run_wait.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -160,6 +160,9 @@
 // Close closes the response's connection.
 func (res *Response) Close() { res.c.Close() }
 
+// Conn returns the response's connection.
+func (res *Response) Conn() *Conn { return res.c }
+
 // ConnectionClose reports whether the target closes the connection after this
 // response.
 func (res *Response) ConnectionClose() bool { return res.Header.ConnectionClose() }
--- /dev/null
+++ b/pkg/forward/leave.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/socket"
+)
+
+// Leave gives up the request in progress. It ends the direction to the target, which makes
+// the target stop its work and close the connection.
+func (c *Conn) Leave() {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok || c.ended || half.CloseWrite() != nil {
+		c.Close()
+	}
+}
+
+// Ended reports whether the target had closed the connection before it was left, or it was
+// reset.
+func (c *Conn) Ended() bool { return c.ended }
+
+// AwaitClose waits, after Leave, until the target closes the connection too, and reports
+// whether it does so before the deadline. It closes the connection in any case.
+func (c *Conn) AwaitClose(deadline time.Time) bool {
+	defer c.Close()
+	if c.ended {
+		return true
+	}
+	if err := c.nc.SetReadDeadline(deadline); err != nil {
+		return false
+	}
+	buffer := make([]byte, readBufferBytes)
+	for read := 0; read <= maxStrayBytes; {
+		n, err := c.nc.Read(buffer)
+		read += n
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.resetIfAcknowledged()
+			return false
+		default:
+			return !errors.Is(err, net.ErrClosed)
+		}
+	}
+	return false
+}
+
+// resetIfAcknowledged makes Close send a reset to a target that has received the end of the
+// requests and goes on all the same: it may take that end for a half-closed connection. A
+// reset is sent only once, so that an end that is not acknowledged is better sent again.
+func (c *Conn) resetIfAcknowledged() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok && socket.CloseAcknowledged(c.nc) {
+		_ = tcp.SetLinger(0) // without it, the connection ends as usual
+	}
+}
--- /dev/null
+++ b/pkg/forward/leave_test.go
@@ -0,0 +1,111 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/forward"
+)
+
+// A target learns at once that a request is given up, and the gateway whether it has ended
+// it. A target that takes the end of the requests for a half-closed connection gets a reset.
+func TestLeaveTellsTheTarget(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		target func(c *net.TCPConn) error // returns what ended the connection
+		closed bool
+		ended  error
+	}{
+		{"it closes", func(c *net.TCPConn) error {
+			_, err := io.Copy(io.Discard, c)
+			return firstError(err, c.Close())
+		}, true, nil},
+		{"it closes after an event", func(c *net.TCPConn) error {
+			_, err := io.Copy(io.Discard, c)
+			_, writeErr := io.WriteString(c, "id: 1\ndata: 1\n\n")
+			return firstError(err, writeErr, c.Close())
+		}, true, nil},
+		{"it goes on in silence", func(c *net.TCPConn) error {
+			_, err := io.Copy(io.Discard, c)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			for range 400 {
+				time.Sleep(5 * time.Millisecond)
+				if err := socketError(c); err != nil {
+					return err
+				}
+			}
+			return nil
+		}, false, syscall.ECONNRESET},
+		{"it goes on to send", func(c *net.TCPConn) error {
+			for {
+				if _, err := c.Write(make([]byte, 1000)); err != nil {
+					return errors.Trace(err)
+				}
+			}
+		}, false, syscall.ECONNRESET},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			ended := make(chan error, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					ended <- err
+					return
+				}
+				ended <- test.target(c.(*net.TCPConn))
+			}()
+			p := forward.NewPool()
+			c, err := p.Get(context.Background(), l.Addr().String(), 0)
+			require.NoError(t, err)
+			require.NoError(t, c.Send([]byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(time.Minute)))
+			c.Leave()
+			require.False(t, c.Ended())
+			require.Equal(t, test.closed, c.AwaitClose(time.Now().Add(200*time.Millisecond)))
+			if err := <-ended; test.ended == nil {
+				require.NoError(t, err)
+			} else {
+				require.True(t, errors.Is(err, test.ended) || errors.Is(err, syscall.EPIPE), "%v", err)
+			}
+		})
+	}
+}
+
+func firstError(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// socketError returns the pending error of a connection that is not read.
+func socketError(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var number int
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		number, optionErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	}); err != nil || optionErr != nil {
+		return firstError(err, optionErr)
+	}
+	if number != 0 {
+		return syscall.Errno(number)
+	}
+	return nil
+}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -40,6 +40,7 @@
 	address   string
 	idleSince time.Time // when it was last returned to the pool
 	reused    bool      // it has carried another request
+	ended     bool      // the target has closed it, or it was reset
 	maxIdle   time.Duration
 	// unbind ends the binding to the request in progress.
 	unbind func() bool
@@ -60,6 +61,9 @@
 func (s stallReader) Read(b []byte) (int, error) {
 	for {
 		n, err := s.c.nc.Read(b)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+			s.c.ended = true
+		}
 		if n > 0 || s.c.onStall == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -25,6 +25,8 @@
 	lost func(c *link.Conn, address string, r wire.RequestLost)
 	// runs answers whether the engine of an agent runs a request. Without it none does.
 	runs func(address string) wire.RunReply
+	// silent makes the agents leave questions about runs without any sign of life.
+	silent bool
 
 	mu       sync.Mutex
 	links    []*link.Conn
@@ -65,7 +67,11 @@
 				}
 				return err
 			},
-			link.KindRunQuery: func(_ context.Context, s *link.Stream, _ link.Frame) error {
+			link.KindRunQuery: func(ctx context.Context, s *link.Stream, _ link.Frame) error {
+				if h.silent {
+					<-ctx.Done()
+					return nil
+				}
 				if err := s.Conn().Ping(); err != nil {
 					return err
 				}
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -309,19 +309,12 @@
 // receiveGrant waits for the agent's answer for as long as the link shows that the
 // agent is alive.
 func receiveGrant(ctx context.Context, s *link.Stream) (wire.GrantReply, error) {
-	start := time.Now()
-	replyCtx, cancel := context.WithTimeout(ctx, agentReplyTimeout)
-	f, err := s.Receive(replyCtx)
-	cancel()
-	if err != nil && replyCtx.Err() != nil && ctx.Err() == nil {
-		if s.Conn().LastReceived().Before(start) {
-			s.Conn().Close()
-			return wire.GrantReply{}, errors.Timeoutf("no reply from the agent within %s:", agentReplyTimeout)
-		}
-		f, err = s.Receive(ctx)
-	}
+	f, err := receiveWhileAlive(ctx, s, 0)
 	var reply wire.GrantReply
 	if err != nil {
+		if errors.Is(err, errors.Timeout) {
+			s.Conn().Close()
+		}
 		return reply, errors.Trace(err)
 	}
 	if f.Kind != link.KindGrantReply {
@@ -331,6 +324,28 @@
 	return reply, errors.Trace(err)
 }
 
+// receiveWhileAlive receives an agent's reply. It returns a Timeout error if the agent has
+// sent nothing within agentReplyTimeout. Otherwise it waits up to limit for the reply, or
+// for as long as the link shows that the agent is alive if that is 0.
+func receiveWhileAlive(ctx context.Context, s *link.Stream, limit time.Duration) (link.Frame, error) {
+	start := time.Now()
+	replyCtx, cancel := context.WithTimeout(ctx, agentReplyTimeout)
+	f, err := s.Receive(replyCtx)
+	cancel()
+	if err == nil || replyCtx.Err() == nil || ctx.Err() != nil {
+		return f, errors.Trace(err)
+	}
+	if s.Conn().LastReceived().Before(start) {
+		return link.Frame{}, errors.Timeoutf("no reply from the agent within %s:", agentReplyTimeout)
+	}
+	if limit > 0 {
+		ctx, cancel = context.WithDeadline(ctx, start.Add(limit))
+		defer cancel()
+	}
+	f, err = s.Receive(ctx)
+	return f, errors.Trace(err)
+}
+
 // agentAddress returns the address of the agent beside a target.
 func agentAddress(t fleet.Target, port int) string {
 	host, _, err := net.SplitHostPort(t.Address)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -59,6 +59,8 @@
 	excluded    []ident.Target
 	// reserved is an assignment that was acquired while another target stalled.
 	reserved *assignment
+	// left is the send that was given up last, until its target is known to have ended it.
+	left *leftSend
 	// last is the last step taken at a target.
 	last attemptStep
 	// suspendedBefore is how long the VM had been suspended when the request arrived.
@@ -136,7 +138,11 @@
 // whether the connection can be used further.
 func (x *exchange) run() bool {
 	defer x.releaseReserved()
+	defer x.closeLeft()
 	for {
+		if x.awaitLeft(); x.expired() && !x.stopped() {
+			return x.finishTimedOut(outcomeUnsent)
+		}
 		assigned, refusal := x.nextAssignment()
 		if assigned == nil {
 			return x.finishUnserved(refusal)
@@ -295,7 +301,7 @@
 	err = conn.Send(buffer.B, x.deadline)
 	bytebufferpool.Put(buffer)
 	if err != nil {
-		conn.Close()
+		x.leave(a, conn)
 		x.fail(a, stepSend, err)
 		return outcomeUnknown
 	}
@@ -303,7 +309,7 @@
 	conn.OnStall(x.stallHandler(a))
 	res, err := conn.Receive(x.q.method, x.q.attempt, x.firstByteDeadline(sent))
 	if err != nil {
-		conn.Close()
+		x.leave(a, conn)
 		x.fail(a, stepAnswer, err)
 		return outcomeUnknown
 	}
--- a/pkg/gateway/leave_test.go
+++ b/pkg/gateway/leave_test.go
@@ -113,6 +113,83 @@
 	}
 }
 
+// An engine that ends its run as soon as its connection is closed, or of which nobody can
+// tell anything, holds its request up for no longer than it takes to find that out.
+func TestRequestOfAnEndedRunGoesOnAtOnce(t *testing.T) {
+	const stalled = minFirstByteWait
+	for _, test := range []struct {
+		name   string
+		target reply
+		runs   func(string) wire.RunReply
+		within time.Duration
+	}{
+		{"the engine closes at once", func(w net.Conn, _ receivedRequest) bool {
+			_, _ = io.Copy(io.Discard, w)
+			return false
+		}, nil, 5 * time.Millisecond},
+		{"the engine breaks the connection off", func(net.Conn, receivedRequest) bool {
+			time.Sleep(stalled)
+			return false
+		}, nil, 5 * time.Millisecond},
+		{"no connection shows it, but the report", func(net.Conn, receivedRequest) bool { time.Sleep(20 * time.Second); return false }, nil, closeWait},
+		{"the engine gives no report", func(net.Conn, receivedRequest) bool { time.Sleep(20 * time.Second); return false }, func(string) wire.RunReply {
+			time.Sleep(400 * time.Millisecond)
+			return wire.RunReply{}
+		}, closeWait + 400*time.Millisecond},
+		{"the engine's report never comes", func(net.Conn, receivedRequest) bool { time.Sleep(20 * time.Second); return false }, func(string) wire.RunReply {
+			time.Sleep(10 * time.Second)
+			return wire.RunReply{}
+		}, closeWait + runReplyTimeout},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+				h.pool.Dial = h.dialDuplex
+				h.runs = test.runs
+				h.script(test.target, respondRaw(streamHead+chunk(events(1, 2))+"0\r\n\r\n"))
+				began := time.Now()
+				res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+				require.Equal(t, events(1, 2), body(t, res))
+				require.Len(t, h.receivedRequests(), 2)
+				require.LessOrEqual(t, time.Since(began), stalled+test.within+5*time.Millisecond)
+			})
+		})
+	}
+}
+
+// The VM of a stalled engine is silent as a whole: its agent is not waited for, and its link
+// is kept for the other requests there.
+func TestRequestOfASilentVMGoesOn(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.pool.Dial = h.dialDuplex
+		h.silent = true
+		h.script(func(net.Conn, receivedRequest) bool { time.Sleep(20 * time.Second); return false }, respondRaw(streamHead+chunk(events(1, 2))+"0\r\n\r\n"))
+		began := time.Now()
+		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+		require.Equal(t, events(1, 2), body(t, res))
+		require.LessOrEqual(t, time.Since(began), minFirstByteWait+closeWait+agentReplyTimeout+5*time.Millisecond)
+		require.Len(t, h.links, 2, "one for each engine")
+	})
+}
+
+// A caller that leaves while its request waits for the end of a run ends the wait.
+func TestCallerLeavesWhileARunIsAwaited(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.pool.Dial = h.dialDuplex
+		h.runs = func(string) wire.RunReply { return wire.RunReply{Known: true, Running: true} }
+		h.script(func(net.Conn, receivedRequest) bool { time.Sleep(20 * time.Second); return false })
+		c := h.connect()
+		_, err := io.WriteString(c, strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+		require.NoError(t, err)
+		time.Sleep(2 * time.Second)
+		require.EqualValues(t, 1, h.active.Load())
+		require.NoError(t, c.Close())
+		time.Sleep(runPollInterval)
+		require.Zero(t, h.active.Load())
+		require.Len(t, h.receivedRequests(), 1)
+		require.Zero(t, h.open, "the grants have ended")
+	})
+}
+
 // agentAddressOf returns the address of the agent beside a target.
 func agentAddressOf(target string) string {
 	host, _, _ := net.SplitHostPort(target)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -14,10 +14,12 @@
 	timedOut       tally.Counter
 	abortedStreams tally.Counter
 	retries        tally.Counter
-	limitedSends   tally.Counter   // to targets that state a rate limit
-	grantWait      tally.Histogram // of streams: from a request's arrival to its send
-	firstEvent     tally.Histogram // of streams: from a send to the first event
-	listAge        tally.Histogram // of sends: time for which the list of targets was not confirmed
+	limitedSends   tally.Counter                   // to targets that state a rate limit
+	grantWait      tally.Histogram                 // of streams: from a request's arrival to its send
+	firstEvent     tally.Histogram                 // of streams: from a send to the first event
+	leftRuns       [len(runEndNames)]tally.Counter // sends that were given up before another one, by what showed their end
+	leftWait       tally.Histogram                 // of these: until the end showed
+	listAge        tally.Histogram                 // of sends: time for which the list of targets was not confirmed
 }
 
 // latencyBuckets double from the time of a round trip to a caller's longest wait.
@@ -28,10 +30,14 @@
 		requests: scope.Counter("requests"), refused: scope.Counter("refused"), timedOut: scope.Counter("timed_out"),
 		abortedStreams: scope.Counter("streams_broken_off"), retries: scope.Counter("repeated_sends"), limitedSends: scope.Counter("sends_to_limited_targets"),
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
-		listAge: scope.Histogram("target_list_age", latencyBuckets),
+		leftWait: scope.Histogram("left_run_wait", latencyBuckets),
+		listAge:  scope.Histogram("target_list_age", latencyBuckets),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
 	}
+	for i, name := range runEndNames {
+		m.leftRuns[i] = scope.Tagged(map[string]string{"end": name}).Counter("left_runs")
+	}
 	return m
 }
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -20,22 +20,22 @@
 	}
 	if res.Named() && (res.Status == fasthttp.StatusMisdirectedRequest || res.Value(platform.HeaderNotExecuted) != "") {
 		x.logNotRun(a, res)
-		x.finish(res, res.Discard())
+		x.finish(a, res, res.Discard())
 		return outcomeNotRun
 	}
 	if !x.retryable() && impliesNotRun(res.Status) {
-		x.finish(res, res.Discard())
+		x.finish(a, res, res.Discard())
 		x.fail(a, stepStatus, errors.Errorf("status %d, which does not say that the request was not run", res.Status))
 		return outcomeUnknown
 	}
 	if res.Status < 300 && res.Value(platform.HeaderSignature) == "" {
-		x.finish(res, forward.ErrInvalidResponse)
+		x.finish(a, res, forward.ErrInvalidResponse)
 		x.fail(a, stepAnswer, errors.Annotate(forward.ErrInvalidResponse, "missing signature"))
 		return outcomeUnknown
 	}
 	if x.route.RetryPolicy == platform.RunStream && res.Status < 300 {
 		if x.streamStarted && formOf(res) != x.streamForm {
-			x.finish(res, res.Discard())
+			x.finish(a, res, res.Discard())
 			x.fail(a, stepStatus, errors.Annotatef(forward.ErrInvalidResponse, "%s is not the rest of the stream", formOf(res)))
 			return outcomeUnknown
 		}
@@ -44,7 +44,7 @@
 	x.begin(a, stepBody)
 	body, err := x.readBody(res)
 	defer x.g.bodies.release(cap(body))
-	x.finish(res, err)
+	x.finish(a, res, err)
 	if err != nil {
 		x.fail(a, stepBody, err)
 		return outcomeUnknown
@@ -87,10 +87,10 @@
 	}
 }
 
-// finish returns the connection to the pool, or closes it after an error.
-func (x *exchange) finish(res *forward.Response, err error) {
+// finish returns the connection to the pool, or leaves it after an error.
+func (x *exchange) finish(a *assignment, res *forward.Response, err error) {
 	if err != nil {
-		res.Close()
+		x.leave(a, res.Conn())
 		return
 	}
 	x.g.pool.Release(res)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -116,7 +116,7 @@
 			err = errors.Annotatef(forward.ErrInvalidResponse, "event exceeds %d bytes", maxEventBytes)
 		}
 		if err != nil {
-			res.Close()
+			x.leave(a, res.Conn())
 			x.fail(a, stepStream, err)
 			return outcomeUnknown
 		}
--- a/pkg/socket/socket.go
+++ b/pkg/socket/socket.go
@@ -43,3 +43,26 @@
 		return setErr
 	}
 }
+
+// finWait2 is the state of a TCP connection whose close the peer has acknowledged, while its
+// own side is open.
+const finWait2 = 5
+
+// CloseAcknowledged reports whether the peer's kernel has acknowledged the end of the bytes
+// that this side sends, while the peer has not closed the connection.
+func CloseAcknowledged(nc net.Conn) bool {
+	conn, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	acknowledged := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO)
+		acknowledged = infoErr == nil && info.State == finWait2
+	})
+	return err == nil && acknowledged
+}
