Answers of engines and replies of entries are bounded in bytes

What happened: an engine that sends bytes without end filled the memory of its agent: the client of engines had no limit for a body, and none for a line of a completion. The client of hyssoproadctl had no limit either. Cause: each client of a peer set its own limits, and these two set none. Change: 1 MiB for answers to orders and queries, 64 KiB for a line of a completion, 64 MiB for an entry's reply.

--- a/pkg/control/client.go
+++ b/pkg/control/client.go
@@ -19,6 +19,9 @@
 	unsettled        = "unsettled"
 	maxSettleTries   = 5
 	settleRetryDelay = time.Second
+	// maxReplyBytes bounds an entry's reply. A row of a list takes less than 300 bytes; the
+	// largest fleet has 44,000 adapters.
+	maxReplyBytes = 64 << 20
 )
 
 // Client calls the operator API of one entry.
@@ -31,6 +34,7 @@
 // NewClient returns a client of the entry at the base URL.
 func NewClient(base, token string) *Client {
 	return &Client{base: base, token: token, http: &fasthttp.Client{
+		MaxResponseBodySize: maxReplyBytes,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
 }
--- a/pkg/target/engine.go
+++ b/pkg/target/engine.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"io"
 	"strconv"
 	"time"
 
@@ -17,8 +18,14 @@
 	orderTimeout   = 60 * time.Second
 	queryTimeout   = 2 * time.Second
 	maxEngineConns = 1024
-	dataPrefix     = "data: "
-	doneEvent      = "[DONE]"
+	// maxAnswerBytes bounds the body of an answer to an order or query. A list of adapters
+	// takes less than 200 bytes for each.
+	maxAnswerBytes = 1 << 20
+	// maxEventBytes bounds a line of a completion. It holds the text of a few tokens.
+	maxEventBytes    = 64 << 10
+	eventBufferBytes = 4 << 10
+	dataPrefix       = "data: "
+	doneEvent        = "[DONE]"
 )
 
 // ErrStaleToken is returned when an engine refuses the fencing token of an order.
@@ -60,7 +67,7 @@
 	neverRetry := func(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 	c := &engineClient{
 		base:    base,
-		unary:   &fasthttp.Client{MaxConnsPerHost: maxEngineConns, RetryIfErr: neverRetry},
+		unary:   &fasthttp.Client{MaxConnsPerHost: maxEngineConns, RetryIfErr: neverRetry, MaxResponseBodySize: maxAnswerBytes},
 		streams: &fasthttp.Client{MaxConnsPerHost: maxEngineConns, RetryIfErr: neverRetry, StreamResponseBody: true},
 	}
 	return &Engine{Generate: c.generate, Load: c.load, Unload: c.unload, ListAdapters: c.listAdapters, Cancel: c.cancel, InUse: c.inUse, SetRole: c.setRole}
@@ -89,7 +96,7 @@
 	defer func() { _ = res.CloseBodyStream() }()
 	switch code := res.StatusCode(); code {
 	case fasthttp.StatusOK:
-		return readEvents(bufio.NewReader(res.BodyStream()), deliver)
+		return readEvents(res.BodyStream(), deliver)
 	case fasthttp.StatusNotFound, fasthttp.StatusConflict, fasthttp.StatusServiceUnavailable:
 		return errors.Annotatef(ErrNotHeld, "completion %s: status %d", in.ID, code)
 	default:
@@ -97,13 +104,14 @@
 	}
 }
 
-func readEvents(r *bufio.Reader, deliver func(CompletionChunk)) error {
-	for {
-		line, err := r.ReadBytes('\n')
-		if err != nil {
-			return errors.Annotate(err, "reading completion stream")
-		}
-		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte(dataPrefix))
+// readEvents passes the chunks of a completion to deliver until its last event. A line
+// longer than maxEventBytes is an error.
+func readEvents(r io.Reader, deliver func(CompletionChunk)) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
+	lines.Split(splitCompleteLines)
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(lines.Bytes()), []byte(dataPrefix))
 		if !ok {
 			continue
 		}
@@ -116,6 +124,19 @@
 		}
 		deliver(chunk)
 	}
+	return errors.Annotate(lines.Err(), "reading completion stream")
+}
+
+// splitCompleteLines splits text into lines. Text that ends without the last event, also
+// inside a line, has been cut off.
+func splitCompleteLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i], nil
+	}
+	if atEOF {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return 0, nil, nil
 }
 
 func (e *engineClient) prepare(req *fasthttp.Request, path string, body any) error {
