Large answers are not copied into buffers that callers' connections keep

What happened: the body of a large answer was copied into the buffer of its caller's connection, which kept it for as long as the caller kept the connection, outside the sum that bounds bodies. 40 callers that each got a failure of 6 MB: 253 MB live on a VM that has 160 MB. Cause: the sum counted one copy of a body, not each place that holds it. Change: bodies above 4 KB are written as they are, after the head, to callers and to targets; a connection keeps at most 8 KB between answers. Test: TestLargeAnswersLeaveNothingOnCallersConnections (252,927,880 bytes before, bound 20,971,520).

--- a/pkg/control/client.go
+++ b/pkg/control/client.go
@@ -35,7 +35,7 @@
 func NewClient(base, token string) *Client {
 	return &Client{base: base, token: token, http: &fasthttp.Client{
 		MaxResponseBodySize: maxReplyBytes,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
 }
 
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -210,8 +210,7 @@
 		c.out = appendHeader(c.out, "Content-Length", strconv.Itoa(length))
 	}
 	c.out = append(c.out, "\r\n"...)
-	c.out = append(c.out, body...)
-	return c.flush()
+	return c.flushWith(body)
 }
 
 // beginStream buffers the head of a response whose body is sent in parts.
@@ -232,12 +231,17 @@
 		return nil
 	}
 	if !c.http11 {
-		c.out = append(c.out, b...)
-		return c.flush()
+		return c.flushWith(b)
 	}
 	c.out = strconv.AppendInt(c.out, int64(len(b)), 16)
 	c.out = append(c.out, "\r\n"...)
-	c.out = append(c.out, b...)
+	if len(b) <= maxCopiedBytes {
+		c.out = append(append(c.out, b...), "\r\n"...)
+		return c.flush()
+	}
+	if err := c.flushWith(b); err != nil {
+		return errors.Trace(err)
+	}
 	c.out = append(c.out, "\r\n"...)
 	return c.flush()
 }
@@ -250,13 +254,41 @@
 	return c.flush()
 }
 
+const (
+	// maxCopiedBytes is the size up to which bytes are copied to be written together with
+	// others.
+	maxCopiedBytes = 4 << 10
+	// keptOutBytes is the capacity that the buffer of a connection keeps between responses.
+	keptOutBytes = 8 << 10
+)
+
+// flush writes the buffered bytes.
 func (c *callerConn) flush() error {
 	if len(c.out) == 0 {
 		return nil
 	}
+	err := c.write(c.out)
+	if c.out = c.out[:0]; cap(c.out) > keptOutBytes {
+		c.out = nil
+	}
+	return errors.Trace(err)
+}
+
+// flushWith writes the buffered bytes and then body, which is copied only if it is small.
+func (c *callerConn) flushWith(body []byte) error {
+	if len(body) <= maxCopiedBytes {
+		c.out = append(c.out, body...)
+		return c.flush()
+	}
+	if err := c.flush(); err != nil {
+		return errors.Trace(err)
+	}
+	return c.write(body)
+}
+
+func (c *callerConn) write(b []byte) error {
 	c.responseStarted = true
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.nc.Write(c.out)
-	c.out = c.out[:0]
+	_, err := c.nc.Write(b)
 	return errors.Trace(err)
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
@@ -293,14 +294,10 @@
 	}
 	// Closing the connection makes the target stop its work on the request.
 	conn.Bind(x.ctx)
-	buffer := bytebufferpool.Get()
-	buffer.B = x.q.encode(buffer.B, sendParams{remaining: x.targetTime(), instance: a.instance, version: a.version, lastEvent: x.lastEvent})
 	sent := time.Now()
 	x.logSend(a, sent)
 	x.begin(a, stepSend)
-	err = conn.Send(buffer.B, x.deadline)
-	bytebufferpool.Put(buffer)
-	if err != nil {
+	if err := x.writeRequest(a, conn); err != nil {
 		x.leave(a, conn)
 		x.fail(a, stepSend, err)
 		return outcomeUnknown
@@ -316,6 +313,21 @@
 	return x.handleResponse(a, res, sent)
 }
 
+// writeRequest writes the request to a target. A large body is not copied.
+func (x *exchange) writeRequest(a *assignment, conn *forward.Conn) error {
+	buffer := bytebufferpool.Get()
+	defer bytebufferpool.Put(buffer)
+	buffer.B = x.q.encodeHead(buffer.B, sendParams{remaining: x.targetTime(), instance: a.instance, version: a.version, lastEvent: x.lastEvent})
+	if len(x.q.body) <= maxCopiedBytes {
+		buffer.B = append(buffer.B, x.q.body...)
+		return conn.Send(buffer.B, x.deadline)
+	}
+	if err := conn.Send(buffer.B, x.deadline); err != nil {
+		return errors.Trace(err)
+	}
+	return conn.Send(x.q.body, x.deadline)
+}
+
 // maxIdleNonRetryable bounds the idle time of a connection for a request that must
 // not be repeated: the target may have closed one that was idle longer, unnoticed.
 const maxIdleNonRetryable = time.Second
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -273,8 +273,8 @@
 	lastEvent string
 }
 
-// encode appends the request in the form that is sent to a target.
-func (q *request) encode(b []byte, s sendParams) []byte {
+// encodeHead appends the head of the request in the form that is sent to a target.
+func (q *request) encodeHead(b []byte, s sendParams) []byte {
 	b = append(b, q.method...)
 	b = append(b, ' ')
 	b = append(b, q.uri...)
@@ -293,8 +293,7 @@
 	if q.hasBody {
 		b = appendHeader(b, "Content-Length", strconv.Itoa(len(q.body)))
 	}
-	b = append(b, "\r\n"...)
-	return append(b, q.body...)
+	return append(b, "\r\n"...)
 }
 
 func appendHeader(b []byte, name, value string) []byte {
