Unfinished events and held failures count as bodies do

What happened: bytes of an event that is not complete, and the failure of a target that is held back while another one may succeed, were outside the sum that bounds bodies; so was each body up to 64 KB. 100 streams inside an event of 100 KB hold 10 MB, of which 0 were counted. Cause: as for large answers, the sum counted one holder of bytes, not each. Change: what a stream reads beyond 4 KB takes from the sum and gives it back once it is forwarded; a failure keeps its buffer, and its place in the sum, until the request ends; only 4 KB are free for each request. Tests: TestUnfinishedEventsShareTheLimit and TestHeldFailuresCount, both red before (0 counted).

--- a/pkg/gateway/body_buffers.go
+++ b/pkg/gateway/body_buffers.go
@@ -3,14 +3,15 @@
 import "sync/atomic"
 
 const (
-	// freeBodyBytes is the size up to which a response is always buffered.
-	freeBodyBytes = 64 << 10
-	// bodyMemoryShare is the share of the VM's memory that larger responses may take
-	// together, so that targets that send without end cannot exhaust it.
+	// freeBodyBytes is the size up to which a buffer is always available.
+	freeBodyBytes = 4 << 10
+	// bodyMemoryShare is the share of the VM's memory that larger buffers may take
+	// together, so that peers that send without end cannot exhaust it.
 	bodyMemoryShare = 0.125
 )
 
-// bodyBuffers limits the memory of buffered responses.
+// bodyBuffers limits the memory that holds what peers have sent: responses, held failures
+// and unfinished events.
 type bodyBuffers struct {
 	limit int64
 	used  *atomic.Int64 // by buffers above freeBodyBytes
@@ -27,7 +28,7 @@
 // grow returns a larger buffer with the same bytes, and reports whether there was
 // memory for it. The announced length is -1 if unknown.
 func (b bodyBuffers) grow(body []byte, length int) ([]byte, bool) {
-	size := max(2*cap(body), firstBodyBytes)
+	size := max(2*cap(body), freeBodyBytes)
 	if length >= 0 {
 		// One more byte lets a reader see the end without growing the buffer.
 		size = min(size, max(length, cap(body))+1)
@@ -63,3 +64,14 @@
 		b.used.Add(-int64(capacity))
 	}
 }
+
+// shrink returns a buffer of freeBodyBytes with the same bytes in place of a larger one, if
+// they fit, and releases the larger one.
+func (b bodyBuffers) shrink(body []byte) []byte {
+	if cap(body) <= freeBodyBytes || len(body) > freeBodyBytes {
+		return body
+	}
+	smaller := append(make([]byte, 0, freeBodyBytes), body...)
+	b.release(cap(body))
+	return smaller
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -67,7 +67,7 @@
 	// suspendedBefore is how long the VM had been suspended when the request arrived.
 	suspendedBefore time.Duration
 	// failedResponse is a target's error response. It is forwarded if no other
-	// target succeeds.
+	// target succeeds. The capacity of its body counts in the body buffers.
 	failedResponse *forward.Response
 	failedBody     []byte
 	// eventSeen says that the last target has sent an event.
@@ -140,6 +140,7 @@
 func (x *exchange) run() bool {
 	defer x.releaseReserved()
 	defer x.closeLeft()
+	defer func() { x.g.bodies.release(cap(x.failedBody)) }()
 	for {
 		if x.awaitLeft(); x.expired() && !x.stopped() {
 			return x.finishTimedOut(outcomeUnsent)
--- a/pkg/gateway/memory_test.go
+++ b/pkg/gateway/memory_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -63,3 +64,62 @@
 		})
 	}
 }
+
+// Many engines stop inside a large event at the same time: what is read of the events stays
+// within the limit that all bodies share, and other streams are served meanwhile.
+func TestUnfinishedEventsShareTheLimit(t *testing.T) {
+	const streams, size = 100, 100 << 10
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.bodies = newBodyBuffers(32 << 20)
+		inside := func(w net.Conn, _ receivedRequest) bool {
+			_, _ = io.WriteString(w, streamHead+chunk(events(1, 1))+chunk("id: 2\ndata: "+strings.Repeat("d", size)))
+			time.Sleep(20 * time.Second)
+			return false
+		}
+		var replies []reply
+		for range streams {
+			replies = append(replies, inside)
+		}
+		h.script(replies...)
+		before := liveBytes()
+		for range streams {
+			c := h.connect()
+			go func() {
+				_, _ = io.WriteString(c, strings.Replace(rawRequest("POST", "/once-stream/x", "Content-Length: 0\r\n"), "1000", "9000", 1))
+				_, _ = io.Copy(io.Discard, c)
+			}()
+		}
+		time.Sleep(time.Second)
+		used := h.bodies.used.Load()
+		require.Greater(t, used, h.bodies.limit*3/4, "the limit is reached")
+		require.LessOrEqual(t, used, h.bodies.limit)
+		require.Less(t, liveBytes()-before, h.bodies.limit+streams*(64<<10))
+		h.script(respondRaw(streamHead + chunk(events(1, 9)) + "0\r\n\r\n"))
+		require.Equal(t, events(1, 9), body(t, h.send(rawRequest("POST", "/once-stream/x", "Content-Length: 0\r\n"))))
+		time.Sleep(30 * time.Second)
+		require.Zero(t, h.bodies.used.Load(), "all buffers are released")
+	})
+}
+
+// A failure that is held back while another target may succeed counts until it is
+// forwarded or dropped.
+func TestHeldFailuresCount(t *testing.T) {
+	const size = 1 << 20
+	for _, second := range []int{200, 500} {
+		testHarness(t, func(t *testing.T, h *harness) {
+			h.bodies = newBodyBuffers(smallVM)
+			var whileHeld int64
+			h.script(respond(500, strings.Repeat("f", size)), func(w net.Conn, call receivedRequest) bool {
+				time.Sleep(100 * time.Millisecond)
+				whileHeld = h.bodies.used.Load()
+				return respond(second, "small")(w, call)
+			})
+			res := h.send(rawRequest("POST", "/safe/x", "Content-Length: 0\r\n"))
+			require.Equal(t, second, res.StatusCode)
+			require.Equal(t, "small", body(t, res))
+			synctest.Wait()
+			require.GreaterOrEqual(t, whileHeld, int64(size))
+			require.Zero(t, h.bodies.used.Load())
+		})
+	}
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"time"
 
@@ -43,7 +42,7 @@
 	}
 	x.begin(a, stepBody)
 	body, err := x.readBody(res)
-	defer x.g.bodies.release(cap(body))
+	defer func() { x.g.bodies.release(cap(body)) }()
 	x.finish(a, res, err)
 	if err != nil {
 		x.fail(a, stepBody, err)
@@ -54,7 +53,8 @@
 		if x.streamStarted {
 			return outcomeUnknown
 		}
-		x.failedResponse, x.failedBody = res, bytes.Clone(body)
+		// The body of an earlier failure is released in its place.
+		x.failedResponse, x.failedBody, body = res, body, x.failedBody
 		return outcomeFailed
 	}
 	x.g.recordSuccess(a.target)
@@ -96,11 +96,8 @@
 	x.g.pool.Release(res)
 }
 
-const (
-	// maxResponseBytes bounds a response that is buffered before it is forwarded.
-	maxResponseBytes = 16 << 20
-	firstBodyBytes   = 4 << 10
-)
+// maxResponseBytes bounds a response that is buffered before it is forwarded.
+const maxResponseBytes = 16 << 20
 
 // readBody reads a complete body. The caller releases the buffer's capacity to the
 // body buffers, also after an error.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	streamBufferBytes = 4 << 10
 	// maxEventBytes bounds the size of one event. Many streams may buffer one at the
 	// same time.
 	maxEventBytes = 128 << 10
@@ -57,12 +56,11 @@
 	first, resumed := true, x.streamStarted
 	timing := streamTiming{grantWait: sent.Sub(x.began)}
 	last := sent
-	pending := make([]byte, 0, streamBufferBytes)
+	pending := make([]byte, 0, freeBodyBytes)
+	defer func() { x.g.bodies.release(cap(pending)) }()
 	res.SetReadDeadline(x.nextEventDeadline())
 	for {
-		pending = grow(pending)
-		n, err := res.Read(pending[len(pending):cap(pending)])
-		pending = pending[:len(pending)+n]
+		err := x.readPending(res, &pending)
 		complete := completeEvents(pending)
 		if err == io.EOF {
 			if insideEvent(pending[complete:]) || first && len(pending) == 0 && res.EndsWithConnection() {
@@ -106,7 +104,7 @@
 				x.c.closeAfterResponse = true
 				return outcomeDelivered
 			}
-			pending = pending[:copy(pending, pending[complete:])]
+			pending = x.g.bodies.shrink(pending[:copy(pending, pending[complete:])])
 		}
 		switch {
 		case err == io.EOF:
@@ -224,11 +222,19 @@
 	return reserved
 }
 
-func grow(b []byte) []byte {
-	if len(b) < cap(b) {
-		return b
+// readPending appends bytes of the response to those of an unfinished event. It returns
+// ErrInvalidResponse if there is no memory for more.
+func (x *exchange) readPending(res *forward.Response, pending *[]byte) error {
+	if len(*pending) == cap(*pending) {
+		larger, ok := x.g.bodies.grow(*pending, -1)
+		if !ok {
+			return errors.Annotatef(forward.ErrInvalidResponse, "no memory for more than %d bytes of an event", len(*pending))
+		}
+		*pending = larger
 	}
-	return append(b, 0)[:len(b)]
+	n, err := res.Read((*pending)[len(*pending):cap(*pending)])
+	*pending = (*pending)[:len(*pending)+n]
+	return err
 }
 
 // hasEvent reports whether the text contains a line of an event rather than only
--- a/pkg/settings/reference.go
+++ b/pkg/settings/reference.go
@@ -46,8 +46,8 @@
 | responses to earlier requests before it | 2 responses of 65536 | as the head |
 | body of a request that was not run | 65536 | as the head |
 | trailer of a chunked body | 32 lines | as the body |
-| body that is not a stream | 16777216; beyond 65536 all such bodies share an eighth of the VM's memory | the request's deadline |
-| event of a stream | 131072 | the request's deadline; if the stream can resume, 4 pause objectives without a whole event, at least 800 ms, then again and again until another target takes it |
+| body that is not a stream | 16777216; beyond 4096 all such bodies share an eighth of the VM's memory, also failures that are held back | the request's deadline |
+| event of a stream | 131072; beyond 4096 it shares the same eighth | the request's deadline; if the stream can resume, 4 pause objectives without a whole event, at least 800 ms, then again and again until another target takes it |
 | engine's answer to its orderer, head | 8192 | 400 ms, for an order 100 ms |
 | engine's answer to its orderer, body | 262144 | 400 ms, for an order 100 ms |
 | page of a list of the store | 8388608 | 2 s, for a watch its wait and a fifth of the time to settle |
