Bodies of requests share the limit of all bodies

What happened: a caller that announced a body got its whole length in memory at once, up to the configuration's limit, and what callers send was in no sum. 100 callers that announce 4 MB and send 200 KB: 422 MB live. Cause: the sum was made for targets that send without end; callers are peers too. Change: the body of a request grows as it arrives, in the buffers that all bodies share. Without memory for it, the caller gets 503 with Retry-After; requests up to 4 KB always have it. The buffer goes back with the response, not with the connection.

--- a/pkg/gateway/body_buffers.go
+++ b/pkg/gateway/body_buffers.go
@@ -10,8 +10,8 @@
 	bodyMemoryShare = 0.125
 )
 
-// bodyBuffers limits the memory that holds what peers have sent: responses, held failures
-// and unfinished events.
+// bodyBuffers limits the memory that holds what peers have sent: requests, responses,
+// held failures and unfinished events.
 type bodyBuffers struct {
 	limit int64
 	used  *atomic.Int64 // by buffers above freeBodyBytes
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -63,6 +63,7 @@
 	_ = c.nc.SetReadDeadline(began.Add(limits.HeaderTimeout))
 	q := &request{}
 	if err := c.readRequest(q, limits); err != nil {
+		q.releaseBody(c.g.bodies)
 		c.rejectUnreadable(err)
 		return false
 	}
@@ -75,7 +76,9 @@
 	go c.watchForClose(cancel, peekErr)
 	// A response that started before the stop did not announce the close, so its
 	// connection carries another request, whose response does.
-	if !c.g.handle(ctx, c, q, began) || c.closeAfterResponse {
+	reusable := c.g.handle(ctx, c, q, began)
+	q.releaseBody(c.g.bodies)
+	if !reusable || c.closeAfterResponse {
 		return false
 	}
 	return c.awaitNext(peekErr, limits.IdleTimeout)
@@ -118,7 +121,7 @@
 			return err
 		}
 	}
-	return q.readBody(c.r, f, limits.BodyBytes)
+	return q.readBody(c.r, f, limits.BodyBytes, c.g.bodies)
 }
 
 // rejectUnreadable responds to a request that could not be read.
@@ -129,7 +132,11 @@
 	}
 	c.g.Debug("msg", "request rejected", "remote", c.nc.RemoteAddr(), "status", r.status, "reason", r.reason)
 	c.closeAfterResponse, c.responseStarted = true, false
-	_ = c.writeError(r.status, r.reason, 0)
+	wait := time.Duration(0)
+	if r.status == fasthttp.StatusServiceUnavailable {
+		wait = c.g.addJitter(memoryRetryAfter)
+	}
+	_ = c.writeError(r.status, r.reason, wait)
 	// Closing a connection with unread bytes sends a reset, which may overtake the
 	// response. So the write side is closed first and the unread bytes are
 	// discarded.
@@ -140,6 +147,10 @@
 	}
 }
 
+// memoryRetryAfter is the Retry-After time of a request for whose body there is no memory:
+// about the time that a large body takes to arrive and to be forwarded.
+const memoryRetryAfter = time.Second
+
 // lingerTimeout bounds how long the remaining bytes of a rejected caller are read
 // and discarded.
 const lingerTimeout = 300 * time.Millisecond
--- a/pkg/gateway/limits_test.go
+++ b/pkg/gateway/limits_test.go
@@ -16,6 +16,7 @@
 	for _, row := range []string{
 		fmt.Sprintf("if another target may take the request, %d latency objectives, at least %d ms", firstByteObjectives, minFirstByteWait.Milliseconds()),
 		fmt.Sprintf("| body that is not a stream | %d; beyond %d all such bodies share an eighth", maxResponseBytes, freeBodyBytes),
+		fmt.Sprintf("beyond %d bytes they\nshare the same eighth, and a request", freeBodyBytes),
 		fmt.Sprintf("| event of a stream | %d; beyond %d it shares the same eighth |", maxEventBytes, freeBodyBytes),
 		fmt.Sprintf("%d pause objectives without a whole event, at least %d ms", gapFactor, minGapWait.Milliseconds()),
 	} {
--- a/pkg/gateway/memory_test.go
+++ b/pkg/gateway/memory_test.go
@@ -123,3 +123,69 @@
 		})
 	}
 }
+
+// Many callers announce large bodies and send a part of them: what is held of them stays
+// within the limit that all bodies share, and small requests are served meanwhile.
+func TestRequestBodiesShareTheLimit(t *testing.T) {
+	const callers, announced, sent = 100, 4 << 20, 200 << 10
+	for _, framing := range []string{"length", "chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			testHarness(t, func(t *testing.T, h *harness) {
+				h.bodies = newBodyBuffers(32 << 20)
+				start := rawRequest("POST", "/unsafe/x", fmt.Sprintf("Content-Length: %d\r\n", announced))
+				part := strings.Repeat("b", sent)
+				if framing == "chunks" {
+					start, part = rawRequest("POST", "/unsafe/x", "Transfer-Encoding: chunked\r\n"), chunk(part)
+				}
+				before := liveBytes()
+				statuses := make(chan int, callers)
+				for range callers {
+					c := h.connect()
+					go func() { _, _ = io.WriteString(c, start+part) }()
+					go func() {
+						res, err := http.ReadResponse(bufio.NewReader(c), nil)
+						if err == nil {
+							require.NotEmpty(t, res.Header.Get("Retry-After"))
+							statuses <- res.StatusCode
+						}
+					}()
+				}
+				time.Sleep(time.Second)
+				require.LessOrEqual(t, h.bodies.used.Load(), h.bodies.limit)
+				require.Less(t, liveBytes()-before, h.bodies.limit+callers*(64<<10))
+				refused := len(statuses)
+				require.Greater(t, refused, callers/2)
+				for range refused {
+					require.Equal(t, 503, <-statuses)
+				}
+				h.script(respond(200, "small"))
+				require.Equal(t, "small", body(t, h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 2\r\n")+"ab")))
+				time.Sleep(time.Minute) // all have timed out
+				require.Zero(t, h.bodies.used.Load(), "all buffers are released")
+			})
+		})
+	}
+}
+
+// A large request gives its memory back with its response, while its connection is kept.
+func TestRequestBodiesAreReleased(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.bodies = newBodyBuffers(smallVM)
+		large := strings.Repeat("b", 1<<20)
+		for _, raw := range []string{
+			rawRequest("POST", "/unsafe/x", "Content-Length: 1048576\r\n") + large,
+			rawRequest("POST", "/unsafe/x", "Transfer-Encoding: chunked\r\n") + chunk(large) + "0\r\n\r\n",
+		} {
+			var whileSent int64
+			h.script(func(w net.Conn, call receivedRequest) bool {
+				whileSent = h.bodies.used.Load()
+				require.Equal(t, large, string(call.Body))
+				return respond(200, "done")(w, call)
+			})
+			require.Equal(t, "done", body(t, h.send(raw)))
+			synctest.Wait()
+			require.GreaterOrEqual(t, whileSent, int64(len(large)))
+			require.Zero(t, h.bodies.used.Load())
+		}
+	})
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -214,32 +214,59 @@
 // maxTrailerLines bounds the trailer after a chunked body.
 const maxTrailerLines = 32
 
-// readBody reads a body with the given framing.
-func (q *request) readBody(r *bufio.Reader, f framing, limit int) error {
+// readBody reads a body with the given framing into one of the body buffers, which the
+// caller releases, also after an error.
+func (q *request) readBody(r *bufio.Reader, f framing, limit int, buffers bodyBuffers) error {
 	switch {
 	case f.length > limit:
 		return reject(fasthttp.StatusRequestEntityTooLarge, "body too large")
 	case f.length >= 0:
 		q.hasBody = true
-		q.body = make([]byte, f.length)
-		_, err := io.ReadFull(r, q.body)
-		return err
+		return q.readBytes(io.LimitReader(r, int64(f.length)), f.length, f.length, buffers)
 	case !f.chunked:
 		return nil
 	}
 	q.hasBody = true
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), int64(limit)+1))
-	if len(body) > limit {
-		return reject(fasthttp.StatusRequestEntityTooLarge, "body too large")
+	err := q.readBytes(httputil.NewChunkedReader(r), -1, limit, buffers)
+	var rejected *rejection
+	switch {
+	case err == nil:
+		return readTrailer(r)
+	case errors.As(err, &rejected), isTimeout(err), errors.Is(err, io.ErrUnexpectedEOF):
+		return err
 	}
-	if err != nil {
-		if isTimeout(err) || errors.Is(err, io.ErrUnexpectedEOF) {
+	return reject(fasthttp.StatusBadRequest, "malformed chunks")
+}
+
+// readBytes reads bytes until r ends. The length is -1 if it is not known in advance.
+func (q *request) readBytes(r io.Reader, length, limit int, buffers bodyBuffers) error {
+	for {
+		if len(q.body) == cap(q.body) {
+			larger, ok := buffers.grow(q.body, length)
+			if !ok {
+				return reject(fasthttp.StatusServiceUnavailable, "no memory for the body")
+			}
+			q.body = larger
+		}
+		n, err := r.Read(q.body[len(q.body):cap(q.body)])
+		q.body = q.body[:len(q.body)+n]
+		switch {
+		case len(q.body) > limit:
+			return reject(fasthttp.StatusRequestEntityTooLarge, "body too large")
+		case err == io.EOF && len(q.body) < length:
+			return io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return nil
+		case err != nil:
 			return err
 		}
-		return reject(fasthttp.StatusBadRequest, "malformed chunks")
 	}
-	q.body = body
-	return readTrailer(r)
+}
+
+// releaseBody gives the buffer of the body back.
+func (q *request) releaseBody(buffers bodyBuffers) {
+	buffers.release(cap(q.body))
+	q.body = nil
 }
 
 // readTrailer skips the trailer of a chunked body.
--- a/pkg/settings/reference.go
+++ b/pkg/settings/reference.go
@@ -51,6 +51,9 @@
 | engine's answer to its orderer, head | 8192 | 400 ms, for an order 100 ms |
 | engine's answer to its orderer, body | 262144 | 400 ms, for an order 100 ms |
 | page of a list of the store | 8388608 | 2 s, for a watch its wait and a fifth of the time to settle |
+
+Bodies of requests are bounded by the configuration's limit; beyond 4096 bytes they
+share the same eighth, and a request for whose body there is no memory gets 503.
 `
 
 type reference struct {
