--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 # faults, against an oracle: make soak SEED=2 TIME=60s, PLANNED=1 for planned
 # operations only, ONLY=target-ends-runs-late for one kind of fault.
 soak: build
-	SEED=$(SEED) TIME=$(TIME) PLANNED=$(PLANNED) ONLY=$(ONLY) scripts/soak.sh
+	SEED=$(SEED) TIME=$(TIME) PLANNED=$(PLANNED) ONLY=$(ONLY) CLIENTS=$(CLIENTS) scripts/soak.sh
 
 # The time from an accepted change to its being in force on every process.
 rollout: build
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -52,6 +52,7 @@
 	{"target-crashes", false, false, 2 * time.Second, crashTarget},
 	{"prompt-part-ends-targets", false, false, 8 * time.Second, deadlyPromptPart},
 	{"target-fails", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
+	{"target-fails-at-length", false, false, 3 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4, FailBytes: 6 << 20})},
 	{"target-cuts-answers", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{TruncateShare: 0.3})},
 	{"target-mute", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{NoResponseShare: 0.3})},
 	{"target-states-limit", true, false, 10 * time.Second, limitTarget},
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -33,6 +33,7 @@
 	GuaranteeCrashes        Guarantee = "crashing-part"        // requests that end engines are stopped
 	GuaranteeLimit          Guarantee = "stated-limit"         // a target gets no more requests than the rate limit that it states allows
 	GuaranteeOneEngine      Guarantee = "one-engine-at-a-time" // a stream goes on at another engine only once the one before has ended it
+	GuaranteeMemory         Guarantee = "memory-limit"         // no process takes more memory than its VM has
 	GuaranteeRoutes         Guarantee = "configuration"        // all gateways serve a new route and keep serving it
 )
 
--- a/pkg/soak/run.go
+++ b/pkg/soak/run.go
@@ -43,6 +43,7 @@
 	Settings
 	FaultCounts
 	Sent, Served int // requests of the whole run
+	PeakMB       int // largest memory of a process
 	Violations   []Violation
 }
 
@@ -73,6 +74,10 @@
 		return result, errors.Trace(err)
 	}
 	began := time.Now()
+	memoryCtx, stopMemory := context.WithCancel(ctx)
+	defer stopMemory()
+	peak := make(chan int, 1)
+	go func() { peak <- d.watchMemory(memoryCtx) }()
 	stopLoad := d.startLoad(ctx)
 	d.injectFaults(ctx, log.With(logger, "component", "soak"), candidates, result.FaultCounts)
 	faultsEnded := time.Now()
@@ -83,6 +88,8 @@
 	ended := time.Now()
 	d.checkRoutes(ctx)
 	stopLoad()
+	stopMemory()
+	result.PeakMB = <-peak
 	result.Sent, result.Served = oracle.Served(began, ended)
 	sent, served := oracle.Served(faultsEnded.Add(recoveryTime-checkedTime), ended)
 	if float64(served) < minServedShare*float64(sent) || sent == 0 {
@@ -211,8 +218,8 @@
 		total += n
 	}
 	sort.Strings(kinds)
-	if _, err := fmt.Fprintf(out, "seed %d: %d faults of %d kinds, %d pairs at once; %d of %d requests served; %d violations\n",
-		r.Seed, total, len(r.Kinds), len(r.Pairs), r.Served, r.Sent, len(r.Violations)); err != nil {
+	if _, err := fmt.Fprintf(out, "seed %d: %d faults of %d kinds, %d pairs at once; %d of %d requests served; at most %d MB a process; %d violations\n",
+		r.Seed, total, len(r.Kinds), len(r.Pairs), r.Served, r.Sent, r.PeakMB, len(r.Violations)); err != nil {
 		return errors.Trace(err)
 	}
 	for _, k := range kinds {
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -36,6 +36,7 @@
 // passing.
 type WorkerFaults struct {
 	FailShare       float64 // of requests that fail with status 500
+	FailBytes       int     // length of the body of such a failure
 	TruncateShare   float64 // of responses that are incomplete
 	NoResponseShare float64 // of requests that run but get no response
 	ShedShare       float64 // of requests that are rejected as not run
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -168,6 +168,7 @@
 		w.sendWithoutEnd(out, req)
 	case w.drawFault(faults.FailShare):
 		out.WriteHeader(http.StatusInternalServerError)
+		_, _ = out.Write(make([]byte, faults.FailBytes)) // fails if the caller disconnects
 	case req.events > 0 && w.drawFault(faults.LateEndShare):
 		half := req
 		half.events = (req.lastEvent + req.events) / 2
