A grant lasts until its engine has ended the run

The agent then counted the place and the adapter as free while the engine still ran it. Reads and writes in progress end at once, whatever deadline is set meanwhile. Test: TestGrantLastsUntilTheRunHasEnded, red before in both cases (0 grants open while the engine runs on).

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -58,7 +58,7 @@
 func (c *Conn) Receive(method, attempt string, deadline time.Time) (*Response, error) {
 	// The error of SetReadDeadline is ignored: bytes that arrived before the
 	// connection closed can still be read, and the read reports the close.
-	_ = c.nc.SetReadDeadline(deadline)
+	_ = c.setReadDeadline(deadline)
 	res := &Response{c: c, method: method}
 	res.Header.DisableNormalizing()
 	res.Header.SetNoDefaultContentType(true)
@@ -155,7 +155,7 @@
 
 // SetReadDeadline sets the deadline of further reads of the body. A closed
 // connection is reported by those reads.
-func (res *Response) SetReadDeadline(t time.Time) { _ = res.c.nc.SetReadDeadline(t) }
+func (res *Response) SetReadDeadline(t time.Time) { _ = res.c.setReadDeadline(t) }
 
 // Close closes the response's connection.
 func (res *Response) Close() { res.c.Close() }
--- a/pkg/forward/leave.go
+++ b/pkg/forward/leave.go
@@ -10,23 +10,39 @@
 )
 
 // Leave gives up the request in progress. It ends the direction to the target, which makes
-// the target stop its work and close the connection.
+// the target stop its work and close the connection. Reads and writes in progress end.
 func (c *Conn) Leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left {
+		return
+	}
+	c.left = true
 	half, ok := c.nc.(interface{ CloseWrite() error })
-	if !ok || c.ended || half.CloseWrite() != nil {
+	if !ok || c.ended.Load() || half.CloseWrite() != nil || c.nc.SetDeadline(time.Now()) != nil {
 		c.Close()
 	}
 }
 
+// setReadDeadline sets the deadline of reads. Once the request is given up, they fail.
+func (c *Conn) setReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left {
+		return os.ErrDeadlineExceeded
+	}
+	return c.nc.SetReadDeadline(t)
+}
+
 // Ended reports whether the target had closed the connection before it was left, or it was
 // reset.
-func (c *Conn) Ended() bool { return c.ended }
+func (c *Conn) Ended() bool { return c.ended.Load() }
 
 // AwaitClose waits, after Leave, until the target closes the connection too, and reports
 // whether it does so before the deadline. It closes the connection in any case.
 func (c *Conn) AwaitClose(deadline time.Time) bool {
 	defer c.Close()
-	if c.ended {
+	if c.Ended() {
 		return true
 	}
 	if err := c.nc.SetReadDeadline(deadline); err != nil {
--- a/pkg/forward/leave_test.go
+++ b/pkg/forward/leave_test.go
@@ -109,3 +109,33 @@
 	}
 	return nil
 }
+
+// A caller leaves while its request is sent to a target that does not read, or while the
+// response is awaited: neither is waited for, whatever deadline is set meanwhile.
+func TestEndOfARequestEndsWhatItWaitsFor(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	far := time.Now().Add(time.Hour)
+	for _, test := range []struct {
+		name string
+		wait func(c *forward.Conn) error
+	}{
+		{"a send", func(c *forward.Conn) error { return c.Send(make([]byte, 64<<20), far) }},
+		{"a response", func(c *forward.Conn) error { _, err := c.Receive("GET", "a-1", far); return err }},
+		{"a response that is not awaited yet", func(c *forward.Conn) error {
+			time.Sleep(50 * time.Millisecond)
+			_, err := c.Receive("GET", "a-1", far)
+			return err
+		}},
+	} {
+		p := forward.NewPool()
+		c, err := p.Get(context.Background(), l.Addr().String(), 0)
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		c.Bind(ctx)
+		time.AfterFunc(20*time.Millisecond, cancel)
+		require.Error(t, test.wait(c), test.name)
+		require.False(t, c.AwaitClose(time.Now().Add(10*time.Millisecond)), "the target has not closed it")
+	}
+}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -40,8 +41,11 @@
 	address   string
 	idleSince time.Time // when it was last returned to the pool
 	reused    bool      // it has carried another request
-	ended     bool      // the target has closed it, or it was reset
 	maxIdle   time.Duration
+	// ended says that the target has closed the connection, or that it was reset.
+	ended atomic.Bool
+	mu    sync.Mutex // guards left, and the read deadline from then on
+	left  bool       // the request in progress was given up
 	// unbind ends the binding to the request in progress.
 	unbind func() bool
 	// onStall is called when a read's deadline has passed.
@@ -62,7 +66,7 @@
 	for {
 		n, err := s.c.nc.Read(b)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
-			s.c.ended = true
+			s.c.ended.Store(true)
 		}
 		if n > 0 || s.c.onStall == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
@@ -71,14 +75,15 @@
 		if !wait {
 			return n, err
 		}
-		if err := s.c.nc.SetReadDeadline(next); err != nil {
+		if err := s.c.setReadDeadline(next); err != nil {
 			return 0, err
 		}
 	}
 }
 
-// Bind closes the connection when ctx ends, until it is returned to the pool.
-func (c *Conn) Bind(ctx context.Context) { c.unbind = context.AfterFunc(ctx, c.Close) }
+// Bind gives the request in progress up when ctx ends, until the connection is returned to
+// the pool.
+func (c *Conn) Bind(ctx context.Context) { c.unbind = context.AfterFunc(ctx, c.Leave) }
 
 // Close closes the connection, which makes the target stop its work on the request
 // in progress.
@@ -145,7 +150,8 @@
 // longer closes it.
 func (p *Pool) Put(c *Conn) {
 	if c.unbind != nil && !c.unbind() {
-		return // it is being closed
+		c.Close() // the request was given up
+		return
 	}
 	c.unbind = nil
 	c.idleSince, c.reused, c.onStall = time.Now(), true, nil
--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -135,6 +135,20 @@
 	return len(h.requests)
 }
 
+// linkCount returns the number of links that agents have accepted.
+func (h *agentHarness) linkCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.links)
+}
+
+// openGrants returns the number of grants that have not ended.
+func (h *agentHarness) openGrants() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.open
+}
+
 // streamRequest is a request for an adapter of streamModel.
 func streamRequest(path string) string {
 	return rawRequest("POST", path, "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "X-Token-Count: 100,10\r\n")
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -139,7 +139,7 @@
 // whether the connection can be used further.
 func (x *exchange) run() bool {
 	defer x.releaseReserved()
-	defer x.closeLeft()
+	defer x.endLeft()
 	defer func() { x.g.bodies.release(cap(x.failedBody)) }()
 	for {
 		if x.awaitLeft(); x.expired() && !x.stopped() {
@@ -157,7 +157,9 @@
 		}
 		x.sends++
 		o := x.sendOnce(assigned)
-		assigned.release()
+		if x.left == nil {
+			assigned.release()
+		}
 		x.logSendEnd(assigned, o)
 		if o == outcomeDelivered {
 			return !x.callerDisconnected()
@@ -293,7 +295,7 @@
 		conn.Close()
 		return outcomeUnsent
 	}
-	// Closing the connection makes the target stop its work on the request.
+	// Leaving the connection makes the target stop its work on the request.
 	conn.Bind(x.ctx)
 	sent := time.Now()
 	x.logSend(a, sent)
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -49,17 +49,24 @@
 // String returns the name of the evidence.
 func (e runEnd) String() string { return runEndNames[e] }
 
-// leave gives up the send on a connection. The target is told at once.
+// leave gives up the send on a connection. The target is told at once. Its grant lasts until
+// it has ended its run.
 func (x *exchange) leave(a *assignment, conn *forward.Conn) {
 	conn.Leave()
 	x.left = &leftSend{conn: conn, assigned: a, at: time.Now()}
 }
 
-// closeLeft closes the connection of a send that was given up last.
-func (x *exchange) closeLeft() {
-	if x.left != nil {
-		x.left.conn.Close()
+// endLeft ends the send that was given up last, once its target has closed the connection
+// or closeWait is over.
+func (x *exchange) endLeft() {
+	left := x.left
+	if left == nil {
+		return
 	}
+	go func() {
+		left.conn.AwaitClose(left.at.Add(closeWait))
+		left.assigned.release()
+	}()
 }
 
 // awaitLeft waits until the target of the send that was given up has ended its run, or
@@ -71,6 +78,7 @@
 	}
 	x.left = nil
 	end := x.awaitRunEnd(left)
+	left.assigned.release()
 	x.g.metrics.leftRuns[end].Inc(1)
 	x.g.metrics.leftWait.RecordDuration(time.Since(left.at))
 	x.g.Debug("msg", "run given up", "request", x.q.attempt, "target", left.assigned.target.Instance, "end", end, "after", time.Since(left.at))
--- a/pkg/gateway/leave_test.go
+++ b/pkg/gateway/leave_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -167,7 +168,7 @@
 		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
 		require.Equal(t, events(1, 2), body(t, res))
 		require.LessOrEqual(t, time.Since(began), minFirstByteWait+closeWait+agentReplyTimeout+5*time.Millisecond)
-		require.Len(t, h.links, 2, "one for each engine")
+		require.Equal(t, 2, h.linkCount(), "one for each engine")
 	})
 }
 
@@ -186,7 +187,7 @@
 		time.Sleep(runPollInterval)
 		require.Zero(t, h.active.Load())
 		require.Len(t, h.receivedRequests(), 1)
-		require.Zero(t, h.open, "the grants have ended")
+		require.Zero(t, h.openGrants())
 	})
 }
 
@@ -195,3 +196,46 @@
 	host, _, _ := net.SplitHostPort(target)
 	return net.JoinHostPort(host, "7380")
 }
+
+// The agent of an engine hears that a request has ended when the engine has ended it, not
+// when its caller has left: until then the place and the adapter are in use.
+func TestGrantLastsUntilTheRunHasEnded(t *testing.T) {
+	const notice = 30 * time.Millisecond
+	for _, test := range []struct{ name, part string }{
+		{"before the first event", ""},
+		{"inside a stream", streamHead + chunk(events(1, 2))},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+				h.pool.Dial = h.dialDuplex
+				var left, ended time.Time
+				h.script(func(w net.Conn, _ receivedRequest) bool {
+					_, _ = io.WriteString(w, test.part)
+					_, _ = io.Copy(io.Discard, w)
+					left = time.Now()
+					time.Sleep(notice)
+					ended = time.Now()
+					return false
+				})
+				c := h.connect()
+				go func() { _, _ = io.WriteString(c, strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1)) }()
+				if test.part != "" {
+					_, err := io.ReadFull(c, make([]byte, 100))
+					require.NoError(t, err)
+				}
+				time.Sleep(100 * time.Millisecond)
+				require.Equal(t, 1, h.openGrants())
+				closed := time.Now()
+				require.NoError(t, c.Close())
+				time.Sleep(notice - time.Millisecond)
+				synctest.Wait()
+				require.Equal(t, closed, left, "the engine hears of it at once")
+				require.Equal(t, 1, h.openGrants())
+				time.Sleep(2 * time.Millisecond)
+				synctest.Wait()
+				require.Equal(t, closed.Add(notice), ended)
+				require.Zero(t, h.openGrants())
+			})
+		})
+	}
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -95,12 +95,12 @@
 			timing.events += events
 			x.events += events
 			if !x.streamStarted && !x.beginStream() {
-				res.Close()
+				x.leave(a, res.Conn())
 				x.endForStop(phaseSent)
 				return outcomeUnknown
 			}
 			if !x.forwardEvents(res, pending[:complete]) {
-				res.Close()
+				x.leave(a, res.Conn())
 				x.c.closeAfterResponse = true
 				return outcomeDelivered
 			}
