No request is granted on an adapter while an order to unload it is on its way

A caller's request is then turned away, or the unload waits. Ruled out: the late end of an earlier run (all streams on a15 had been delivered), a stale report. Change: the adapter that an order displaces is not granted until the order is answered, or a later report shows what became of it. Test: TestNoGrantOnAnAdapterThatIsOrderedAway, red before (granted after 0 s).

--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -184,7 +184,7 @@
 		return 0, true
 	}
 	a := s.held[req.weights().Unversioned()]
-	if a == nil || a.version < req.Adapter.Version || a.isUnloading(now) || s.isLoading(req.weights()) {
+	if a == nil || a.version < req.Adapter.Version || a.isUnloading(now) || s.isLoading(req.weights()) || s.isDisplaced(req.weights()) {
 		return 0, false
 	}
 	return a.version, true
--- a/pkg/grant/order.go
+++ b/pkg/grant/order.go
@@ -29,6 +29,23 @@
 	return Order{}, false
 }
 
+// Sending records that an order is on its way to the engine. Until it is answered no request
+// is granted on the adapter that it displaces.
+func (s *Scheduler) Sending(o Order) {
+	if o.Displaces {
+		s.displacing = o.Weights.Unversioned()
+	}
+}
+
+// Answered records that the order on its way, if any, has been answered, or that a later
+// report shows whether the engine has accepted it.
+func (s *Scheduler) Answered() { s.displacing = ident.Weights{} }
+
+// isDisplaced reports whether an order that displaces the adapter is on its way.
+func (s *Scheduler) isDisplaced(w ident.Weights) bool {
+	return !s.displacing.IsZero() && s.displacing == w.Unversioned()
+}
+
 func (s *Scheduler) newOrder(unload bool, w ident.Weights) Order {
 	return Order{Unload: unload, Weights: w, Sequence: s.sequence, Instance: s.instance}
 }
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -75,8 +75,10 @@
 	instance          ident.Target
 	identifiedStartMS int64 // startMS (Unix ms) of the engine process that last reported its name
 	startMS           int64
-	up                bool
-	draining          bool // the engine is about to leave
+	// displacing is the adapter that an order displaces which the engine has not answered yet.
+	displacing ident.Weights
+	up         bool
+	draining   bool // the engine is about to leave
 	// unknownSince is the time since which the engine runs requests that were not
 	// granted here, or zero if there are none. unknownLastSeen is the time at which
 	// such requests were last seen.
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -38,6 +38,7 @@
 		o.Info("msg", "engine answers again", "born", report.StartMS)
 	}
 	o.misses, o.startMS, o.report, o.reportedAt = 0, report.StartMS, report, requestedAt
+	o.scheduler.Answered() // the report is newer than all orders
 	o.scheduler.Observe(grantReport(report), time.Now())
 	o.observeNoticeLocked(report.Notice)
 	if o.scheduler.Pinned() {
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -298,11 +298,20 @@
 	}
 }
 
-// nextOrder returns the next order to send. Before an order that displaces held
+// nextOrder returns the next order, which is to be sent at once. Before an order that displaces held
 // weights, it checks the engine for running requests that were not granted here.
 func (o *Orderer) nextOrder() (grant.Order, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	order, due := o.decideOrder()
+	if due {
+		o.scheduler.Sending(order)
+	}
+	return order, due
+}
+
+// decideOrder decides on the next order. The caller holds mu.
+func (o *Orderer) decideOrder() (grant.Order, bool) {
 	order, due := o.scheduler.Order(time.Now())
 	if !due || !order.Displaces {
 		return order, due
@@ -345,12 +354,19 @@
 	})
 	o.Debug("msg", "order", "unload", g.Unload, "weights", g.Weights, "sequence", g.Sequence, "result", result)
 	o.metrics.orderSent(result)
-	if err != nil || result != platform.OrderAccepted && result != platform.OrderNoChange {
+	accepted := err == nil && (result == platform.OrderAccepted || result == platform.OrderNoChange)
+	if !accepted {
 		o.Info("msg", "order not accepted", "unload", g.Unload, "weights", g.Weights, "sequence", g.Sequence, "result", result, "err", err)
-		return false
+	}
+	if result == platform.OrderUnanswered {
+		return false // the next report shows whether the engine has accepted it
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.scheduler.Answered()
+	if !accepted {
+		return false
+	}
 	if g.Unload && !g.Weights.AdapterVersion.IsZero() && result == platform.OrderAccepted {
 		// An adapter without runs is dropped at once, which is answered otherwise.
 		o.scheduler.Unloading(g, time.Now())
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -34,6 +34,7 @@
 	maxAdapters int // maximum of adapters held and loading at once
 	unloaded    []ident.Adapter
 	runs        []ident.Attempt // running requests in the report
+	sendDelay   time.Duration   // time from an order's sending to its execution
 	reportDelay time.Duration   // delay of a report, which shows the state at its start
 	lostReplies int             // number of replies to lose
 	lateOrders  int             // number of orders to execute 3 s later without a reply
@@ -100,6 +101,10 @@
 }
 
 func (e *fakeEngine) send(o platform.Order) (platform.OrderResult, error) {
+	e.mu.Lock()
+	sendDelay := e.sendDelay
+	e.mu.Unlock()
+	time.Sleep(sendDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.senders[platform.Order{Holder: o.Holder, FencingToken: o.FencingToken}] = true
@@ -403,3 +408,52 @@
 		require.Equal(t, 2, e.maxAdapters)
 	})
 }
+
+// Found by the soak: an order to unload an idle adapter is on its way to the engine, and a
+// request is granted on that adapter, which is then in use when the order arrives. No request
+// is granted on it before the order is answered.
+func TestNoGrantOnAnAdapterThatIsOrderedAway(t *testing.T) {
+	const onItsWay = 50 * time.Millisecond
+	for _, test := range []struct {
+		name   string
+		answer func(e *fakeEngine) // makes the engine answer the order in some way
+		after  time.Duration       // how long the request for the adapter waits
+	}{
+		{"accepted", func(*fakeEngine) {}, onItsWay + loadTime},
+		{"not accepted", func(e *fakeEngine) { e.sequence++ }, onItsWay},
+		{"the answer is lost", func(e *fakeEngine) { e.lostReplies = 1 }, onItsWay + loadTime},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testOrderer(t, func(t *testing.T, e *fakeEngine, entry func() *link.Conn) {
+				c := entry()
+				for _, a := range []ident.Adapter{"a1", "a2"} {
+					reply, s := requestGrant(t, c, a)
+					require.Equal(t, wire.GrantIssued, reply.Code)
+					s.Close()
+					time.Sleep(time.Second)
+				}
+				e.mu.Lock()
+				e.sendDelay = onItsWay
+				e.mu.Unlock()
+				third, err := c.Open(link.KindGrantRequest, &wire.GrantRequest{Model: "m", Adapter: ident.AdapterVersion{Adapter: "a3"}, PromptTokens: 100, OutputTokens: 10, MaxWaitMS: 5000, ObjectiveMS: 800})
+				require.NoError(t, err)
+				time.Sleep(onItsWay / 2)
+				e.mu.Lock()
+				test.answer(e)
+				e.mu.Unlock()
+				began := time.Now()
+				reply, s := requestGrant(t, c, "a1")
+				require.Equal(t, wire.GrantIssued, reply.Code)
+				require.GreaterOrEqual(t, time.Since(began), test.after/2)
+				e.mu.Lock()
+				if test.name != "not accepted" {
+					require.Equal(t, []ident.Adapter{"a1"}, e.unloaded[:1])
+				}
+				require.Equal(t, 2, e.maxAdapters)
+				e.mu.Unlock()
+				s.Close()
+				third.Close()
+			})
+		})
+	}
+}
