--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -75,7 +75,7 @@
 	instance          ident.Target
 	identifiedStartMS int64 // startMS (Unix ms) of the engine process that last reported its name
 	startMS           int64
-	// displacing is the adapter that an order displaces which the engine has not answered yet.
+	// displacing is the adapter that an unanswered order displaces.
 	displacing ident.Weights
 	up         bool
 	draining   bool // the engine is about to leave
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -298,8 +298,7 @@
 	}
 }
 
-// nextOrder returns the next order, which is to be sent at once. Before an order that displaces held
-// weights, it checks the engine for running requests that were not granted here.
+// nextOrder returns the next order, which is to be sent at once.
 func (o *Orderer) nextOrder() (grant.Order, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -310,7 +309,8 @@
 	return order, due
 }
 
-// decideOrder decides on the next order. The caller holds mu.
+// decideOrder decides on the next order. Before one that displaces held weights, it checks
+// the engine for running requests that were not granted here. The caller holds mu.
 func (o *Orderer) decideOrder() (grant.Order, bool) {
 	order, due := o.scheduler.Order(time.Now())
 	if !due || !order.Displaces {
