A reset connection does not show the end of a run

A reset by the network, or the time-out of this side's kernel, says nothing of the run. Change: only the end that the target has sent counts; after any other error its agent is asked, which costs a round trip if it answers. Test: TestResetConnectionDoesNotShowTheEndOfARun, red before (went on 1.3 s before the end).

--- a/pkg/forward/abandon.go
+++ b/pkg/forward/abandon.go
@@ -19,7 +19,7 @@
 	}
 	c.abandoned = true
 	half, ok := c.nc.(interface{ CloseWrite() error })
-	if !ok || c.peerClosed.Load() || half.CloseWrite() != nil || c.nc.SetDeadline(time.Now()) != nil {
+	if !ok || c.PeerClosed() || half.CloseWrite() != nil || c.nc.SetDeadline(time.Now()) != nil {
 		c.Close()
 	}
 }
@@ -35,7 +35,7 @@
 }
 
 // PeerClosed reports whether the target had closed the connection before the request was
-// abandoned, or it was reset.
+// abandoned.
 func (c *Conn) PeerClosed() bool { return c.peerClosed.Load() }
 
 // AwaitClose waits, after Abandon, until the target closes the connection too, and reports
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -42,7 +43,8 @@
 	idleSince time.Time // when it was last returned to the pool
 	reused    bool      // it has carried another request
 	maxIdle   time.Duration
-	// peerClosed says that the target has closed the connection, or that it was reset.
+	// peerClosed says that the target has closed the connection. A reset or a time-out may
+	// be of this side alone.
 	peerClosed atomic.Bool
 	mu         sync.Mutex // guards abandoned, and the read deadline from then on
 	abandoned  bool       // the request in progress was abandoned
@@ -65,7 +67,7 @@
 func (s stallReader) Read(b []byte) (int, error) {
 	for {
 		n, err := s.c.nc.Read(b)
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		if err == io.EOF {
 			s.c.peerClosed.Store(true)
 		}
 		if n > 0 || s.c.onStall == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/pkg/gateway/abandon_test.go
+++ b/pkg/gateway/abandon_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -191,6 +192,46 @@
 	})
 }
 
+// resetConn is a connection that is reset some time after its request was sent, of which its
+// target does not hear.
+type resetConn struct {
+	duplexConn
+	after time.Duration
+}
+
+func (c resetConn) Read([]byte) (int, error) {
+	time.Sleep(c.after)
+	return 0, syscall.ECONNRESET
+}
+
+// Incident, the same with a connection that ends on this side alone: a reset or a time-out
+// says nothing of the run.
+func TestResetConnectionDoesNotShowTheEndOfARun(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		var run runAt
+		var next time.Time
+		dials := 0
+		h.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := h.dialDuplex(ctx, address)
+			if dials++; dials == 1 {
+				return resetConn{c.(duplexConn), 200 * time.Millisecond}, err
+			}
+			return c, err
+		}
+		h.runs = func(address string) wire.RunReply {
+			return wire.RunReply{Known: true, Running: address == agentAddressOf(run.address) && time.Now().Before(run.end)}
+		}
+		h.script(lateEngine(&run, "", 1500*time.Millisecond, false), func(w net.Conn, _ receivedRequest) bool {
+			next = time.Now()
+			_, _ = io.WriteString(w, streamHead+chunk(events(1, 4))+"0\r\n\r\n")
+			return true
+		})
+		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+		require.Equal(t, events(1, 4), body(t, res))
+		require.False(t, next.Before(run.end), "it went on %s before the end of its run", run.end.Sub(next))
+	})
+}
+
 // agentAddressOf returns the address of the agent beside a target.
 func agentAddressOf(target string) string {
 	host, _, _ := net.SplitHostPort(target)
