--- a/pkg/gateway/abandon_test.go
+++ b/pkg/gateway/abandon_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -53,15 +54,36 @@
 // runAt is the run of a request at an engine that does not notice at once that its
 // connection is closed.
 type runAt struct {
+	mu      sync.Mutex
 	address string
 	end     time.Time
 }
 
+func (r *runAt) begin(address string, work time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.address, r.end = address, time.Now().Add(work)
+}
+
+// endsAt returns the end of the run.
+func (r *runAt) endsAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.end
+}
+
+// report is the answer of the agent at an address to the question for the run.
+func (r *runAt) report(agent string) wire.RunReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return wire.RunReply{Known: true, Running: agent == agentAddressOf(r.address) && time.Now().Before(r.end)}
+}
+
 // lateEngine returns a reply that writes a part of a response and works on for a while
 // afterwards. If closes is set, it closes the connection at the end of its work.
 func lateEngine(run *runAt, part string, work time.Duration, closes bool) reply {
 	return func(w net.Conn, call receivedRequest) bool {
-		run.address, run.end = call.Address, time.Now().Add(work)
+		run.begin(call.Address, work)
 		_, _ = io.WriteString(w, part)
 		time.Sleep(work)
 		if !closes {
@@ -97,9 +119,7 @@
 				h.pool.Dial = h.dialDuplex
 				var run runAt
 				var next time.Time
-				h.runs = func(address string) wire.RunReply {
-					return wire.RunReply{Known: true, Running: address == agentAddressOf(run.address) && time.Now().Before(run.end)}
-				}
+				h.runs = run.report
 				h.script(lateEngine(&run, test.part, test.work, test.closes), func(w net.Conn, _ receivedRequest) bool {
 					next = time.Now()
 					_, _ = io.WriteString(w, streamHead+chunk(test.rest)+"0\r\n\r\n")
@@ -108,8 +128,8 @@
 				res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
 				require.Equal(t, events(1, 4), body(t, res))
 				require.Len(t, h.receivedRequests(), 2)
-				require.False(t, next.Before(run.end), "it went on %s before the end of its run", run.end.Sub(next))
-				require.LessOrEqual(t, next.Sub(run.end), latest)
+				require.False(t, next.Before(run.endsAt()), "it went on %s before the end of its run", run.endsAt().Sub(next))
+				require.LessOrEqual(t, next.Sub(run.endsAt()), latest)
 			})
 		})
 	}
@@ -218,9 +238,7 @@
 			}
 			return c, err
 		}
-		h.runs = func(address string) wire.RunReply {
-			return wire.RunReply{Known: true, Running: address == agentAddressOf(run.address) && time.Now().Before(run.end)}
-		}
+		h.runs = run.report
 		h.script(lateEngine(&run, "", 1500*time.Millisecond, false), func(w net.Conn, _ receivedRequest) bool {
 			next = time.Now()
 			_, _ = io.WriteString(w, streamHead+chunk(events(1, 4))+"0\r\n\r\n")
@@ -228,7 +246,7 @@
 		})
 		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
 		require.Equal(t, events(1, 4), body(t, res))
-		require.False(t, next.Before(run.end), "it went on %s before the end of its run", run.end.Sub(next))
+		require.False(t, next.Before(run.endsAt()), "it went on %s before the end of its run", run.endsAt().Sub(next))
 	})
 }
 
