--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -30,6 +30,7 @@
 
 	mu       sync.Mutex
 	links    []*link.Conn
+	ended    bool     // the test has ended: its agents accept no further links
 	requests []string // addresses of the agents that were asked, in order
 	open     int      // grants that have not ended
 }
@@ -46,7 +47,7 @@
 		s.Engine = &platform.EngineSpec{Slots: 8, KVTokens: 100_000, MB: 1000, AdapterSlots: 4, TokensPerEvent: 1, Models: []platform.ModelSpec{{Name: streamModel, MB: 900, AdapterMB: 1}}}
 		c.Services[streamService] = s
 		h.directory.Update(c)
-		defer h.cutLinks()
+		defer h.end()
 		f(t, h)
 	})
 }
@@ -83,9 +84,7 @@
 			},
 		})
 		if err == nil {
-			h.mu.Lock()
-			h.links = append(h.links, c)
-			h.mu.Unlock()
+			h.accepted(c)
 		}
 	}()
 	return near, nil
@@ -118,6 +117,26 @@
 	}
 }
 
+// accepted keeps the link that an agent has accepted. One whose handshake ends only after
+// the test is closed, since a bubble can't end with a link open.
+func (h *agentHarness) accepted(c *link.Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		c.Close()
+		return
+	}
+	h.links = append(h.links, c)
+}
+
+// end closes all links, and those that are being set up.
+func (h *agentHarness) end() {
+	h.cutLinks()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ended = true
+}
+
 // cutLinks closes the links to all agents.
 func (h *agentHarness) cutLinks() {
 	h.mu.Lock()
