--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -24,6 +24,8 @@
 	Caller string
 	// Service names a service that callers address.
 	Service string
+	// Account names a client account, whose callers share keys and a quota.
+	Account string
 	// Model names a base model.
 	Model string
 	// PromptPart names a part of a prompt that requests share.
