--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -150,7 +150,12 @@
 		g.Warn("msg", "invalid configuration", "revision", o.Revision, "err", err)
 		return
 	}
-	if g.directory.Update(c) {
+	inForce, err := g.directory.Update(c)
+	if err != nil {
+		g.Warn("msg", "invalid configuration", "version", c.Version, "revision", o.Revision, "err", err)
+		return
+	}
+	if inForce {
 		routes := make(map[string]bool, len(c.Routes))
 		for _, r := range c.Routes {
 			routes[r.Name] = true
@@ -159,7 +164,7 @@
 		g.lengths.Retain(isKept)
 		g.firstEvents.Retain(isKept)
 		g.plainTimes.Retain(isKept)
-		g.Info("msg", "configuration in force", "version", c.Version, "revision", o.Revision, "routes", len(c.Routes))
+		g.Info("msg", "configuration in force", "version", c.Version, "revision", o.Revision, "routes", len(c.Routes), "accounts", len(c.Accounts))
 	}
 }
 
