Followers tell how long a copy is unconfirmed, with the time of suspensions

The use of a configuration whose keys may have been removed has to end in time also on a VM that was suspended, which the monotonic clock does not see. Freshness counts that time from the beginning of the call, as before, and tells when the store answered. An answer of a store that is behind what it told before no longer confirms a copy; a watch returns its own position for that. A follower's next watch can be bounded, or replaced by a list, by what is in force then, and it tells of each confirmation after the change was applied.

Measured: go test of pkg/follow, pkg/standin and platform passes.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -37,6 +37,11 @@
 	Outage *Outage
 	// Freshness is updated at each successful call.
 	Freshness *Freshness
+	// MaxWait, if it is set, bounds how long the next watch may wait. If it returns 0, the
+	// follower lists instead, which takes no longer than the store needs to answer.
+	MaxWait func() time.Duration
+	// OnConfirm, if it is set, is called after each call that confirmed the copy.
+	OnConfirm func()
 }
 
 // Listing is a complete list of a kind.
@@ -53,20 +58,26 @@
 	var from platform.Position
 	for ctx.Err() == nil {
 		probe := f.Outage.await(ctx)
-		if probe {
+		wait := f.wait()
+		if probe || f.MaxWait != nil && wait <= 0 {
 			listed = false // a watch could last long
 		}
 		var err error
-		began := time.Now()
+		var answer platform.Position
+		c := f.Freshness.begin()
 		if !listed {
 			from, err = f.list(probe)
-			listed = err == nil
+			answer, listed = from, err == nil
 		} else {
-			from, err = f.watch(from)
+			answer, err = f.watch(from, wait)
+			from = answer.Next(from)
+			c.held = min(time.Since(c.began), wait)
 		}
 		if err == nil {
 			f.logEra(f.Freshness.Position(), from)
-			f.Freshness.confirm(from, began)
+			if f.Freshness.confirm(from, answer, c) && f.OnConfirm != nil {
+				f.OnConfirm()
+			}
 		}
 		pause := f.Pause
 		switch {
@@ -105,8 +116,17 @@
 	return position, nil
 }
 
-func (f *Follower) watch(from platform.Position) (platform.Position, error) {
-	events, next, err := f.Source.Watch(f.Kind, from, f.Wait)
+// wait returns how long the next watch may wait.
+func (f *Follower) wait() time.Duration {
+	if f.MaxWait == nil {
+		return f.Wait
+	}
+	return min(f.Wait, f.MaxWait())
+}
+
+// watch waits for changes after a position and returns that of the answer.
+func (f *Follower) watch(from platform.Position, wait time.Duration) (platform.Position, error) {
+	events, next, err := f.Source.Watch(f.Kind, from, wait)
 	if err != nil {
 		if !errors.Is(err, platform.ErrHistoryGone) {
 			f.Outage.failed(false)
--- a/pkg/objects/client.go
+++ b/pkg/objects/client.go
@@ -147,7 +147,7 @@
 				return decode(key, o)
 			}
 		}
-		from = next
+		from = next.Next(from)
 	}
 }
 
--- a/pkg/standin/objects_direct.go
+++ b/pkg/standin/objects_direct.go
@@ -59,7 +59,7 @@
 				at := platform.Position{Era: era, Revision: platform.Revision(e.Object.Metadata.Revision)}
 				events = append(events, platform.Event{Object: platform.Object{Name: e.Object.Metadata.Name, Position: at, Spec: e.Object.Spec}, Removed: e.Removed})
 			}
-			return events, platform.Position{Era: era, Revision: max(from.Revision, platform.Revision(last))}, nil
+			return events, platform.Position{Era: era, Revision: platform.Revision(last)}, nil
 		}
 	}
 }
