The gateway authenticates client accounts by their keys

If the configuration has client accounts, a request on a route that is not public needs a key: 401 for a missing or unknown one, 400 for two keys, 503 with Retry-After while the configuration is not confirmed. Keys and the caller's account header are not forwarded; targets are told the account's name. The check is repeated before each send, and before a run is given up for another engine. An account's rank goes before that of the route.

With revoke-strict, a configuration that was not confirmed for 0.8 of revoke-ms is not used for requests that need a key. Watches of the configuration then wait for at most 0.3 of it, and a list replaces a watch that would outlast the time of trust.

--- a/pkg/account/index.go
+++ b/pkg/account/index.go
@@ -27,6 +27,7 @@
 	keys   []indexedKey
 	// longest is the length of the longest key.
 	longest int
+	ranked  bool
 }
 
 // indexedKey is a key of the account at a place in Index.accounts.
@@ -59,6 +60,7 @@
 			return nil, errors.NotValidf("account %q: name of two accounts", a.Name)
 		}
 		names[a.Name] = true
+		index.ranked = index.ranked || a.HasRank
 		for _, key := range a.Keys {
 			if err := index.add(key, int32(i)); err != nil {
 				return nil, errors.Trace(err)
@@ -119,6 +121,9 @@
 // Empty reports whether the index holds no accounts, so that requests need no keys.
 func (index *Index) Empty() bool { return index == nil || len(index.accounts) == 0 }
 
+// Ranked reports whether an account has a rank.
+func (index *Index) Ranked() bool { return index != nil && index.ranked }
+
 // Find returns the account that holds the key, or nil. The time it takes does not depend
 // on the number of keys held, nor on how much of a key is right.
 func (index *Index) Find(key string) *platform.Account {
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -165,6 +165,9 @@
 	body := `{"reason":` + strconv.Quote(reason) + "}\n"
 	c.out = appendStatus(c.out[:0], status)
 	c.out = appendHeader(c.out, "Content-Type", "application/problem+json")
+	if status == fasthttp.StatusUnauthorized {
+		c.out = appendHeader(c.out, "WWW-Authenticate", "ApiKey") // RFC 9110 asks for a scheme
+	}
 	if retryAfter > 0 {
 		c.out = appendHeader(c.out, "Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -30,8 +30,8 @@
 	outcomeFailed
 	// outcomeUnknown: the request was sent, but no complete response arrived.
 	outcomeUnknown
-	// outcomeUnsent: the target left, a part of the prompt was banned, or the stop of the
-	// process left no time, before the request was sent.
+	// outcomeUnsent: the target left, a part of the prompt was banned, the key was removed,
+	// or the stop of the process left no time, before the request was sent.
 	outcomeUnsent
 )
 
@@ -54,6 +54,8 @@
 	service  platform.Service
 	// configuration is the configuration that the request is served by.
 	configuration *platform.Configuration
+	// account is the client account that holds the request's key; nil if it needs none.
+	account *platform.Account
 
 	phase       atomic.Uint32 // one of the phases; the stop of the process ends some
 	sends, runs int
@@ -110,6 +112,10 @@
 		configuration: configuration, service: configuration.Services[pickService(route, q.attempt)], suspendedBefore: g.suspended(),
 	}
 	g.metrics.requests.Inc(1)
+	if d := x.authenticate(); d != denialNone {
+		x.logDenial(d)
+		return x.answerDenial(d)
+	}
 	g.budget(x.service.Name).countRequest()
 	g.conns.setExchange(c, x)
 	defer g.conns.set(c, connServing)
@@ -117,25 +123,6 @@
 	return x.run()
 }
 
-// pickService chooses one of a route's services by weight. The choice depends on
-// the attempt ID alone, so that the shares hold across all entries.
-func pickService(r *platform.Route, attempt string) ident.Service {
-	if len(r.Split) == 1 {
-		return r.Split[0].Service
-	}
-	total := 0.0
-	for _, s := range r.Split {
-		total += s.Weight
-	}
-	at := unitHash(attempt) * total
-	for _, s := range r.Split {
-		if at -= s.Weight; at < 0 {
-			return s.Service
-		}
-	}
-	return r.Split[len(r.Split)-1].Service
-}
-
 // run sends the request to targets until the caller has a response. It reports
 // whether the connection can be used further.
 func (x *exchange) run() bool {
@@ -190,6 +177,9 @@
 	if x.stopped() || x.overdue() {
 		return nil, x.stopRefusal()
 	}
+	if d := x.authenticate(); d != denialNone {
+		return nil, d.refusal()
+	}
 	if a := x.reserved; a != nil {
 		x.reserved = nil
 		return a, refusal{}
@@ -207,6 +197,9 @@
 // retryRefusal is the refusal of a request that its target did not run and that may
 // not be sent to another one.
 func (x *exchange) retryRefusal() refusal {
+	if d := x.authenticate(); d != denialNone {
+		return d.refusal()
+	}
 	return refusal{reason: "target did not run it", wait: x.route.Objective}
 }
 
@@ -225,7 +218,7 @@
 // mayRetry reports whether the request may be sent to another target after the
 // outcome. If so, it has taken the retry from the service's retry budget.
 func (x *exchange) mayRetry(o outcome) bool {
-	if x.stopped() {
+	if x.stopped() || x.authenticate() != denialNone {
 		return false
 	}
 	if o == outcomeUnknown && !x.eventSeen && x.g.quarantine.Suspected(x.q.parts) {
@@ -292,6 +285,10 @@
 		x.g.Info("msg", "target left before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
 		return outcomeUnsent
 	}
+	if x.authenticate() != denialNone {
+		x.g.pool.Put(conn)
+		return outcomeUnsent // its key was removed meanwhile
+	}
 	if !x.beginSend() {
 		conn.Close()
 		return outcomeUnsent
@@ -321,7 +318,7 @@
 func (x *exchange) writeRequest(a *assignment, conn *forward.Conn) error {
 	buffer := bytebufferpool.Get()
 	defer bytebufferpool.Put(buffer)
-	buffer.B = x.q.encodeHead(buffer.B, sendParams{remaining: x.targetTime(), instance: a.instance, version: a.version, lastEvent: x.lastEvent})
+	buffer.B = x.q.encodeHead(buffer.B, sendParams{remaining: x.targetTime(), instance: a.instance, version: a.version, lastEvent: x.lastEvent, account: x.accountName()})
 	if len(x.q.body) <= maxCopiedBytes {
 		buffer.B = append(buffer.B, x.q.body...)
 		return conn.Send(buffer.B, x.deadline)
@@ -365,6 +362,8 @@
 // refusal is the reason why no target takes a request, and when to retry.
 type refusal struct {
 	reason string
+	// denied is set if the request may not be served for its key.
+	denied denial
 	cause  wire.GrantReason // reason of the engine with the shortest wait
 	wait   time.Duration
 	detail string // evidence for the log
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -17,6 +17,9 @@
 	if x.stopped() {
 		why = x.stopRefusal()
 	}
+	if why.denied != denialNone {
+		x.logDenial(why.denied)
+	}
 	if x.streamStarted {
 		x.g.metrics.abortedStreams.Inc(1)
 		// The body is left unterminated, so that the caller cannot mistake it for
@@ -35,6 +38,9 @@
 		}
 		return x.c.writeError(fasthttp.StatusBadGateway, reason+", outcome unknown", 0) == nil
 	}
+	if why.denied != denialNone {
+		return x.answerDenial(why.denied)
+	}
 	x.g.metrics.refused.Inc(1)
 	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "detail", why.detail, "forecast", why.wait, "sends", x.sends, "target", x.last.target, "step", x.last.step, "after", time.Since(x.began))
 	return x.c.writeError(fasthttp.StatusServiceUnavailable, why.reason, x.g.addJitter(why.retryAfter())) == nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -56,8 +56,11 @@
 	bans       *banStore
 	// suspended returns how long the VM was suspended since it started. Tests replace it.
 	suspended func() time.Duration
-	// targetList is how current the list of targets is.
-	targetList *follow.Freshness
+	// targetList is how current the list of targets is, and configurationCopy how current
+	// the configuration is.
+	targetList, configurationCopy *follow.Freshness
+	trust                         trustState
+	denials                       denialLog
 
 	budgetMu   sync.Mutex
 	budgets    map[ident.Service]*budget
@@ -105,6 +108,7 @@
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
+	g.configurationCopy = &follow.Freshness{Suspended: func() time.Duration { return g.suspended() }}
 	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.tellKnown,
 		link.Handlers{link.KindCrashReport: g.handleCrashReport, link.KindTargetNotice: g.handleTargetNotice})
 	return g
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -20,6 +20,8 @@
 	abandonedRuns  [len(runEndNames)]tally.Counter // abandoned sends before another one, by what showed their end
 	abandonedWait  tally.Histogram                 // of these: until the end showed
 	listAge        tally.Histogram                 // of sends: time for which the list of targets was not confirmed
+	denials        [len(denialNames)]tally.Counter // requests refused for their keys, by reason
+	trust          tally.Gauge                     // 1 if the configuration is used for requests that need a key
 }
 
 // latencyBuckets double from the time of a round trip to a caller's longest wait.
@@ -32,6 +34,7 @@
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
 		abandonedWait: scope.Histogram("abandoned_run_wait", latencyBuckets),
 		listAge:       scope.Histogram("target_list_age", latencyBuckets),
+		trust:         scope.Gauge("configuration_trusted"),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
@@ -39,5 +42,9 @@
 	for i, name := range runEndNames {
 		m.abandonedRuns[i] = scope.Tagged(map[string]string{"end": name}).Counter("abandoned_runs")
 	}
+	for i, name := range denialNames {
+		m.denials[i] = scope.Tagged(map[string]string{"reason": name}).Counter("refused_for_key")
+	}
+	m.trust.Update(1)
 	return m
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -24,12 +24,18 @@
 	path    string
 	attempt string
 	// headerLines are the header lines to forward, each with its line ending.
-	headerLines     []byte
-	body            []byte
-	hasBody         bool
-	keepAlive       bool
-	callerTimeout   time.Duration // set by the caller; 0 if none
-	lastEvent       string
+	headerLines   []byte
+	body          []byte
+	hasBody       bool
+	keepAlive     bool
+	callerTimeout time.Duration // set by the caller; 0 if none
+	lastEvent     string
+	// key is the client account's key, if the caller sent one. severalKeys says that it
+	// sent another one too, and hasAccountHeaders that headerLines contains headers which are not
+	// forwarded if the configuration has client accounts.
+	key                                    string
+	hasKey, severalKeys, hasAccountHeaders bool
+
 	weights         ident.Weights
 	parts           []ident.PromptPart // that other requests may share
 	promptTokens    int                // 0 if unknown
@@ -171,12 +177,17 @@
 }
 
 // readRoutingHeader reads the headers used for routing, whose names are defined in
-// package platform. All of them begin with x or l.
+// package platform. All of them begin with x, l or a.
 func (q *request) readRoutingHeader(name string, value []byte) {
-	if name[0] != 'x' && name[0] != 'l' {
+	if name[0] != 'x' && name[0] != 'l' && name[0] != 'a' {
 		return
 	}
 	switch {
+	case strings.EqualFold(name, platform.HeaderAPIKey):
+		q.severalKeys = q.severalKeys || q.hasKey && q.key != string(value)
+		q.key, q.hasKey, q.hasAccountHeaders = string(value), true, true
+	case strings.EqualFold(name, platform.HeaderAccount):
+		q.hasAccountHeaders = true
 	case strings.EqualFold(name, platform.HeaderAttempt):
 		q.attempt = string(value)
 	case strings.EqualFold(name, platform.HeaderDeadline):
@@ -192,6 +203,13 @@
 	}
 }
 
+// dropAccountHeaders takes the headers of client accounts out of what is forwarded.
+func (q *request) dropAccountHeaders() {
+	if q.hasAccountHeaders {
+		q.headerLines, q.hasAccountHeaders = removeHeaders(q.headerLines, platform.AccountHeaders), false
+	}
+}
+
 // removeHeaders removes the lines of the named headers. It always keeps Host, which
 // a request needs.
 func removeHeaders(lines []byte, names []string) []byte {
@@ -298,6 +316,7 @@
 	instance  ident.Target
 	version   ident.Version // 0 for any version
 	lastEvent string
+	account   ident.Account // empty for none
 }
 
 // encodeHead appends the head of the request in the form that is sent to a target.
@@ -317,6 +336,9 @@
 	if s.lastEvent != "" {
 		b = appendHeader(b, platform.HeaderLastEvent, s.lastEvent)
 	}
+	if s.account != "" {
+		b = appendHeader(b, platform.HeaderAccount, string(s.account))
+	}
 	if q.hasBody {
 		b = appendHeader(b, "Content-Length", strconv.Itoa(len(q.body)))
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -206,7 +206,7 @@
 // reserve acquires an assignment to another target than that of a, which is stuck,
 // and takes a retry from the budget.
 func (x *exchange) reserve(a *assignment) reservation {
-	if !x.retryable() || x.runs+1 >= x.route.MaxTargets || x.sends >= maxSends || x.remaining() < minRemaining {
+	if !x.retryable() || x.runs+1 >= x.route.MaxTargets || x.sends >= maxSends || x.remaining() < minRemaining || x.authenticate() != denialNone {
 		return notAllowed
 	}
 	x.excluded = append(x.excluded, a.target.Instance)
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -42,17 +42,18 @@
 	}, g.fleet.RecordOutage)
 	return []*follow.Follower{
 		{
-			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Freshness: new(follow.Freshness), Timing: timing(bounds.Configuration, configurationPauseShare), Outage: outage,
+			Common: g.Common, Source: source, Kind: platform.KindConfiguration, Freshness: g.configurationCopy, Timing: timing(bounds.Configuration, configurationPauseShare), Outage: outage,
+			MaxWait: g.maxConfigurationWait,
+			OnConfirm: func() {
+				g.trusted() // logs that it is again
+				g.markListed(platform.KindConfiguration)
+			},
 			OnList: func(l follow.Listing) {
 				for _, o := range l.Objects {
 					g.applyConfiguration(o)
 				}
-				g.markListed(platform.KindConfiguration)
 			},
-			OnChanges: changeHandler(func(o platform.Object) {
-				g.applyConfiguration(o)
-				g.markListed(platform.KindConfiguration)
-			}, nil),
+			OnChanges: changeHandler(g.applyConfiguration, nil),
 		},
 		{
 			Common: g.Common, Source: source, Kind: platform.KindTargets, Freshness: g.targetList, Timing: timing(bounds.Draining, targetsPauseShare), Outage: outage,
@@ -246,6 +247,7 @@
 		if g.fleet.Expire(time.Now()) {
 			g.Info("msg", "removed expired targets", "targets", g.fleet.Size())
 		}
+		g.trusted() // logs that it is no longer
 		g.notices.Retain(func(t ident.Target) bool { _, known := g.fleet.Find(t); return known }, time.Now())
 		g.renewPermits()
 		g.pool.Sweep()
