Quotas of client accounts: shares, grants, costs and holders

Cause: an account's quota holds over all gateways, which do not see each other's requests.

Change: the package quota decides without I/O. A gateway pays requests from what holders granted, remembers denials and silent holders, and returns what was not used.

--- /dev/null
+++ b/pkg/quota/account.go
@@ -0,0 +1,235 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// HolderTimeout is how long a holder may take to answer. A round trip and its work
+	// take a few ms, even on a slow VM.
+	HolderTimeout = 100 * time.Millisecond
+	// holderBackoff is how long a holder that gave no answer is not asked, so that not
+	// every request waits for it.
+	holderBackoff = time.Second
+	// minDenial is how long a denial is remembered at least. It bounds the messages of
+	// an account that sends too much to 50 a second to each holder from each gateway:
+	// the share of a large account gains the cost of a request within some ms.
+	minDenial = 20 * time.Millisecond
+)
+
+// Account is what one gateway knows of one account's quota. It is not safe for
+// concurrent use. Its times include those for which the VM was suspended.
+type Account struct {
+	rules   Rules
+	limits  Limits // of the whole account
+	holders []Holder
+	// preferred is the holder that granted last.
+	preferred int
+	lease     lease
+	usage     usage
+	// returned is what was granted and not used, and not yet returned to a holder.
+	returned float64
+	alone    alone
+}
+
+// Holder is what is known of one of an account's holders.
+type Holder struct {
+	Address string
+	// LastAnswer is when it last answered, and Granted and Wait what.
+	LastAnswer time.Time
+	Granted    float64
+	Wait       time.Duration
+	// SilentUntil is until when it is not asked, since it gave no answer.
+	SilentUntil time.Time
+	// deniedUntil is until when it denies the amount deniedNeed.
+	deniedUntil time.Time
+	deniedNeed  float64
+}
+
+// NewAccount returns an account without holders.
+func NewAccount(r Rules, l Limits) *Account { return &Account{rules: r, limits: l} }
+
+// Limits returns the limits of the whole account.
+func (a *Account) Limits() Limits { return a.limits }
+
+// SetLimits sets new limits of the whole account.
+func (a *Account) SetLimits(l Limits) {
+	if l == a.limits {
+		return
+	}
+	a.limits = l
+	for i := range a.holders {
+		a.holders[i].deniedUntil = time.Time{}
+	}
+}
+
+// Share returns the limits of each holder's share.
+func (a *Account) Share() Limits { return a.rules.ShareOf(a.limits, len(a.holders)) }
+
+// Holders returns the holders. The caller must not change them.
+func (a *Account) Holders() []Holder { return a.holders }
+
+// Leased returns what requests may be paid from without asking a holder.
+func (a *Account) Leased(now time.Time) float64 {
+	if !now.Before(a.lease.useBy) {
+		return 0
+	}
+	return a.lease.amount
+}
+
+// SetHolders sets the addresses of the holders, and the one to ask first if none of those
+// that remain has granted.
+func (a *Account) SetHolders(addresses []string, first int) {
+	last := ""
+	if a.preferred < len(a.holders) {
+		last = a.holders[a.preferred].Address
+	}
+	next := make([]Holder, len(addresses))
+	for i, address := range addresses {
+		next[i].Address = address
+		if at := slices.IndexFunc(a.holders, func(h Holder) bool { return h.Address == address }); at >= 0 {
+			next[i] = a.holders[at]
+		}
+	}
+	a.holders, a.preferred = next, 0
+	if len(next) > 0 {
+		a.preferred = first % len(next)
+	}
+	if at := slices.Index(addresses, last); at >= 0 {
+		a.preferred = at
+	}
+}
+
+// Spend pays a request from the lease, if that suffices.
+func (a *Account) Spend(cost float64, now time.Time) (Charge, bool) {
+	if cost > a.Leased(now) {
+		return Charge{}, false
+	}
+	a.lease.amount -= cost
+	a.usage.add(cost, now)
+	return Charge{cost, a.lease.expires}, true
+}
+
+// Next returns the holder to ask for a cost, other than those tried, or false if all
+// others deny it or give no answer.
+func (a *Account) Next(cost float64, tried []string, now time.Time) (Holder, bool) {
+	for i := range a.holders {
+		h := &a.holders[(a.preferred+i)%len(a.holders)]
+		if slices.Contains(tried, h.Address) || now.Before(h.SilentUntil) || a.denial(h, cost, now) > 0 {
+			continue
+		}
+		return *h, true
+	}
+	return Holder{}, false
+}
+
+// denial returns how long a holder still denies a cost. Its share gains at a constant
+// rate, so that a smaller amount may be had earlier than the one it denied.
+func (a *Account) denial(h *Holder, cost float64, now time.Time) time.Duration {
+	left := h.deniedUntil.Sub(now)
+	if left <= 0 {
+		return 0
+	}
+	share := a.Share()
+	difference := min(cost, share.Burst) - min(h.deniedNeed, share.Burst)
+	if difference < 0 {
+		return max(left-timeFor(-difference, share.PerSecond), 0)
+	}
+	return left + timeFor(difference, share.PerSecond)
+}
+
+// Ask is what a holder is asked for.
+type Ask struct {
+	Need, Wish, Returned float64
+	// Sent is when it was asked, from which on the grant's lifetime counts.
+	Sent time.Time
+}
+
+// Ask returns what to ask a holder for.
+func (a *Account) Ask(cost float64, now time.Time) Ask {
+	if !now.Before(a.lease.useBy) {
+		a.dropLease()
+	}
+	ask := Ask{Need: cost, Wish: a.usage.last(now), Returned: a.returned, Sent: now}
+	a.returned = 0
+	return ask
+}
+
+func (a *Account) dropLease() {
+	a.returned += a.lease.amount
+	a.lease = lease{}
+}
+
+// Answered records a holder's answer. It returns the request's charge if that was
+// granted.
+func (a *Account) Answered(address string, ask Ask, granted float64, wait time.Duration, now time.Time) (Charge, bool) {
+	h := a.holder(address)
+	if h != nil {
+		h.LastAnswer, h.Granted, h.Wait, h.SilentUntil = now, granted, wait, time.Time{}
+	}
+	a.alone = alone{}
+	if granted < ask.Need {
+		if h != nil {
+			h.deniedUntil, h.deniedNeed = now.Add(max(wait, minDenial)), ask.Need
+		}
+		return Charge{}, false
+	}
+	if h != nil {
+		h.deniedUntil = time.Time{}
+		a.preferred = slices.IndexFunc(a.holders, func(o Holder) bool { return o.Address == address })
+	}
+	lifetime := a.rules.Lifetime()
+	expires := ask.Sent.Add(lifetime)
+	if extra := granted - ask.Need; extra > 0 {
+		a.dropLease() // one of an earlier grant
+		a.lease = lease{extra, ask.Sent.Add(time.Duration(usePart * float64(lifetime))), expires}
+	}
+	a.usage.add(ask.Need, now)
+	return Charge{ask.Need, expires}, true
+}
+
+func (a *Account) holder(address string) *Holder {
+	if at := slices.IndexFunc(a.holders, func(h Holder) bool { return h.Address == address }); at >= 0 {
+		return &a.holders[at]
+	}
+	return nil
+}
+
+// Silent records that a holder gave no answer. What was to be returned to it is lost: it
+// may have received it.
+func (a *Account) Silent(address string, now time.Time) {
+	if h := a.holder(address); h != nil {
+		h.SilentUntil = now.Add(holderBackoff)
+	}
+}
+
+// Refund returns the charge of a request that no target ran.
+func (a *Account) Refund(c Charge, now time.Time) {
+	if c.Amount <= 0 || c.Expires.IsZero() {
+		return
+	}
+	if a.lease.amount > 0 && c.Expires.Equal(a.lease.expires) && now.Before(a.lease.useBy) {
+		a.lease.amount += c.Amount
+		return
+	}
+	a.returned += c.Amount
+}
+
+// Wait returns how long it takes until the cost may be had, given that it may not now.
+func (a *Account) Wait(cost float64, now time.Time) time.Duration {
+	wait := time.Duration(0)
+	for i := range a.holders {
+		h := &a.holders[i]
+		w := max(a.denial(h, cost, now), h.SilentUntil.Sub(now))
+		if w > 0 && (wait == 0 || w < wait) {
+			wait = w
+		}
+	}
+	return max(wait, minDenial)
+}
+
+// AllSilent reports whether no holder answers.
+func (a *Account) AllSilent(now time.Time) bool {
+	return !slices.ContainsFunc(a.holders, func(h Holder) bool { return !now.Before(h.SilentUntil) })
+}
