Gateways pay requests from their accounts' quotas at the agents

Cause: quotas of client accounts hold over all gateways.

Change: three frame kinds (QuotaLimits, QuotaRequest, QuotaReply), the holder of shares in the agent, and the client in the gateway. Limits are announced from the maintenance loop after a change of configuration, engines or link. A request above its quota gets 429 with Retry-After; a request that waited longer than its charge lasts pays again before it is sent; what no target ran is put back. Refusals of one account are logged once a second. Requests without an account, or of one without a limit, cost nothing.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -54,6 +54,9 @@
 	service  platform.Service
 	// configuration is the configuration that the request is served by.
 	configuration *platform.Configuration
+	// account is the client account of the caller; nil without one.
+	account *platform.Account
+	charge  quotaCharge
 
 	phase       atomic.Uint32 // one of the phases; the stop of the process ends some
 	sends, runs int
@@ -114,6 +117,13 @@
 	g.conns.setExchange(c, x)
 	defer g.conns.set(c, connServing)
 	defer x.recordLength()
+	if g.findAccount != nil {
+		x.account = g.findAccount(q)
+	}
+	if o, wait := x.pay(); o != quotaPaid {
+		return x.finishOverQuota(o, wait)
+	}
+	defer x.settle()
 	return x.run()
 }
 
@@ -156,8 +166,15 @@
 			assigned.release()
 			continue
 		}
+		if o, wait := x.renewCharge(); o != quotaPaid {
+			assigned.release()
+			return x.finishOverQuota(o, wait)
+		}
 		x.sends++
 		o := x.sendOnce(assigned)
+		if o != outcomeNotRun && o != outcomeUnsent {
+			x.charge.spent = true
+		}
 		if x.abandoned == nil {
 			assigned.release()
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,8 +48,11 @@
 	loads     *loadTracker
 	notices   *notice.Table
 	permits   *permits
-	synced    *syncState
-	bodies    bodyBuffers
+	quotas    *quotas
+	// findAccount returns the client account of a request. Tests set it.
+	findAccount func(*request) *platform.Account
+	synced      *syncState
+	bodies      bodyBuffers
 	// quarantine holds the parts of prompts that are refused, and bans their records in
 	// the store.
 	quarantine *quarantine.Table
@@ -107,6 +110,7 @@
 	}
 	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.tellKnown,
 		link.Handlers{link.KindCrashReport: g.handleCrashReport, link.KindTargetNotice: g.handleTargetNotice})
+	g.quotas = newQuotas(g)
 	return g
 }
 
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -245,6 +245,7 @@
 		g.renewPermits()
 		g.pool.Sweep()
 		g.sendEngineSetups(ctx)
+		g.quotas.maintain(g.agents.linkTo)
 	}
 }
 
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -52,6 +52,9 @@
 	KindPermitReply
 	KindRunQuery
 	KindRunReply
+	KindQuotaLimits
+	KindQuotaRequest
+	KindQuotaReply
 	kindLimit
 )
 
--- a/pkg/orderer/metrics.go
+++ b/pkg/orderer/metrics.go
@@ -12,12 +12,15 @@
 	scope            tally.Scope
 	waiting, running tally.Gauge
 	held, loading    tally.Gauge
+	// quotaGranted and quotaDenied are answers to gateways that ask for quota.
+	quotaGranted, quotaDenied tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	return metrics{
 		scope: scope, waiting: scope.Gauge("waiting"), running: scope.Gauge("running"),
 		held: scope.Gauge("adapters_held"), loading: scope.Gauge("adapters_loading"),
+		quotaGranted: scope.Counter("quota_granted"), quotaDenied: scope.Counter("quota_denied"),
 	}
 }
 
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -65,6 +65,8 @@
 	// notices is what gateways tell of targets.
 	notices *notice.Table
 	permits permitTable
+	// quotas are the shares of client accounts' quotas that are held here.
+	quotas quotaTable
 	// entryCount is how many entries are or were lately linked.
 	entryCount retry.EntryCount
 
@@ -119,7 +121,7 @@
 	return link.Handlers{
 		link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
 		link.KindTargetNotice: o.handleTargetNotice, link.KindPermitRequest: o.handlePermitRequest,
-		link.KindRunQuery: o.handleRunQuery,
+		link.KindRunQuery: o.handleRunQuery, link.KindQuotaLimits: o.handleQuotaLimits, link.KindQuotaRequest: o.handleQuotaRequest,
 	}
 }
 
