--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -56,6 +56,7 @@
 	configuration *platform.Configuration
 	// account is the client account that holds the request's key; nil if it needs none.
 	account *platform.Account
+	charge  quotaCharge
 
 	phase       atomic.Uint32 // one of the phases; the stop of the process ends some
 	sends, runs int
@@ -120,6 +121,10 @@
 	g.conns.setExchange(c, x)
 	defer g.conns.set(c, connServing)
 	defer x.recordLength()
+	if o, wait := x.pay(); o != quotaPaid {
+		return x.finishOverQuota(o, wait)
+	}
+	defer x.settle()
 	return x.run()
 }
 
@@ -143,8 +148,15 @@
 			assigned.release()
 			continue
 		}
+		if o, wait := x.renewCharge(); o != quotaPaid {
+			assigned.release()
+			return x.finishOverQuota(o, wait)
+		}
 		x.sends++
 		o := x.sendOnce(assigned)
+		if o != outcomeNotRun && o != outcomeUnsent {
+			x.charge.spent = true
+		}
 		if x.abandoned == nil {
 			assigned.release()
 		}
--- a/pkg/gateway/fleet_load_test.go
+++ b/pkg/gateway/fleet_load_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
 )
 
 // load sends requests to the gateways for some time, each at its own random times. The
@@ -57,7 +59,7 @@
 }
 
 // request sends one request to a gateway as a caller and reads the whole response. It
-// returns nil if that is incomplete.
+// returns nil if that is incomplete. The end of the path names the account, if any.
 func (h *fleetHarness) request(gateway int, path string, adapter int) *http.Response {
 	near, far := net.Pipe()
 	h.mu.Lock()
@@ -69,6 +71,11 @@
 	if strings.HasPrefix(path, "/stream/") {
 		raw += fmt.Sprintf("X-Model: %s/a%d\r\nX-Token-Count: 50,10\r\n", streamModel, adapter)
 	}
+	for _, a := range []ident.Account{limitedAccount, freeAccount} {
+		if strings.HasSuffix(path, string(a[:1])) {
+			raw += fmt.Sprintf("Api-Key: %s\r\n", a)
+		}
+	}
 	go func() { _, _ = io.WriteString(near, raw+"\r\n") }() // fails if the gateway closes first
 	res, err := http.ReadResponse(bufio.NewReader(near), nil)
 	if err == nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,6 +48,7 @@
 	loads     *loadTracker
 	notices   *notice.Table
 	permits   *permits
+	quotas    *quotas
 	synced    *syncState
 	bodies    bodyBuffers
 	// quarantine holds the parts of prompts that are refused, and bans their records in
@@ -111,6 +112,7 @@
 	g.configurationCopy = &follow.Freshness{Suspended: func() time.Duration { return g.suspended() }}
 	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.tellKnown,
 		link.Handlers{link.KindCrashReport: g.handleCrashReport, link.KindTargetNotice: g.handleTargetNotice})
+	g.quotas = newQuotas(g)
 	return g
 }
 
