Loads are read field by field; plain services are chosen by pace

Cause: a value of X-Instance-Load with a fourth field, the pace of the VM, was dropped as a whole, so plain services whose targets state a pace were chosen by the requests of the gateway alone.

Change: platform.ParseLoad reads two or more fields by position and tells unknown and unreadable ones apart; unreadable ones are counted (unreadable_loads) and logged once per target. Among targets of which one states a pace, the one with the lowest (requests + 1) x pace per slot is chosen, with a random number of requests that no report shows yet; without any pace the order is as before.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -71,6 +71,8 @@
 	// target succeeds. The capacity of its body counts in the body buffers.
 	failedResponse *forward.Response
 	failedBody     []byte
+	// load is the load that the last response states.
+	load platform.TargetLoad
 	// eventSeen says that the last target has sent an event.
 	eventSeen bool
 	// State of a streamed response.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -19,7 +19,9 @@
 	firstEvent     tally.Histogram                 // of streams: from a send to the first event
 	abandonedRuns  [len(runEndNames)]tally.Counter // abandoned sends before another one, by what showed their end
 	abandonedWait  tally.Histogram                 // of these: until the end showed
-	listAge        tally.Histogram                 // of sends: time for which the list of targets was not confirmed
+	// unreadableLoads counts the responses whose load has a field that cannot be read.
+	unreadableLoads tally.Counter
+	listAge         tally.Histogram // of sends: time for which the list of targets was not confirmed
 }
 
 // latencyBuckets double from the time of a round trip to a caller's longest wait.
@@ -30,8 +32,9 @@
 		requests: scope.Counter("requests"), refused: scope.Counter("refused"), timedOut: scope.Counter("timed_out"),
 		abortedStreams: scope.Counter("streams_broken_off"), retries: scope.Counter("repeated_sends"), limitedSends: scope.Counter("sends_to_limited_targets"),
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
-		abandonedWait: scope.Histogram("abandoned_run_wait", latencyBuckets),
-		listAge:       scope.Histogram("target_list_age", latencyBuckets),
+		abandonedWait:   scope.Histogram("abandoned_run_wait", latencyBuckets),
+		unreadableLoads: scope.Counter("unreadable_loads"),
+		listAge:         scope.Histogram("target_list_age", latencyBuckets),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
--- a/pkg/gateway/permit.go
+++ b/pkg/gateway/permit.go
@@ -197,7 +197,7 @@
 func (x *exchange) leastLoaded(targets []fleet.Target, maxWait time.Duration) (*assignment, refusal) {
 	var soonest fleet.Target
 	why := refusal{reason: "targets at their rate limits"}
-	for i, t := range placement.ByLoad(targets, x.g.loads.perSlot, x.g.node.Domain, hash(x.q.attempt)) {
+	for i, t := range x.g.loads.byCost(targets, x.g.node.Domain, hash(x.q.attempt), time.Now()) {
 		wait, granted := x.g.permit(x.ctx, t, 0)
 		if granted {
 			return x.g.assign(t), refusal{}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,9 +15,7 @@
 // handleResponse forwards a response to the caller, or classifies it as a failure.
 func (x *exchange) handleResponse(a *assignment, res *forward.Response, sent time.Time) outcome {
 	x.observeNotice(a, res, sent)
-	if load, ok := platform.ParseLoad([]byte(res.Value(platform.HeaderLoad))); ok {
-		x.g.loads.record(a.target.Instance, load, time.Now())
-	}
+	x.observeLoad(a, res)
 	if res.Named() && (res.Status == fasthttp.StatusMisdirectedRequest || res.Value(platform.HeaderNotExecuted) != "") {
 		x.logNotRun(a, res)
 		x.finish(a, res, res.Discard())
@@ -69,6 +68,29 @@
 	return outcomeDelivered
 }
 
+// observeLoad records the load that a response states.
+func (x *exchange) observeLoad(a *assignment, res *forward.Response) {
+	x.load = platform.TargetLoad{}
+	text := res.Value(platform.HeaderLoad)
+	if text == "" {
+		return
+	}
+	x.load, _ = platform.ParseLoad([]byte(text))
+	if x.load.Known == 0 && x.load.Unreadable == 0 {
+		x.load.Unreadable = platform.LoadRunning | platform.LoadWaiting // too few fields
+	}
+	if x.load.Unreadable != 0 {
+		x.g.metrics.unreadableLoads.Inc(1)
+	}
+	if fields := x.g.loads.record(a.target.Instance, x.load, time.Now()); fields != 0 {
+		x.g.Info("msg", "target states a load that cannot be read", "target", a.target.Instance, "load", strconv.QuoteToASCII(text[:min(len(text), maxLoggedLoadBytes)]), "fields", fields)
+	}
+}
+
+// maxLoggedLoadBytes bounds how much of a load that cannot be read is logged. A readable
+// one takes less than 30 bytes.
+const maxLoggedLoadBytes = 64
+
 // impliesNotRun reports whether callers take the status for a promise that the request has
 // not run.
 func impliesNotRun(status int) bool {
