Agents learn the pace of their engine and bound the prefill by it

Cause: running streams pause while prompts are read. The agent let in one prompt of any length, also in front of streams on an engine that is slow for the moment, and learned the prefill speed as an average over all paces.

Change: a gateway passes the pace that a response states, the stream's pause objective and the time between two events on to the agent (PaceReport, a new frame kind, on the stream of the grant, only to agents that read it). The scheduler learns the prefill speed at pace 100 and scales it. Engines that state no pace are served as before.

--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -32,7 +32,9 @@
 	links    []*link.Conn
 	ended    bool     // the test has ended: its agents accept no further links
 	requests []string // addresses of the agents that were asked, in order
-	open     int      // grants that have not ended
+	paces    []wire.PaceReport
+	kinds    []link.Kind // of the frames that came on the streams of grants
+	open     int         // grants that have not ended
 }
 
 func testAgentHarness(t *testing.T, f func(t *testing.T, h *agentHarness)) {
@@ -111,9 +113,19 @@
 		return err
 	}
 	for {
-		if _, err := s.Receive(ctx); err != nil {
+		f, err := s.Receive(ctx)
+		if err != nil {
 			return nil // the request has ended
 		}
+		h.mu.Lock()
+		h.kinds = append(h.kinds, f.Kind)
+		if f.Kind == link.KindPaceReport {
+			var r wire.PaceReport
+			_, err := r.UnmarshalMsg(f.Body)
+			require.NoError(h.t, err)
+			h.paces = append(h.paces, r)
+		}
+		h.mu.Unlock()
 	}
 }
 
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"strconv"
@@ -86,7 +87,7 @@
 func (g *Gateway) assign(t fleet.Target) *assignment {
 	_, limited := g.notices.Limit(t.Instance)
 	g.loads.begin(t.Instance)
-	return &assignment{target: t, instance: t.Instance, permitted: limited, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}}
+	return &assignment{target: t, instance: t.Instance, permitted: limited, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}, reportPace: func(*wire.PaceReport) {}}
 }
 
 const (
@@ -143,7 +144,9 @@
 			if crowded || reply.Reason == wire.ReasonRateLimited {
 				limit = max(limit, min(limit+1, maxCrowdedAgents, len(homes)))
 			}
-			heldElsewhere = heldElsewhere || crowded || reply.Reason == wire.ReasonLoading
+			// A prompt that is too long for the engine's pace says nothing of the demand for
+			// its adapter, so it does not spread the adapter over more homes.
+			heldElsewhere = heldElsewhere || crowded || reply.Reason == wire.ReasonLoading || reply.Reason == wire.ReasonLongPrompt
 			if w := time.Duration(reply.WaitMS) * time.Millisecond; soonest == nil || w < why.wait {
 				soonest, why = &homes[i], refusal{reason: "engines busy", cause: reply.Reason, wait: w}
 			}
@@ -286,9 +289,30 @@
 			// A lost report only makes the agent's forecast less accurate.
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
 		},
+		reportPace: func(r *wire.PaceReport) {
+			if r != nil && conn.Reads(link.KindPaceReport) {
+				_ = stream.Send(link.KindPaceReport, r) // the next response tells it again
+			}
+		},
 	}, reply
 }
 
+// paceReport returns what the target's agent is told of a response, or nil if it states
+// no pace.
+func (x *exchange) paceReport() *wire.PaceReport {
+	if !x.load.Known.Has(platform.LoadPace) {
+		return nil
+	}
+	running := -1
+	if x.load.Known.Has(platform.LoadRunning) {
+		running = x.load.Running
+	}
+	return &wire.PaceReport{
+		Pace: max(int(math.Round(x.load.Pace)), 1), Running: running, GapObjectiveMS: x.route.GapObjective.Milliseconds(),
+		EventUS: time.Duration(x.g.stepTime.average.Load()).Microseconds(),
+	}
+}
+
 // reportPause tells the target's agent, if it has one, the longest pause of a stream
 // that its engine served.
 func (x *exchange) reportPause(a *assignment, pause time.Duration) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -389,6 +389,8 @@
 	acquired         time.Time
 	suspended        time.Duration
 	reportFirstEvent func(time.Duration) // reports the time to the first event to the agent
+	// reportPace reports what the response states to the agent, unless it is nil.
+	reportPace func(*wire.PaceReport)
 }
 
 // grantLease is how long a grant may be held before the request is sent. The agent
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,6 +67,7 @@
 	listener      net.Listener
 	stop          stopState
 	eventInterval eventInterval
+	stepTime      stepTime
 	// lengths, firstEvents and plainTimes are of streams, until their first event and of
 	// other requests, from their send on.
 	lengths                 forecast.Lengths
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 const (
@@ -56,6 +57,8 @@
 	first, resumed := true, x.streamStarted
 	timing := streamTiming{grantWait: sent.Sub(x.began)}
 	last := sent
+	var steps stepSample
+	a.reportPace(x.paceReport())
 	pending := make([]byte, 0, freeBodyBytes)
 	defer func() { x.g.bodies.release(cap(pending)) }()
 	res.SetReadDeadline(x.nextEventDeadline())
@@ -90,6 +93,9 @@
 				first, x.eventSeen = false, true
 			} else {
 				timing.maxGap = max(timing.maxGap, time.Since(last))
+				if x.load.Known.Has(platform.LoadPace) && steps.add(time.Since(last), bytes.Count(pending[:complete], eventEnd)) {
+					x.g.stepTime.record(&steps, x.load.Pace)
+				}
 			}
 			last = time.Now()
 			events := bytes.Count(pending[:complete], eventEnd)
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -49,6 +49,7 @@
 
 // Decide returns replies to the waiting requests that can be answered now.
 func (s *Scheduler) Decide(now time.Time) []Reply {
+	s.factor = s.newest(now)
 	s.sort(now)
 	var replies []Reply
 	var kept []*Request
@@ -62,7 +63,9 @@
 		kept = append(kept, req)
 		ahead.requests++
 		if _, ready := s.ready(req, now); ready {
-			ahead.promptTokens += req.PromptTokens
+			if !s.tooLong(req, now) {
+				ahead.promptTokens += req.PromptTokens
+			}
 		} else if !s.hasCopy(req.weights()) && !s.isLoading(req.weights()) {
 			ahead.loads[req.weights()] = true
 		}
@@ -114,7 +117,7 @@
 		return wire.GrantReply{Code: wire.GrantBusy}, now.After(req.deadline())
 	}
 	version, ready := s.ready(req, now)
-	if ready && ahead.promptTokens == 0 && !s.prefersReplica(req, ahead) && s.fits(req) && s.limit.Take(now) {
+	if ready && ahead.promptTokens == 0 && !s.prefersReplica(req, ahead) && s.fits(req, now) && s.limit.Take(now) {
 		s.grant(req, now)
 		return wire.GrantReply{Code: wire.GrantIssued, Version: version, Instance: s.instance}, true
 	}
@@ -135,7 +138,7 @@
 
 func (s *Scheduler) forecast(req *Request, ahead queueAhead, now time.Time) forecast {
 	var f forecast
-	f.wait, f.reason = s.queueWait(req, ahead)
+	f.wait, f.reason = s.queueWait(req, ahead, now)
 	turn := s.limit.Wait(ahead.requests+1, now)
 	if turn > f.wait {
 		f.wait, f.reason = turn, wire.ReasonRateLimited
@@ -148,6 +151,7 @@
 		f.wait = max(f.wait, s.prefillTime(s.pendingPrefill+ahead.promptTokens))
 	}
 	if _, ready := s.ready(req, now); ready {
+		f.redirect = f.redirect || s.shouldReadElsewhere(req, now)
 		return f
 	}
 	wait, reason := s.weightsWait(req, len(ahead.loads), now)
@@ -202,11 +206,14 @@
 	return loading
 }
 
-func (s *Scheduler) fits(req *Request) bool {
+func (s *Scheduler) fits(req *Request, now time.Time) bool {
 	if len(s.running) == 0 {
 		return true
 	}
-	return !s.saturated(req) && (s.pendingPrefill == 0 || s.prefillTime(s.pendingPrefill+req.PromptTokens) <= s.window)
+	if s.saturated(req) || s.tooLong(req, now) {
+		return false
+	}
+	return s.pendingPrefill == 0 || s.prefillTime(s.pendingPrefill+req.PromptTokens) <= s.window && s.pendingPrefill+req.PromptTokens <= s.prefillBudget(now)
 }
 
 // saturated reports whether the engine lacks a slot or KV cache for the request.
@@ -227,7 +234,10 @@
 
 // queueWait estimates how long the engine's current and queued work delays the
 // request, and returns the reason.
-func (s *Scheduler) queueWait(req *Request, ahead queueAhead) (time.Duration, wire.GrantReason) {
+func (s *Scheduler) queueWait(req *Request, ahead queueAhead, now time.Time) (time.Duration, wire.GrantReason) {
+	if !s.saturated(req) && s.tooLong(req, now) {
+		return max(s.prefillTime(s.pendingPrefill+ahead.promptTokens), slowWait), wire.ReasonLongPrompt
+	}
 	wait := max(s.prefillTime(s.pendingPrefill+ahead.promptTokens+req.PromptTokens)-s.window, 0)
 	if !s.saturated(req) {
 		return wait, wire.ReasonPrefill
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -54,6 +54,9 @@
 	grantedAt time.Time
 	backlog   int // prompt tokens to prefill before its first event, including its own
 	started   bool
+	// gapObjective is the longest allowed pause between two of its events; 0 if none or
+	// unknown.
+	gapObjective time.Duration
 }
 
 // heldAdapter is an adapter that the engine holds.
@@ -100,6 +103,11 @@
 	usage
 	speed
 	pacing
+	pace
+	prefill prefillModel
+	// eventTime is the time between two events at the usual pace without prompts in
+	// between, as gateways measure it; 0 if unknown.
+	eventTime time.Duration
 	loads
 	modelSwitch
 	// limit is the rate limit that the engine states. It counts grants, since each is
@@ -115,7 +123,7 @@
 
 // New returns a scheduler that knows nothing about its engine yet.
 func New() *Scheduler {
-	s := &Scheduler{running: make(map[RequestID]*runningRequest), speed: newSpeed(), pacing: newPacing(), loads: newLoads()}
+	s := &Scheduler{running: make(map[RequestID]*runningRequest), speed: newSpeed(), pacing: newPacing(), prefill: newPrefillModel(), loads: newLoads()}
 	s.reset()
 	return s
 }
@@ -220,6 +228,9 @@
 func (s *Scheduler) Started(id RequestID, delay time.Duration) {
 	if r := s.running[id]; r != nil && !r.started {
 		s.recordPrefill(r.backlog, delay)
+		if s.stated {
+			s.prefill.record(r.backlog, time.Duration(float64(delay)/s.factor))
+		}
 		s.markStarted(r)
 	}
 }
--- a/pkg/grant/speed.go
+++ b/pkg/grant/speed.go
@@ -6,6 +6,9 @@
 type speed struct {
 	tokensPerMS float64       // of prefill
 	runTime     time.Duration // of a whole request
+	// factor is how long work takes now, with 1 at the usual pace. tokensPerMS is at the
+	// usual pace.
+	factor float64
 }
 
 const (
@@ -24,12 +27,12 @@
 )
 
 func newSpeed() speed {
-	return speed{tokensPerMS: initialTokensPerMS, runTime: initialRunTime}
+	return speed{tokensPerMS: initialTokensPerMS, runTime: initialRunTime, factor: 1}
 }
 
 // recordPrefill records how long the prefill of a number of prompt tokens took.
 func (s *speed) recordPrefill(tokens int, delay time.Duration) {
-	sample := float64(tokens) / float64(max(delay, minDelay).Milliseconds())
+	sample := s.factor * float64(tokens) / float64(max(delay, minDelay).Milliseconds())
 	s.tokensPerMS = max(minTokensPerMS, average(s.tokensPerMS, sample))
 }
 
@@ -38,7 +41,7 @@
 }
 
 func (s *speed) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / s.tokensPerMS * float64(time.Millisecond))
+	return time.Duration(s.factor * float64(tokens) / s.tokensPerMS * float64(time.Millisecond))
 }
 
 func average(old, sample float64) float64 { return old + averageWeight*(sample-old) }
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -41,6 +41,9 @@
 	o.scheduler.Answered() // the report is newer than all orders
 	o.scheduler.Observe(grantReport(report), time.Now())
 	o.observeNoticeLocked(report.Notice)
+	if report.Load.Known.Has(platform.LoadPace) {
+		o.recordPaceLocked(report.Load.Pace, requestedAt)
+	}
 	if o.scheduler.Pinned() {
 		o.checkRuns()
 	}
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -42,6 +42,7 @@
 	down        bool            // reports fail
 	draining    bool
 	notice      platform.TargetNotice // in the head of each report
+	load        platform.TargetLoad   // in the head of each report
 	senders     map[platform.Order]bool
 }
 
@@ -85,7 +86,7 @@
 	if err != nil {
 		return r, err
 	}
-	r.Notice = e.notice
+	r.Notice, r.Load = e.notice, e.load
 	if !e.model {
 		return r, nil
 	}
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -83,6 +83,7 @@
 	ReasonOldVersionInUse             // an older version of the adapter is in use
 	ReasonDraining                    // the engine is about to leave
 	ReasonRateLimited                 // the rate limit that the engine states is used up
+	ReasonLongPrompt                  // the prompt would pause running streams for too long
 )
 
 // GrantReply answers a GrantRequest.
