--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -74,6 +74,8 @@
 	// target succeeds. The capacity of its body counts in the body buffers.
 	failedResponse *forward.Response
 	failedBody     []byte
+	// load is the load that the last response states.
+	load platform.TargetLoad
 	// eventSeen says that the last target has sent an event.
 	eventSeen bool
 	// State of a streamed response.
@@ -398,6 +400,8 @@
 	acquired         time.Time
 	suspended        time.Duration
 	reportFirstEvent func(time.Duration) // reports the time to the first event to the agent
+	// reportPace reports what the response states to the agent, unless it is nil.
+	reportPace func(*wire.PaceReport)
 }
 
 // grantLease is how long a grant may be held before the request is sent. The agent
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -22,6 +22,8 @@
 	listAge        tally.Histogram                 // of sends: time for which the list of targets was not confirmed
 	denials        [len(denialNames)]tally.Counter // requests refused for their keys, by reason
 	trust          tally.Gauge                     // 1 if the configuration is used for requests that need a key
+	// unreadableLoads counts the responses whose load has a field that cannot be read.
+	unreadableLoads tally.Counter
 }
 
 // latencyBuckets double from the time of a round trip to a caller's longest wait.
@@ -32,9 +34,10 @@
 		requests: scope.Counter("requests"), refused: scope.Counter("refused"), timedOut: scope.Counter("timed_out"),
 		abortedStreams: scope.Counter("streams_broken_off"), retries: scope.Counter("repeated_sends"), limitedSends: scope.Counter("sends_to_limited_targets"),
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
-		abandonedWait: scope.Histogram("abandoned_run_wait", latencyBuckets),
-		listAge:       scope.Histogram("target_list_age", latencyBuckets),
-		trust:         scope.Gauge("configuration_trusted"),
+		abandonedWait:   scope.Histogram("abandoned_run_wait", latencyBuckets),
+		listAge:         scope.Histogram("target_list_age", latencyBuckets),
+		trust:           scope.Gauge("configuration_trusted"),
+		unreadableLoads: scope.Counter("unreadable_loads"),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -55,6 +55,7 @@
 	KindQuotaLimits
 	KindQuotaRequest
 	KindQuotaReply
+	KindPaceReport
 	kindLimit
 )
 
--- a/pkg/orderer/metrics.go
+++ b/pkg/orderer/metrics.go
@@ -14,6 +14,7 @@
 	held, loading    tally.Gauge
 	// quotaGranted and quotaDenied are answers to gateways that ask for quota.
 	quotaGranted, quotaDenied tally.Counter
+	pace                      tally.Gauge // that the engine stated last, in percent
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -21,6 +22,7 @@
 		scope: scope, waiting: scope.Gauge("waiting"), running: scope.Gauge("running"),
 		held: scope.Gauge("adapters_held"), loading: scope.Gauge("adapters_loading"),
 		quotaGranted: scope.Counter("quota_granted"), quotaDenied: scope.Counter("quota_denied"),
+		pace: scope.Gauge("pace"),
 	}
 }
 
