Engines are ordered by the cost of a request where they state a pace

An adapter's homes were asked in their fixed order, whatever their pace, their queue and the prompts that they keep.

Order the first 12 of them by cost on services whose engines state a pace, or with -prefix-affinity on; elsewhere the order stays. A gateway learns kept prompts, waits, load times and prefill speed from its own requests. The pace comes through Gateway.pace, which knows none until it is wired.

--- a/cmd/hyssoproad-gateway/main.go
+++ b/cmd/hyssoproad-gateway/main.go
@@ -9,5 +9,10 @@
 )
 
 func main() {
-	os.Exit(node.Program{Name: "hyssoproad-gateway", Check: gateway.Check}.Main(os.Args[1:], os.Stdout, os.Stderr))
+	options := gateway.NewOptions()
+	program := node.Program{
+		Name: "hyssoproad-gateway", Check: gateway.Check, Flags: options.Register,
+		Provide: []any{func() *gateway.Options { return options }},
+	}
+	os.Exit(program.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -136,6 +136,7 @@
 		}
 		switch {
 		case reply.Code == wire.GrantBusy:
+			x.recordRefusal(homes[i], time.Duration(reply.WaitMS)*time.Millisecond, reply.Reason == wire.ReasonEngineFull)
 			crowded := reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull
 			if crowded {
 				x.g.spread.Widen(weights, time.Now())
@@ -166,9 +167,9 @@
 	now := time.Now()
 	list = x.g.spread.Rotate(w, x.g.replicas.PreferCopies(w, x.g.homes(targets, w), x.g.holdings.Holders(w), now), now, hash(x.q.attempt))
 	if len(x.service.Engine.Models) < 2 {
-		return x.limitedLast(list), ""
+		return x.limitedLast(x.byCost(list, w)), ""
 	}
-	list = placement.Holders(list, w.Model)
+	list = x.byCost(placement.Holders(list, w.Model), w)
 	list = list[:min(len(list), maxAgents-1)]
 	if t, ok := placement.SwitchCandidate(targets, w.Model); ok {
 		return append(list, t), t.Instance
@@ -246,6 +247,7 @@
 		x.g.Debug("msg", "failed to reach the agent", "target", t.Instance, "err", err)
 		return nil, unable
 	}
+	requested := time.Now()
 	objective := time.Until(x.began.Add(x.route.Objective))
 	stream, err := conn.Open(link.KindGrantRequest, &wire.GrantRequest{
 		Attempt: ident.Attempt(x.q.attempt), Model: w.Model, Adapter: w.AdapterVersion,
@@ -269,6 +271,7 @@
 		stream.Close()
 		return nil, reply
 	}
+	held := x.g.holds(w, t.Address)
 	x.g.replicas.Record(w, t.Address, time.Now())
 	if !x.g.mayReceive(t) {
 		// The target started to drain while the request waited for its grant.
@@ -280,13 +283,15 @@
 		w.Version = reply.Version
 		x.g.versions.Update(w)
 	}
-	return &assignment{
+	a := &assignment{
 		target: t, agent: conn, instance: reply.Instance, version: reply.Version, release: stream.Close, acquired: time.Now(), suspended: x.g.suspended(),
 		reportFirstEvent: func(d time.Duration) {
 			// A lost report only makes the agent's forecast less accurate.
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
 		},
-	}, reply
+	}
+	x.observeRun(a, w, held, requested)
+	return a, reply
 }
 
 // reportPause tells the target's agent, if it has one, the longest pause of a stream
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -46,10 +46,14 @@
 	pool      *forward.Pool
 	agents    *agentLinks
 	loads     *loadTracker
-	notices   *notice.Table
-	permits   *permits
-	synced    *syncState
-	bodies    bodyBuffers
+	placing   *placing
+	// pace returns how long work takes on a target's VM, in percent of the usual time, and
+	// how old that is.
+	pace    func(ident.Target) (percent float64, age time.Duration, known bool)
+	notices *notice.Table
+	permits *permits
+	synced  *syncState
+	bodies  bodyBuffers
 	// quarantine holds the parts of prompts that are refused, and bans their records in
 	// the store.
 	quarantine *quarantine.Table
@@ -101,7 +105,7 @@
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
 		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
-		loads: newLoadTracker(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
+		loads: newLoadTracker(), placing: newPlacing(), pace: unknownPace, notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -15,6 +15,8 @@
 	abortedStreams tally.Counter
 	retries        tally.Counter
 	limitedSends   tally.Counter                   // to targets that state a rate limit
+	promptTokens   tally.Counter                   // of streams that engines have begun to answer
+	keptTokens     tally.Counter                   // of these, what the engines are taken to have kept
 	grantWait      tally.Histogram                 // of streams: from a request's arrival to its send
 	firstEvent     tally.Histogram                 // of streams: from a send to the first event
 	abandonedRuns  [len(runEndNames)]tally.Counter // abandoned sends before another one, by what showed their end
@@ -29,6 +31,7 @@
 	m := metrics{
 		requests: scope.Counter("requests"), refused: scope.Counter("refused"), timedOut: scope.Counter("timed_out"),
 		abortedStreams: scope.Counter("streams_broken_off"), retries: scope.Counter("repeated_sends"), limitedSends: scope.Counter("sends_to_limited_targets"),
+		promptTokens: scope.Counter("prompt_tokens"), keptTokens: scope.Counter("prompt_tokens_kept"),
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
 		abandonedWait: scope.Histogram("abandoned_run_wait", latencyBuckets),
 		listAge:       scope.Histogram("target_list_age", latencyBuckets),
--- a/pkg/gateway/plugin.go
+++ b/pkg/gateway/plugin.go
@@ -7,7 +7,9 @@
 	"github.com/fasthttp/router"
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/dig"
 
+	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/follow"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/platform"
@@ -16,7 +18,7 @@
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name:    "gateway",
-		Provide: []any{New},
+		Provide: []any{newWithOptions},
 		Start: func(g *Gateway, store *platform.Store, life *kernel.Lifecycle) {
 			ctx, cancel := context.WithCancel(context.Background())
 			life.Append(kernel.Hook{
@@ -37,6 +39,22 @@
 	})
 }
 
+// parameters are what the container builds a gateway from.
+type parameters struct {
+	dig.In
+	Common  common.Common
+	Node    platform.Node
+	Options *Options `optional:"true"`
+}
+
+func newWithOptions(p parameters) *Gateway {
+	g := New(p.Common, p.Node)
+	if p.Options != nil {
+		g.placing.mode = p.Options.PrefixAffinity
+	}
+	return g
+}
+
 // startReadiness serves the balancer's health checks until the process ends.
 func (g *Gateway) startReadiness(context.Context) error {
 	r := router.New()
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -32,6 +32,7 @@
 	lastEvent       string
 	weights         ident.Weights
 	parts           []ident.PromptPart // that other requests may share
+	prompt          platform.Prompt    // all its parts, in order
 	promptTokens    int                // 0 if unknown
 	maxOutputTokens int                // 0 if unknown
 }
@@ -186,7 +187,7 @@
 	case strings.EqualFold(name, platform.HeaderModel):
 		q.weights.Model, q.weights.Adapter = platform.ParseModel(value)
 	case strings.EqualFold(name, platform.HeaderPromptParts):
-		q.parts = platform.ParsePromptParts(value)
+		q.parts, q.prompt = platform.ParsePromptParts(value), platform.ParsePrompt(value)
 	case strings.EqualFold(name, platform.HeaderTokenCount):
 		q.promptTokens, q.maxOutputTokens = platform.ParseTokenCount(value)
 	}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -174,7 +174,7 @@
 		}
 	}
 	g.fleet.Replace(targets, time.Now())
-	g.holdings.Retain(g.fleet.Addresses())
+	g.retainEngines()
 	g.markListed(platform.KindTargets)
 }
 
@@ -182,7 +182,14 @@
 	if kept, known := g.fleet.Remove(ident.Target(o.Name), time.Now()); known {
 		g.Info("msg", "target no longer listed", "target", o.Name, "revision", o.Revision, "kept", kept)
 	}
-	g.holdings.Retain(g.fleet.Addresses())
+	g.retainEngines()
+}
+
+// retainEngines forgets what engines hold that are not listed any more.
+func (g *Gateway) retainEngines() {
+	addresses := g.fleet.Addresses()
+	g.holdings.Retain(addresses)
+	g.placing.known.Retain(addresses)
 }
 
 func (g *Gateway) putTarget(o platform.Object) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -49,6 +49,10 @@
 	Name string
 	// Check returns an error if the settings do not fit the program.
 	Check func(platform.Node) error
+	// Flags adds the program's own flags. It may be nil.
+	Flags func(*flag.FlagSet)
+	// Provide lists further constructors for the dependency injection container.
+	Provide []any
 }
 
 // Main runs the program and returns its exit code.
@@ -58,6 +62,9 @@
 	file := flags.String("settings", os.Getenv(platform.SettingsPathEnv), "the platform's settings file")
 	check := flags.Bool("check", false, "check the settings file and exit")
 	logLevel := flags.String("log-level", "info", "debug, info, warn or error")
+	if p.Flags != nil {
+		p.Flags(flags)
+	}
 	if err := ff.Parse(flags, args); err != nil {
 		return ExitUsage
 	}
@@ -96,14 +103,14 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	go p.watchSettings(hup, file, c)
 	c.Info("msg", "starting", "program", p.Name, "vm", node.VM, "domain", node.Domain)
-	err := kernel.Run(ctx,
+	err := kernel.Run(ctx, append([]any{
 		func() platform.Node { return node },
 		func() *platform.Store {
 			return platform.NewStore(node.StoreAddress, follow.AnswerTime(node.Bounds.Settled))
 		},
 		exposition.New,
 		func(m exposition.Metrics) common.Common { return common.Common{Log: logger, Metrics: m.Scope} },
-	)
+	}, p.Provide...)...)
 	if err != nil {
 		_ = level.Error(c.Log).Log("msg", "stopped", "err", errors.ErrorStack(err))
 		return ExitFailed
