--- a/pkg/affinity/kept.go
+++ b/pkg/affinity/kept.go
@@ -31,36 +31,38 @@
 	return int(math.Ceil(perSecond * float64(d.Gateways) * d.Work.Seconds() / maxEngineShare))
 }
 
-// Kept returns what each of the targets is likely to keep of a prompt. free returns how much
+// Kept returns what each of the targets is likely to keep of a prompt, and over how many
+// engines the requests with its shared beginning are spread. free returns how much
 // memory a target has for what it keeps, in tokens, or a negative number if that is unknown.
 //
 // The whole prompt of a session counts wherever it is kept. A shared beginning counts once
 // as many engines keep it as its rate needs: until then, its requests also go to engines
 // that do not.
-func (t *Table) Kept(p Prompt, targets []fleet.Target, free func(fleet.Target) int, d Demand, now time.Time) []Kept {
-	out := make([]Kept, len(targets))
+func (t *Table) Kept(p Prompt, targets []fleet.Target, free func(fleet.Target) int, d Demand, now time.Time) (out []Kept, needed int) {
+	out = make([]Kept, len(targets))
 	if p.IsZero() {
-		return out
+		return out, 1
 	}
-	engines := make([]knownEngine, len(targets))
-	anyKnown := false
+	var inline [16]knownEngine // enough for the candidates of a request
+	engines := append(inline[:0], make([]knownEngine, len(targets))...)
 	for i, target := range targets {
 		if e := t.engines.find(target); e != nil {
 			engines[i] = knownEngine{number: e.number, read: e.read.Load(), free: free(target), keeps: true}
-			anyKnown = true
 		}
 	}
-	if !anyKnown {
-		return out
-	}
 	at := t.ticks(now)
+	needed = 1
 	for i, prefix := range p.prefixes {
 		r, known := t.find(prefix.hash)
 		if !known {
 			break
 		}
 		own := p.hasOwn && i == len(p.prefixes)-1
-		counts := own || r.recentHolders(at) >= d.engines(r.rateAt(at))
+		counts := own
+		if !own {
+			n := d.engines(r.rateAt(at))
+			counts, needed = r.recentHolders(at) >= n, max(needed, n)
+		}
 		for j := range engines {
 			h, keeps := engines[j].keep(r, at, d.Gateways)
 			if !keeps {
@@ -72,7 +74,7 @@
 			}
 		}
 	}
-	return out
+	return out, needed
 }
 
 // knownEngine is an engine while the beginnings of a prompt are looked up.
--- a/pkg/affinity/prompt.go
+++ b/pkg/affinity/prompt.go
@@ -45,7 +45,8 @@
 	var length [20]byte
 	for i, s := range p.Segments {
 		tokens += s.Tokens
-		_, _ = digest.WriteString("," + string(s.Part))
+		_, _ = digest.WriteString(",")
+		_, _ = digest.WriteString(string(s.Part))
 		_, _ = digest.Write(strconv.AppendInt(append(length[:0], ':'), int64(s.Tokens), 10))
 		out.prefixes[i] = prefix{hash: digest.Sum64(), tokens: tokens}
 	}
--- a/pkg/affinity/table_test.go
+++ b/pkg/affinity/table_test.go
@@ -38,7 +38,8 @@
 func unknownMemory(fleet.Target) int { return -1 }
 
 func keptTokens(t *Table, p Prompt, e fleet.Target, now time.Time) int {
-	return t.Kept(p, []fleet.Target{e}, unknownMemory, one, now)[0].Tokens
+	kept, _ := t.Kept(p, []fleet.Target{e}, unknownMemory, one, now)
+	return kept[0].Tokens
 }
 
 // TestPartsCountOnlyAfterAllBeforeThem guards against a saving that the engine does not
@@ -97,7 +98,7 @@
 		known := New(start)
 		known.Record(p, e, 150, start)
 		test.happens(known)
-		got := known.Kept(p, []fleet.Target{test.target}, func(fleet.Target) int { return test.free }, one, start.Add(test.at))
+		got, _ := known.Kept(p, []fleet.Target{test.target}, func(fleet.Target) int { return test.free }, one, start.Add(test.at))
 		require.Equal(t, test.want, got[0].Tokens, test.name)
 	}
 }
@@ -108,11 +109,16 @@
 	work := Demand{Gateways: 30, Work: 30 * time.Millisecond}
 	targets := []fleet.Target{engineAt(1), engineAt(2), engineAt(3)}
 	kept := func(known *Table, own string, now time.Time) (tokens []int) {
-		for _, k := range known.Kept(prompt(own, "a"), targets, unknownMemory, work, now) {
+		list, _ := known.Kept(prompt(own, "a"), targets, unknownMemory, work, now)
+		for _, k := range list {
 			tokens = append(tokens, k.Tokens)
 		}
 		return tokens
 	}
+	needed := func(known *Table, now time.Time) int {
+		_, n := known.Kept(prompt("new", "a"), targets, unknownMemory, work, now)
+		return n
+	}
 	rare, hot, spread := New(start), New(start), New(start)
 	for i := range 100 {
 		// 0.1 and 1 requests per second at each of 30 gateways: they need 1 and 4 engines.
@@ -124,6 +130,7 @@
 	}
 	now := start.Add(99 * time.Second)
 	require.Equal(t, []int{100, 0, 0}, kept(rare, "new", now))
+	require.Equal(t, []int{1, 4}, []int{needed(rare, now), needed(hot, now)})
 	require.Equal(t, []int{0, 0, 0}, kept(hot, "new", now), "three more engines are needed")
 	require.Equal(t, []int{150, 0, 0}, kept(hot, "99", now), "the session has one home")
 	require.Equal(t, []int{100, 100, 100}, kept(spread, "new", now))
--- a/pkg/gateway/placing.go
+++ b/pkg/gateway/placing.go
@@ -141,24 +141,24 @@
 
 // candidates returns what is known of the homes of a request.
 func (x *exchange) candidates(homes []fleet.Target, w ident.Weights, prompt affinity.Prompt, now time.Time) []placement.Candidate {
-	kept := x.kept(homes, prompt, now)
-	holders := x.g.holdings.Holders(w)
-	width := x.g.spread.Width(w, now)
+	kept, needed := x.kept(homes, prompt, now)
+	width := max(x.g.spread.Width(w, now), needed)
 	out := make([]placement.Candidate, len(homes))
 	for i, t := range homes {
 		requests, slots, _ := x.g.loads.engineLoad(t, now)
 		wait := x.g.placing.waits.At(t.Address, now)
 		out[i] = placement.Candidate{
 			Target: t, Requests: requests, Slots: slots, Backlog: wait.Backlog, Busy: wait.Busy, Pace: x.g.currentPace(t.Instance),
-			Holds: w.IsZero() || slices.Contains(holders, t.Address) || x.g.replicas.Holds(w, t.Address, now),
+			Holds: w.IsZero() || x.g.holdings.Holds(w, t.Address) || x.g.replicas.Holds(w, t.Address, now),
 			Spare: !w.IsZero() && i >= width, Kept: kept[i].Tokens, Far: t.Domain != x.g.node.Domain,
 		}
 	}
 	return out
 }
 
-// kept returns what the targets are likely to keep of a prompt.
-func (x *exchange) kept(targets []fleet.Target, prompt affinity.Prompt, now time.Time) []affinity.Kept {
+// kept returns what the targets are likely to keep of a prompt, and over how many engines
+// the requests with its shared beginning are spread.
+func (x *exchange) kept(targets []fleet.Target, prompt affinity.Prompt, now time.Time) ([]affinity.Kept, int) {
 	speed, requestTokens := x.g.placing.speed(x.service.Name)
 	free := func(t fleet.Target) int {
 		if x.service.Engine.KVTokens == 0 {
@@ -232,8 +232,8 @@
 		learned.RecordLoad(time.Since(requested))
 	}
 	prompt := affinity.NewPrompt(w, x.q.prompt)
-	kept := x.kept([]fleet.Target{t}, prompt, time.Now())[0].All
-	tokens := x.promptTokens(prompt)
+	list, _ := x.kept([]fleet.Target{t}, prompt, time.Now())
+	kept, tokens := list[0].All, x.promptTokens(prompt)
 	unread := max(tokens-kept, 0)
 	read := x.g.placing.waits.Begin(t.Address, unread)
 	started := false
--- a/pkg/placement/cost.go
+++ b/pkg/placement/cost.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,7 +67,7 @@
 func (c Cost) Total() time.Duration { return c.Wait + c.Load + c.Prefill + c.Way + c.Copy }
 
 // CostOf returns the cost of a request at an engine.
-func CostOf(c Candidate, d Demand, s Speed) Cost {
+func CostOf(c *Candidate, d Demand, s Speed) Cost {
 	pace := c.Pace / usualPace
 	if c.Pace <= 0 {
 		pace = 1
@@ -97,7 +96,7 @@
 
 // Ranked is a candidate with its cost.
 type Ranked struct {
-	Candidate
+	*Candidate
 	Cost Cost
 }
 
@@ -106,46 +105,31 @@
 // that know the same do not all choose the same one.
 func ByCost(candidates []Candidate, d Demand, s Speed) []Ranked {
 	out := make([]Ranked, len(candidates))
-	for i, c := range candidates {
-		out[i] = Ranked{c, CostOf(c, d, s)}
+	var inline [MaxCandidates]position
+	order := append(inline[:0], make([]position, len(candidates))...)
+	for i := range candidates {
+		cost := CostOf(&candidates[i], d, s)
+		order[i] = position{index: i, cost: cost, total: cost.Total(), hash: route.RendezvousHash(d.Tie, xxhash.Sum64String(candidates[i].Address))}
 	}
-	slices.SortStableFunc(out, func(x, y Ranked) int { return cmp.Compare(x.Cost.Total(), y.Cost.Total()) })
-	for from := 0; from < len(out); {
+	slices.SortStableFunc(order, func(x, y position) int { return cmp.Compare(x.total, y.total) })
+	for from := 0; from < len(order); {
 		to := from + 1
-		for to < len(out) && out[to].Cost.Total() <= out[from].Cost.Total()+tieRange {
+		for to < len(order) && order[to].total <= order[from].total+tieRange {
 			to++
 		}
-		if to > from+1 {
-			orderByHash(out[from:to], d.Tie)
-		}
+		slices.SortStableFunc(order[from:to], func(x, y position) int { return cmp.Compare(y.hash, x.hash) })
 		from = to
 	}
-	return out
-}
-
-func orderByHash(list []Ranked, tie uint64) {
-	var hashes [MaxCandidates]uint64
-	keys := hashes[:0]
-	for _, r := range list {
-		keys = append(keys, route.RendezvousHash(tie, xxhash.Sum64String(r.Address)))
+	for i, p := range order {
+		out[i] = Ranked{&candidates[p.index], p.cost}
 	}
-	sort.Sort(byKey{list, keys})
-}
-
-// byKey sorts candidates by descending key.
-type byKey struct {
-	list []Ranked
-	keys []uint64
+	return out
 }
 
-// Len returns the number of candidates.
-func (b byKey) Len() int { return len(b.list) }
-
-// Less reports whether the candidate at i comes before that at j.
-func (b byKey) Less(i, j int) bool { return b.keys[i] > b.keys[j] }
-
-// Swap swaps two candidates.
-func (b byKey) Swap(i, j int) {
-	b.list[i], b.list[j] = b.list[j], b.list[i]
-	b.keys[i], b.keys[j] = b.keys[j], b.keys[i]
+// position is a candidate while they are put in order.
+type position struct {
+	index int
+	cost  Cost
+	total time.Duration
+	hash  uint64
 }
--- a/pkg/placement/cost_test.go
+++ b/pkg/placement/cost_test.go
@@ -77,7 +77,7 @@
 func TestTermsOfACost(t *testing.T) {
 	c := engineNamed("e")
 	c.Backlog, c.Kept, c.Pace, c.Requests, c.Holds, c.Spare, c.Far = 2000, 1000, 200, 32, false, true, true
-	cost := CostOf(c, Demand{PromptTokens: 4000}, testSpeed)
+	cost := CostOf(&c, Demand{PromptTokens: 4000}, testSpeed)
 	require.Equal(t, Cost{
 		Wait: 200*time.Millisecond + 60*time.Millisecond, Load: 288 * time.Millisecond,
 		Prefill: 300 * time.Millisecond, Way: 3 * time.Millisecond, Copy: 72 * time.Millisecond,
--- a/pkg/placement/holdings.go
+++ b/pkg/placement/holdings.go
@@ -74,6 +74,19 @@
 	h.byWeights[key] = list
 }
 
+// Holds reports whether the engine at the address holds the weights, or a newer version of
+// the adapter.
+func (h *Holdings) Holds(w ident.Weights, address string) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, held := range h.byAddress[address] {
+		if held.Unversioned() == w.Unversioned() && held.Version >= w.Version {
+			return true
+		}
+	}
+	return false
+}
+
 // Holders returns the addresses of the engines that hold the weights, or a newer version
 // of the adapter.
 func (h *Holdings) Holders(w ident.Weights) []string {
--- a/pkg/placement/holdings_test.go
+++ b/pkg/placement/holdings_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -59,6 +60,9 @@
 					}
 				}
 				require.ElementsMatch(t, want, h.Holders(weights(i, v)))
+				for address := range model {
+					require.Equal(t, slices.Contains(want, address), h.Holds(weights(i, v), address))
+				}
 			}
 		}
 		h.Retain(nil)
