A gateway explains where a request would go

Operators could not see why a request went to a target, waited or was refused.

Gateway.Explain calls the functions that rule out, order and ask targets for real requests, and is served as JSON at /explain on the metrics listener. Agents answer what they would grant now (new frame kinds GrantPreview and GrantPreviewReply): a copy of the scheduler runs Decide. A look at a target without requests no longer adds an empty load or detector for it.

--- a/pkg/exposition/exposition.go
+++ b/pkg/exposition/exposition.go
@@ -20,6 +20,7 @@
 type Metrics struct {
 	Scope    tally.Scope
 	reporter prometheus.Reporter
+	pages    *pages
 }
 
 // New returns the process's metrics; they are closed when the process stops.
@@ -30,7 +31,7 @@
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	life.Append(kernel.Hook{Name: "metrics", Stop: func(context.Context) error { return closer.Close() }})
-	return Metrics{Scope: scope, reporter: reporter}
+	return Metrics{Scope: scope, reporter: reporter, pages: &pages{byPath: make(map[string]Page)}}
 }
 
 // StopGrace is how long a reader of metrics or checks may take when the process stops.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -272,6 +272,21 @@
 	return v.services[s]
 }
 
+// Known returns all known targets of a service, in the order of their names: also those that
+// may receive no requests.
+func (v *View) Known(s ident.Service) []Target {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var out []Target
+	for _, t := range v.targets {
+		if t.Service == s {
+			out = append(out, t)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Instance < out[j].Instance })
+	return out
+}
+
 // Settling reports whether live targets may be missing from the list: the store may
 // have been unreachable until just before the first list, or it was since.
 func (v *View) Settling(now time.Time) bool {
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -13,7 +13,6 @@
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
-	"github.com/hyssoproad/hyssoproad/pkg/placement"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -35,22 +34,39 @@
 // acquire returns an assignment to one of the service's eligible targets. It calls
 // grant for a target that needs one, and waits up to maxWait for a permit.
 func (x *exchange) acquire(grant func([]fleet.Target) (*assignment, refusal), maxWait time.Duration) (*assignment, refusal) {
-	if ban, banned := x.g.quarantine.Banned(x.q.parts, time.Now()); banned {
-		return nil, refusal{reason: "part of the prompt crashes engines", wait: time.Until(ban.Until), detail: fmt.Sprintf("part %s, crashes %v", ban.Part, ban.Crashes)}
+	if why, banned := x.banned(); banned {
+		return nil, why
 	}
 	targets := x.awaitTargets()
 	if len(targets) == 0 {
-		if pause := x.g.pause(x.service.Name); pause > 0 {
-			return nil, refusal{reason: "targets want no requests for now", wait: pause}
-		}
-		return nil, refusal{reason: "no target", wait: noTargetRetryAfter}
+		return nil, x.noTarget()
 	}
-	if x.service.Engine == nil || x.q.weights.Model == "" {
+	if !x.needsGrant() {
 		return x.leastLoaded(targets, maxWait)
 	}
 	return grant(targets)
 }
 
+// banned reports whether a part of the prompt is banned, with the refusal.
+func (x *exchange) banned() (refusal, bool) {
+	ban, banned := x.g.quarantine.Banned(x.q.parts, time.Now())
+	if !banned {
+		return refusal{}, false
+	}
+	return refusal{reason: "part of the prompt crashes engines", wait: time.Until(ban.Until), detail: fmt.Sprintf("part %s, crashes %v", ban.Part, ban.Crashes)}, true
+}
+
+// noTarget returns the refusal of a request without an eligible target.
+func (x *exchange) noTarget() refusal {
+	if pause := x.g.pause(x.service.Name); pause > 0 {
+		return refusal{reason: "targets want no requests for now", wait: pause}
+	}
+	return refusal{reason: "no target", wait: noTargetRetryAfter}
+}
+
+// needsGrant reports whether an agent has to grant the request.
+func (x *exchange) needsGrant() bool { return x.service.Engine != nil && x.q.weights.Model != "" }
+
 const (
 	// targetPollInterval is how often a request that has no target looks for one.
 	targetPollInterval = 50 * time.Millisecond
@@ -121,26 +137,36 @@
 // wait, or nil if no home gave one.
 func (x *exchange) askHomes(targets []fleet.Target) (granted *assignment, why refusal, soonest *fleet.Target) {
 	weights := x.weights()
-	homes, candidate := x.homes(targets, weights)
+	why, soonest = x.askInOrder(x.place(targets, weights), weights, func(t fleet.Target, opts grantOptions) wire.GrantReply {
+		a, reply := x.requestGrant(t, weights, opts)
+		granted = a
+		if reply.Code == wire.GrantBusy {
+			x.recordRefusal(t, weights, reply)
+		}
+		return reply
+	})
+	return granted, why, soonest
+}
+
+// askInOrder asks the homes one after the other until one grants the request. If none does,
+// it returns the reason and the home with the shortest forecast wait, if any.
+func (x *exchange) askInOrder(p placed, weights ident.Weights, ask func(fleet.Target, grantOptions) wire.GrantReply) (why refusal, soonest *fleet.Target) {
+	homes := p.homes
 	limit, heldElsewhere := min(maxAgents, len(homes)), false
 	why = refusal{reason: "no engine can run it", wait: noTargetRetryAfter}
 	for i := 0; i < limit; i++ {
-		a, reply := x.requestGrant(homes[i], weights, grantOptions{
-			hasAlternative: true, heldElsewhere: heldElsewhere, maySwitchModel: homes[i].Instance == candidate, alternativeHolds: i+1 < len(homes) && x.g.holds(weights, homes[i+1].Address),
+		reply := ask(homes[i], grantOptions{
+			hasAlternative: true, heldElsewhere: heldElsewhere, maySwitchModel: homes[i].Instance == p.candidate, alternativeHolds: i+1 < len(homes) && x.g.holds(weights, homes[i+1].Address),
 		})
-		if a != nil {
-			return a, refusal{}, nil
+		if reply.Code == wire.GrantIssued {
+			return refusal{}, nil
 		}
 		if x.ctx.Err() != nil {
-			return nil, refusal{reason: "timed out"}, nil
+			return refusal{reason: "timed out"}, nil
 		}
 		switch {
 		case reply.Code == wire.GrantBusy:
-			x.recordRefusal(homes[i], time.Duration(reply.WaitMS)*time.Millisecond, reply.Reason == wire.ReasonEngineFull)
-			crowded := reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull
-			if crowded {
-				x.g.spread.Widen(weights, time.Now())
-			}
+			crowded := isCrowded(reply)
 			if crowded || reply.Reason == wire.ReasonRateLimited {
 				limit = max(limit, min(limit+1, maxCrowdedAgents, len(homes)))
 			}
@@ -152,7 +178,12 @@
 			limit++ // no usable answer: ask one more
 		}
 	}
-	return nil, why, soonest
+	return why, soonest
+}
+
+// isCrowded reports whether an agent refused a request because of the others at its engine.
+func isCrowded(reply wire.GrantReply) bool {
+	return reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull
 }
 
 // holds reports whether the engine at the address is likely to hold the weights.
@@ -160,23 +191,6 @@
 	return g.replicas.Holds(w, address, time.Now()) || slices.Contains(g.holdings.Holders(w), address)
 }
 
-// homes returns the targets to ask, in order. For a service with several base
-// models these are the holders of the requested model, followed by the candidate
-// that may switch to it.
-func (x *exchange) homes(targets []fleet.Target, w ident.Weights) (list []fleet.Target, candidate ident.Target) {
-	now := time.Now()
-	list = x.g.spread.Rotate(w, x.g.replicas.PreferCopies(w, x.g.homes(targets, w), x.g.holdings.Holders(w), now), now, hash(x.q.attempt))
-	if len(x.service.Engine.Models) < 2 {
-		return x.limitedLast(x.byCost(list, w)), ""
-	}
-	list = x.byCost(placement.Holders(list, w.Model), w)
-	list = list[:min(len(list), maxAgents-1)]
-	if t, ok := placement.SwitchCandidate(targets, w.Model); ok {
-		return append(list, t), t.Instance
-	}
-	return list, ""
-}
-
 // limitedLast moves homes that state a rate limit behind the others, all but the first
 // one: what that one does not take is better sent to engines that take more.
 func (x *exchange) limitedLast(homes []fleet.Target) []fleet.Target {
@@ -239,6 +253,16 @@
 	maySwitchModel   bool // the engine may switch to the requested base model
 }
 
+// grantRequest returns what an agent is asked.
+func (x *exchange) grantRequest(w ident.Weights, opts grantOptions) wire.GrantRequest {
+	objective := time.Until(x.began.Add(x.route.Objective))
+	return wire.GrantRequest{
+		Attempt: ident.Attempt(x.q.attempt), Model: w.Model, Adapter: w.AdapterVersion,
+		PromptTokens: x.q.promptTokens, OutputTokens: x.q.maxOutputTokens, Rank: x.route.Rank,
+		MaxWaitMS: x.maxGrantWait().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), HasAlternative: opts.hasAlternative, HeldElsewhere: opts.heldElsewhere, AlternativeHolds: opts.alternativeHolds, MaySwitchModel: opts.maySwitchModel,
+	}
+}
+
 // requestGrant requests a grant from one target's agent.
 func (x *exchange) requestGrant(t fleet.Target, w ident.Weights, opts grantOptions) (*assignment, wire.GrantReply) {
 	unable := wire.GrantReply{Code: wire.GrantUnable}
@@ -248,12 +272,8 @@
 		return nil, unable
 	}
 	requested := time.Now()
-	objective := time.Until(x.began.Add(x.route.Objective))
-	stream, err := conn.Open(link.KindGrantRequest, &wire.GrantRequest{
-		Attempt: ident.Attempt(x.q.attempt), Model: w.Model, Adapter: w.AdapterVersion,
-		PromptTokens: x.q.promptTokens, OutputTokens: x.q.maxOutputTokens, Rank: x.route.Rank,
-		MaxWaitMS: x.maxGrantWait().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), HasAlternative: opts.hasAlternative, HeldElsewhere: opts.heldElsewhere, AlternativeHolds: opts.alternativeHolds, MaySwitchModel: opts.maySwitchModel,
-	})
+	request := x.grantRequest(w, opts)
+	stream, err := conn.Open(link.KindGrantRequest, &request)
 	if err != nil {
 		return nil, unable
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/directory"
+	"github.com/hyssoproad/hyssoproad/pkg/explain"
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/follow"
 	"github.com/hyssoproad/hyssoproad/pkg/forecast"
@@ -49,11 +50,14 @@
 	placing   *placing
 	// pace returns how long work takes on a target's VM, in percent of the usual time, and
 	// how old that is.
-	pace    func(ident.Target) (percent float64, age time.Duration, known bool)
-	notices *notice.Table
-	permits *permits
-	synced  *syncState
-	bodies  bodyBuffers
+	pace func(ident.Target) (percent float64, age time.Duration, known bool)
+	// quotaLeft returns what is known of the quota that an account has left for a request
+	// of some cost, and how long the request would be refused.
+	quotaLeft func(account platform.Account, cost float64) (state string, wait time.Duration)
+	notices   *notice.Table
+	permits   *permits
+	synced    *syncState
+	bodies    bodyBuffers
 	// quarantine holds the parts of prompts that are refused, and bans their records in
 	// the store.
 	quarantine *quarantine.Table
@@ -105,7 +109,7 @@
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
 		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
-		loads: newLoadTracker(), placing: newPlacing(), pace: unknownPace, notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
+		loads: newLoadTracker(), placing: newPlacing(), pace: unknownPace, quotaLeft: unknownQuota, notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
@@ -141,20 +145,19 @@
 // excluded nor ejected by outlier detection. If there are none, it returns the ejected
 // ones that want requests and are not excluded.
 func (g *Gateway) eligibleTargets(s ident.Service, excluded []ident.Target) []fleet.Target {
-	all := g.fleet.Available(s)
-	detector, now := g.detector(s), time.Now()
-	anyEjected := detector.AnyEjected(now)
+	all, now := g.fleet.Available(s), time.Now()
+	detector, known := g.knownDetector(s)
+	anyEjected := known && detector.AnyEjected(now)
 	if len(excluded) == 0 && !anyEjected && g.notices.Empty() {
 		return all
 	}
 	var healthy, ejected []fleet.Target
 	for _, t := range all {
-		switch {
-		case contains(t.Instance, excluded) || !g.wantsRequests(t):
-		case anyEjected && detector.Ejected(t.Instance, now):
-			ejected = append(ejected, t)
-		default:
+		switch g.exclusion(t, excluded, now) {
+		case explain.NotExcluded:
 			healthy = append(healthy, t)
+		case explain.Ejected:
+			ejected = append(ejected, t)
 		}
 	}
 	if len(healthy) > 0 {
@@ -163,6 +166,32 @@
 	return ejected
 }
 
+// exclusion returns why a listed target gets no request that was already sent to the
+// excluded ones, if there is a reason.
+func (g *Gateway) exclusion(t fleet.Target, excluded []ident.Target, now time.Time) explain.Exclusion {
+	p := processOf(t)
+	switch {
+	case contains(t.Instance, excluded):
+		return explain.Excluded
+	case g.notices.Leaving(p):
+		return explain.Leaving
+	case g.notices.Pause(p, now) > 0:
+		return explain.Paused
+	}
+	if d, known := g.knownDetector(t.Service); known && d.Ejected(t.Instance, now) {
+		return explain.Ejected
+	}
+	return explain.NotExcluded
+}
+
+// knownDetector returns the detector of a service that has had requests.
+func (g *Gateway) knownDetector(s ident.Service) (*outlier.Detector, bool) {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	d, known := g.detectors[s]
+	return d, known
+}
+
 func (g *Gateway) detector(s ident.Service) *outlier.Detector {
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -83,7 +83,10 @@
 func (l *loadTracker) perSlot(t fleet.Target) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	v := l.get(t.Instance)
+	v := l.byTarget[t.Instance]
+	if v == nil {
+		return 0 // nothing is added for a look at it
+	}
 	requests := v.ownRequests
 	if time.Since(v.reportedAt) < otherRequestsTTL {
 		requests += v.otherRequests
--- a/pkg/gateway/permit.go
+++ b/pkg/gateway/permit.go
@@ -192,12 +192,17 @@
 	return wait, reply.Granted
 }
 
+// byLoad returns the targets of a plain request in the order in which they are tried.
+func (x *exchange) byLoad(targets []fleet.Target) []fleet.Target {
+	return placement.ByLoad(targets, x.g.loads.perSlot, x.g.node.Domain, hash(x.q.attempt))
+}
+
 // leastLoaded returns an assignment to the least loaded of the targets that take another
 // request: at once, or else, if all have used up their rate limits, within maxWait.
 func (x *exchange) leastLoaded(targets []fleet.Target, maxWait time.Duration) (*assignment, refusal) {
 	var soonest fleet.Target
 	why := refusal{reason: "targets at their rate limits"}
-	for i, t := range placement.ByLoad(targets, x.g.loads.perSlot, x.g.node.Domain, hash(x.q.attempt)) {
+	for i, t := range x.byLoad(targets) {
 		wait, granted := x.g.permit(x.ctx, t, 0)
 		if granted {
 			return x.g.assign(t), refusal{}
--- a/pkg/gateway/placing.go
+++ b/pkg/gateway/placing.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
 // PrefixAffinity says for which services requests are placed by their cost.
@@ -100,12 +101,39 @@
 	return slices.ContainsFunc(engines, func(t fleet.Target) bool { _, _, known := x.g.pace(t.Instance); return known })
 }
 
+// placed is where a request may go.
+type placed struct {
+	homes []fleet.Target // the targets to ask, in order
+	// candidate may switch to the requested base model.
+	candidate ident.Target
+	// ranked are the candidates whose cost was weighed, nil if none was.
+	ranked []placement.Ranked
+}
+
+// place returns where the request may go. For a service with several base models these
+// are the holders of the requested model, followed by the candidate that may switch to it.
+func (x *exchange) place(targets []fleet.Target, w ident.Weights) (p placed) {
+	now := time.Now()
+	list := x.g.spread.Rotate(w, x.g.replicas.PreferCopies(w, x.g.homes(targets, w), x.g.holdings.Holders(w), now), now, hash(x.q.attempt))
+	if len(x.service.Engine.Models) < 2 {
+		list, p.ranked = x.byCost(list, w)
+		p.homes = x.limitedLast(list)
+		return p
+	}
+	list, p.ranked = x.byCost(placement.Holders(list, w.Model), w)
+	p.homes = list[:min(len(list), maxAgents-1)]
+	if t, ok := placement.SwitchCandidate(targets, w.Model); ok {
+		p.homes, p.candidate = append(p.homes, t), t.Instance
+	}
+	return p
+}
+
 // byCost returns the homes with the first ones, which are the candidates of a request, in
-// ascending order of cost.
-func (x *exchange) byCost(homes []fleet.Target, w ident.Weights) []fleet.Target {
+// ascending order of cost, and these costs.
+func (x *exchange) byCost(homes []fleet.Target, w ident.Weights) ([]fleet.Target, []placement.Ranked) {
 	ranked := x.rank(homes, w, time.Now())
 	if ranked == nil {
-		return homes
+		return homes, nil
 	}
 	out := make([]fleet.Target, 0, len(homes))
 	for _, r := range ranked {
@@ -116,7 +144,7 @@
 			out = append(out, t)
 		}
 	}
-	return out
+	return out, ranked
 }
 
 // rank returns the candidates of a request in ascending order of cost, or nil if they are
@@ -212,10 +240,14 @@
 	return requests, max(v.slots, t.Slots), age
 }
 
-// recordRefusal records what an agent's refusal says of its engine.
-func (x *exchange) recordRefusal(t fleet.Target, wait time.Duration, engineFull bool) {
-	x.g.placing.waits.Forecast(t.Address, wait, time.Now())
-	if engineFull {
+// recordRefusal records what the refusal of a busy agent says of its engine.
+func (x *exchange) recordRefusal(t fleet.Target, w ident.Weights, reply wire.GrantReply) {
+	now := time.Now()
+	if isCrowded(reply) {
+		x.g.spread.Widen(w, now)
+	}
+	x.g.placing.waits.Forecast(t.Address, time.Duration(reply.WaitMS)*time.Millisecond, now)
+	if reply.Reason == wire.ReasonEngineFull {
 		// The engine needs the memory of what it keeps for the requests that run.
 		x.g.placing.known.Drop(t.Address)
 	}
--- a/pkg/gateway/placing_test.go
+++ b/pkg/gateway/placing_test.go
@@ -17,6 +17,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
 	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -63,8 +64,7 @@
 
 // order returns the names of the engines in the order in which the request asks them.
 func (x *exchange) order() (names []ident.Target) {
-	homes, _ := x.homes(x.g.eligibleTargets(x.service.Name, x.excluded), x.weights())
-	for _, t := range homes {
+	for _, t := range x.place(x.g.eligibleTargets(x.service.Name, x.excluded), x.weights()).homes {
 		names = append(names, t.Instance)
 	}
 	return names
@@ -124,7 +124,8 @@
 			x.fail(&assignment{target: warm}, stepAnswer, io.ErrUnexpectedEOF)
 		}, false},
 		{"was short of memory", func(g *Gateway, warm fleet.Target) {
-			placedRequest(g, "refused", "a1", sessionPrompt).recordRefusal(warm, 0, true)
+			x := placedRequest(g, "refused", "a1", sessionPrompt)
+			x.recordRefusal(warm, x.weights(), wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonEngineFull})
 		}, false},
 		{"has read much since", func(g *Gateway, warm fleet.Target) {
 			x := placedRequest(g, "other", "a2", "other:1,own:4000")
@@ -268,8 +269,7 @@
 							target, _ := g.fleet.Find(name)
 							wait := time.Until(busyUntil[name])
 							if wait > 100*time.Millisecond {
-								x.recordRefusal(target, wait, false)
-								g.spread.Widen(x.weights(), time.Now())
+								x.recordRefusal(target, x.weights(), wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonPrefill, WaitMS: wait.Milliseconds()})
 								continue
 							}
 							tokens := 600
--- a/pkg/gateway/plugin.go
+++ b/pkg/gateway/plugin.go
@@ -10,6 +10,8 @@
 	"go.uber.org/dig"
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/explain"
+	"github.com/hyssoproad/hyssoproad/pkg/exposition"
 	"github.com/hyssoproad/hyssoproad/pkg/follow"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/platform"
@@ -19,7 +21,8 @@
 	kernel.Register(kernel.Plugin{
 		Name:    "gateway",
 		Provide: []any{newWithOptions},
-		Start: func(g *Gateway, store *platform.Store, life *kernel.Lifecycle) {
+		Start: func(g *Gateway, store *platform.Store, metrics exposition.Metrics, life *kernel.Lifecycle) {
+			metrics.AddPage(explain.Path, g.explainPage)
 			ctx, cancel := context.WithCancel(context.Background())
 			life.Append(kernel.Hook{
 				Name: "followers",
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -52,6 +52,8 @@
 	KindPermitReply
 	KindRunQuery
 	KindRunReply
+	KindGrantPreview
+	KindGrantPreviewReply
 	kindLimit
 )
 
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -119,7 +119,7 @@
 	return link.Handlers{
 		link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
 		link.KindTargetNotice: o.handleTargetNotice, link.KindPermitRequest: o.handlePermitRequest,
-		link.KindRunQuery: o.handleRunQuery,
+		link.KindRunQuery: o.handleRunQuery, link.KindGrantPreview: o.handleGrantPreview,
 	}
 }
 
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -74,6 +74,17 @@
 // PerSecond returns the limit, if there is one.
 func (l *Limiter) PerSecond() (limit float64, limited bool) { return l.perSecond, l.bucket != nil }
 
+// Clone returns a limiter that allows as much as l does now, to try out what l would allow.
+func (l *Limiter) Clone(now time.Time) Limiter {
+	out := Limiter{perSecond: l.perSecond}
+	if l.bucket != nil {
+		// Empty at the time from which on it has filled to what l holds now.
+		since := now.Add(-time.Duration(l.bucket.TokensAt(now) / float64(l.bucket.Limit()) * float64(time.Second)))
+		out.setRate(float64(l.bucket.Limit()), l.bucket.Burst(), since)
+	}
+	return out
+}
+
 // Take takes one request and reports whether the limit allows it now.
 func (l *Limiter) Take(now time.Time) bool { return l.bucket == nil || l.bucket.AllowN(now, 1) }
 
