--- a/pkg/control/tool.go
+++ b/pkg/control/tool.go
@@ -69,6 +69,9 @@
 
 var errPlanNotEmpty = errors.New("the plan is not empty")
 
+// errBadQuestion is the kind of the error of a question to gateways with a mistake.
+const errBadQuestion = errors.ConstError("bad question")
+
 func exitCode(err error) int {
 	var refused *RefusedError
 	switch {
@@ -84,6 +87,8 @@
 		return ExitUnsettled
 	case errors.As(err, &refused) && refused.Reply.Reason == "not-valid":
 		return ExitUsage
+	case errors.Is(err, errBadQuestion):
+		return ExitUsage
 	}
 	return ExitFailed
 }
@@ -131,8 +136,9 @@
 
 func (t *tool) explain() *ffcli.Command {
 	return &ffcli.Command{
-		Name: "explain", ShortUsage: "explain route <adapter>[@<version>] | explain refusal <reason>", ShortHelp: "explain a routing decision or a refusal",
-		Exec: func(ctx context.Context, args []string) error { return t.query(ctx, "explain", args) },
+		Name: "explain", ShortUsage: "explain route <adapter>[@<version>] | explain refusal <reason> | explain request <flags>", ShortHelp: "explain a routing decision or a refusal",
+		Subcommands: []*ffcli.Command{t.explainRequest()},
+		Exec:        func(ctx context.Context, args []string) error { return t.query(ctx, "explain", args) },
 	}
 }
 
