--- a/pkg/affinity/kept.go
+++ b/pkg/affinity/kept.go
@@ -47,7 +47,7 @@
 	engines := append(inline[:0], make([]knownEngine, len(targets))...)
 	for i, target := range targets {
 		if e := t.engines.find(target); e != nil {
-			engines[i] = knownEngine{number: e.number, read: e.read.Load(), free: free(target), keeps: true}
+			engines[i] = knownEngine{number: e.number, read: e.read.Load(), free: free(target)}
 		}
 	}
 	at := t.ticks(now)
@@ -55,7 +55,7 @@
 	for i, prefix := range p.prefixes {
 		r, known := t.find(prefix.hash)
 		if !known {
-			break
+			continue
 		}
 		own := p.hasOwn && i == len(p.prefixes)-1
 		counts := own
@@ -64,7 +64,9 @@
 			counts, needed = r.recentHolders(at) >= n, max(needed, n)
 		}
 		for j := range engines {
-			h, keeps := engines[j].keep(r, at, d.Gateways)
+			// The engine read all parts before this one too, and has used them at
+			// least as lately, whether they are remembered or not.
+			h, keeps := engines[j].keeps(r, at, d.Gateways)
 			if !keeps {
 				continue
 			}
@@ -81,12 +83,12 @@
 type knownEngine struct {
 	number, read uint32
 	free         int
-	keeps        bool // it keeps all beginnings so far
 }
 
-// keep looks up whether the engine keeps one more beginning.
-func (e *knownEngine) keep(r record, at uint32, gateways int) (holder, bool) {
-	if !e.keeps {
+// keeps returns the last use of a beginning at the engine, and reports whether the engine is
+// likely to keep it.
+func (e *knownEngine) keeps(r record, at uint32, gateways int) (holder, bool) {
+	if e.number == 0 {
 		return holder{}, false
 	}
 	for _, h := range r.holders {
@@ -94,7 +96,6 @@
 			return h, true
 		}
 	}
-	e.keeps = false
 	return holder{}, false
 }
 
--- a/pkg/affinity/table_test.go
+++ b/pkg/affinity/table_test.go
@@ -136,6 +136,18 @@
 	require.Equal(t, []int{100, 100, 100}, kept(spread, "new", now))
 }
 
+// TestSessionsAreKnownBesideAHotBeginning guards against sessions that are not drawn home
+// because more engines keep their shared beginning than are remembered for it.
+func TestSessionsAreKnownBesideAHotBeginning(t *testing.T) {
+	known := New(start)
+	known.Record(prompt("session", "hot"), engineAt(1), 150, start)
+	for i := range 2 * maxHolders {
+		known.Record(prompt(fmt.Sprint(i), "hot"), engineAt(2+i), 150, start.Add(time.Second))
+	}
+	require.Equal(t, 150, keptTokens(known, prompt("session", "hot"), engineAt(1), start.Add(2*time.Second)))
+	require.Zero(t, keptTokens(known, prompt("session", "hot"), engineAt(2), start.Add(2*time.Second)))
+}
+
 // TestKnowledgeIsBounded guards against memory that grows with the number of parts.
 func TestKnowledgeIsBounded(t *testing.T) {
 	before := heapBytes()
