--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -100,7 +100,11 @@
 func (l *loadTracker) perSlot(t fleet.Target) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	requests, slots := l.get(t.Instance).perSlot(t, time.Now())
+	v := l.byTarget[t.Instance]
+	if v == nil {
+		return 0 // nothing is added for a look at it
+	}
+	requests, slots := v.perSlot(t, time.Now())
 	return requests / slots
 }
 
@@ -136,7 +140,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return placement.ByLoad(targets, func(t fleet.Target) float64 {
-		v := l.get(t.Instance)
+		v := l.byTarget[t.Instance]
+		if v == nil {
+			v = &load{} // nothing is added for a look at it
+		}
 		requests, slots := v.perSlot(t, now)
 		requests += unseenRequests * exponential(route.RendezvousHash(tie, hash(t.Address)))
 		if t.Domain != own {
@@ -146,6 +153,18 @@
 	}, own, tie)
 }
 
+// paceOf returns the average of the paces that a target has stated, in percent, with the
+// age of the last one.
+func (l *loadTracker) paceOf(t ident.Target) (percent float64, age time.Duration, known bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v, now := l.byTarget[t], time.Now()
+	if v == nil || !v.pace.known(now) {
+		return 0, 0, false
+	}
+	return v.pace.average, now.Sub(v.pace.statedAt), true
+}
+
 // statesPace reports whether one of the targets has stated its pace lately.
 func (l *loadTracker) statesPace(targets []fleet.Target, now time.Time) bool {
 	l.mu.Lock()
--- a/pkg/gateway/pace.go
+++ b/pkg/gateway/pace.go
@@ -10,12 +10,13 @@
 
 const (
 	// paceMemory is the time constant over which the paces that a target states are
-	// averaged. It spans several of the intervals of about 600 ms in which a VM is slow:
-	// a gateway hears of a target about once a second, too rarely to follow them.
-	paceMemory = 5 * time.Second
-	// paceTTL is how long an average counts after the last pace that was stated. A target
-	// that is slow gets few requests and would be tried again too often if it was short.
-	paceTTL = 10 * time.Second
+	// averaged. It spans many of the intervals of about 600 ms in which a VM is slow: a
+	// gateway hears of an engine every few seconds, too rarely to follow them.
+	paceMemory = 10 * time.Second
+	// paceTTL is how long an average counts after the last pace that was stated. VMs differ
+	// in speed for good, and a slow target gets few requests: it would be tried again too
+	// often if this was short.
+	paceTTL = 30 * time.Second
 )
 
 // smoothedPace is the average of the paces that a target has stated, in percent.
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -56,6 +56,8 @@
 	KindQuotaRequest
 	KindQuotaReply
 	KindPaceReport
+	KindGrantPreview
+	KindGrantPreviewReply
 	kindLimit
 )
 
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -122,6 +122,7 @@
 		link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
 		link.KindTargetNotice: o.handleTargetNotice, link.KindPermitRequest: o.handlePermitRequest,
 		link.KindRunQuery: o.handleRunQuery, link.KindQuotaLimits: o.handleQuotaLimits, link.KindQuotaRequest: o.handleQuotaRequest,
+		link.KindGrantPreview: o.handleGrantPreview,
 	}
 }
 
