--- a/pkg/exposition/exposition.go
+++ b/pkg/exposition/exposition.go
@@ -18,7 +18,9 @@
 
 // Metrics is the process's root metrics scope and its Prometheus reporter.
 type Metrics struct {
-	Scope    tally.Scope
+	Scope tally.Scope
+	// Pages are the further pages of the listener that serves the metrics.
+	Pages    *Pages
 	reporter prometheus.Reporter
 }
 
@@ -30,7 +32,7 @@
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	life.Append(kernel.Hook{Name: "metrics", Stop: func(context.Context) error { return closer.Close() }})
-	return Metrics{Scope: scope, reporter: reporter}
+	return Metrics{Scope: scope, Pages: NewPages(), reporter: reporter}
 }
 
 // StopGrace is how long a reader of metrics or checks may take when the process stops.
--- a/pkg/gateway/plugin.go
+++ b/pkg/gateway/plugin.go
@@ -8,8 +8,10 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hyssoproad/hyssoproad/pkg/exposition"
 	"github.com/hyssoproad/hyssoproad/pkg/follow"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/quota"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -17,7 +19,8 @@
 	kernel.Register(kernel.Plugin{
 		Name:    "gateway",
 		Provide: []any{New},
-		Start: func(g *Gateway, store *platform.Store, life *kernel.Lifecycle) {
+		Start: func(g *Gateway, store *platform.Store, m exposition.Metrics, life *kernel.Lifecycle) {
+			m.Pages.Add(quota.ReportPath, g.quotas.servePage)
 			ctx, cancel := context.WithCancel(context.Background())
 			life.Append(kernel.Hook{
 				Name: "followers",
--- a/pkg/gateway/quota_metrics.go
+++ b/pkg/gateway/quota_metrics.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/quota"
 )
 
 const (
@@ -113,14 +114,9 @@
 		if i > 0 {
 			b.WriteByte(' ')
 		}
-		b.WriteString(h.Address)
-		switch {
-		case now.Before(h.SilentUntil):
-			b.WriteString("=silent")
-		case h.LastAnswer.IsZero():
-			b.WriteString("=not-asked")
-		default:
-			fmt.Fprintf(&b, "=%g/%s", h.Granted, h.Wait)
+		fmt.Fprintf(&b, "%s=%s", h.Address, h.State(now))
+		if h.State(now) == quota.HolderDenies {
+			fmt.Fprintf(&b, "/%s", h.Wait)
 		}
 	}
 	return b.String()
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -28,6 +28,7 @@
 func serveMetrics(n platform.Node, c common.Common, m exposition.Metrics, life *kernel.Lifecycle) {
 	r := router.New()
 	r.GET(metricsPath, m.Handler())
+	r.NotFound = m.Pages.Serve
 	server := &fasthttp.Server{Handler: r.Handler, Name: "hyssoproad"}
 	life.Append(exposition.Observer("metrics listener", func() error {
 		listener, err := net.Listen("tcp4", net.JoinHostPort(n.IP, strconv.Itoa(metricsPort)))
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -47,6 +47,19 @@
 	deniedNeed  float64
 }
 
+// State returns what the holder last did, as in reports.
+func (h Holder) State(now time.Time) string {
+	switch {
+	case now.Before(h.SilentUntil):
+		return HolderSilent
+	case h.LastAnswer.IsZero():
+		return HolderNotAsked
+	case h.Granted > 0:
+		return HolderGrants
+	}
+	return HolderDenies
+}
+
 // NewAccount returns an account without holders.
 func NewAccount(r Rules, l Limits) *Account { return &Account{rules: r, limits: l} }
 
