--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -54,12 +54,12 @@
 	service  platform.Service
 	// configuration is the configuration that the request is served by.
 	configuration *platform.Configuration
-	// account is the client account of the caller; nil without one.
+	// account is the client account that holds the request's key; nil if it needs none.
 	account *platform.Account
-	charge  quotaCharge
 
 	phase       atomic.Uint32 // one of the phases; the stop of the process ends some
 	sends, runs int
+	charge      quotaCharge // what the account has paid for the request
 	excluded    []ident.Target
 	// reserved is an assignment that was acquired while another target stalled.
 	reserved *assignment
--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -246,6 +246,9 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if d.configuration, err = standin.WithAccounts(d.configuration, soakAccounts); err != nil {
+		return errors.Trace(err)
+	}
 	return errors.Trace(d.store.Publish(platform.KindConfiguration, platform.ConfigurationName, d.configuration))
 }
 
