--- a/pkg/gateway/over_quota.go
+++ b/pkg/gateway/over_quota.go
@@ -46,6 +46,9 @@
 
 // logRefusal logs a refusal, unless one of the account was logged shortly before.
 func (q *quotas) logRefusal(x *exchange, o quotaOutcome, wait time.Duration) {
+	if x.account == nil {
+		return // its route became public while it waited
+	}
 	q.mu.RLock()
 	a := q.accounts[x.account.Name]
 	q.mu.RUnlock()
