One holder is asked every 200 ms while none answers

Cause: in the soak, an account within its quota was refused for up to a second after all agents had been killed and had started again.

Change: while all holders of an account are silent, one request in 200 ms asks the one that has been silent longest.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -12,6 +12,10 @@
 	// holderBackoff is how long a holder that gave no answer is not asked, so that not
 	// every request waits for it.
 	holderBackoff = time.Second
+	// probeInterval is how often one holder is asked all the same while none answers:
+	// the gateway's own part of the quota is small, and agents that start again take
+	// about half a second.
+	probeInterval = 200 * time.Millisecond
 	// minDenial is how long a denial is remembered at least. It bounds the messages of
 	// an account that sends too much to 50 a second to each holder from each gateway:
 	// the share of a large account gains the cost of a request within some ms.
@@ -31,6 +35,8 @@
 	// returned is what was granted and not used, and not yet returned to a holder.
 	returned float64
 	alone    alone
+	// probed is when a holder was last asked although none answers.
+	probed time.Time
 }
 
 // Holder is what is known of one of an account's holders.
@@ -134,7 +140,19 @@
 		}
 		return *h, true
 	}
-	return Holder{}, false
+	if len(tried) > 0 || !a.AllSilent(now) || now.Sub(a.probed) < probeInterval {
+		return Holder{}, false
+	}
+	return a.probe(now)
+}
+
+// probe returns the holder whose silence began first.
+func (a *Account) probe(now time.Time) (Holder, bool) {
+	if len(a.holders) == 0 {
+		return Holder{}, false
+	}
+	a.probed = now
+	return slices.MinFunc(a.holders, func(x, y Holder) int { return x.SilentUntil.Compare(y.SilentUntil) }), true
 }
 
 // denial returns how long a holder still denies a cost. Its share gains at a constant
@@ -212,6 +230,7 @@
 // Silent records that a holder gave no answer. What was to be returned to it is lost: it
 // may have received it.
 func (a *Account) Silent(address string, now time.Time) {
+	a.probed = now
 	if h := a.holder(address); h != nil {
 		h.SilentUntil = now.Add(holderBackoff)
 	}
--- a/pkg/quota/share_test.go
+++ b/pkg/quota/share_test.go
@@ -120,10 +120,17 @@
 	require.Equal(t, "c", h.Address)
 	h, _ = a.Next(1, nil, at(holderBackoff))
 	require.Equal(t, "b", h.Address)
-	a.Silent("a", start)
-	a.Silent("c", start)
+	a.Silent("a", at(time.Millisecond))
+	a.Silent("c", at(time.Millisecond))
 	require.True(t, a.AllSilent(start))
 	require.False(t, a.AllSilent(at(holderBackoff)))
+	_, ok := a.Next(1, nil, at(probeInterval))
+	require.False(t, ok)
+	h, ok = a.Next(1, nil, at(probeInterval+time.Millisecond))
+	require.True(t, ok, "one is asked all the same while none answers")
+	require.Equal(t, "b", h.Address)
+	_, ok = a.Next(1, nil, at(probeInterval+time.Millisecond))
+	require.False(t, ok, "by one request at a time")
 }
 
 // What was granted in advance serves requests without a message, and not after a pause.
