--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -218,7 +218,7 @@
 // mayRetry reports whether the request may be sent to another target after the
 // outcome. If so, it has taken the retry from the service's retry budget.
 func (x *exchange) mayRetry(o outcome) bool {
-	if x.stopped() || x.authenticate() != denialNone {
+	if x.stopped() {
 		return false
 	}
 	if o == outcomeUnknown && !x.eventSeen && x.g.quarantine.Suspected(x.q.parts) {
