--- a/pkg/control/accounts.go
+++ b/pkg/control/accounts.go
@@ -9,23 +9,14 @@
 	"strings"
 	"sync"
 	"text/tabwriter"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/quota"
 )
 
-const (
-	// gatewayTimeout bounds the answer of one gateway, which all are asked for at once.
-	gatewayTimeout = 5 * time.Second
-	// gatewayMetricsPort is the port of a gateway's metrics listener.
-	gatewayMetricsPort = "9464"
-)
-
 // accountsReport is what the gateways know of client accounts, as the tool prints it.
 type accountsReport struct {
 	// Accounts are sums over the gateways that answered.
@@ -52,7 +43,7 @@
 
 func (t *tool) accounts() *ffcli.Command {
 	fs := t.newFlagSet("accounts")
-	gateways := fs.String("gateway", "", "addresses of gateways' metrics listeners, separated by commas; the default port is "+gatewayMetricsPort)
+	gateways := fs.String("gateway", "", "addresses of gateways' metrics listeners, separated by commas; the default port is "+metricsPort)
 	asJSON := fs.Bool("json", false, "print JSON, as -format json does")
 	return &ffcli.Command{
 		Name: "accounts", ShortUsage: "accounts -gateway <address>[,<address>...] [-json]", ShortHelp: "show client accounts and their quotas, summed over gateways", FlagSet: fs,
@@ -85,9 +76,7 @@
 		if a = strings.TrimSpace(a); a == "" {
 			continue
 		}
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			a = net.JoinHostPort(a, gatewayMetricsPort)
-		}
+		a = withMetricsPort(a)
 		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || port == "" || strings.ContainsAny(a, "/ ") {
 			return nil, errors.NotValidf("-gateway: address %q", a)
 		}
@@ -120,17 +109,8 @@
 }
 
 func readReport(address string) (r quota.Report, err error) {
-	client := &fasthttp.Client{MaxResponseBodySize: maxReplyBytes, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
-	status, body, err := client.GetTimeout(nil, "http://"+address+quota.ReportPath, gatewayTimeout)
-	switch {
-	case err != nil:
-		return r, errors.Trace(err)
-	case status == fasthttp.StatusNotFound:
-		return r, errors.Errorf("%s: status 404: the program is no gateway, or one of an earlier release", quota.ReportPath)
-	case status != fasthttp.StatusOK:
-		return r, errors.Errorf("%s: status %d", quota.ReportPath, status)
-	}
-	return r, errors.Annotate(json.Unmarshal(body, &r), quota.ReportPath)
+	err = readGatewayPage(address, quota.ReportPath, &r)
+	return r, errors.Annotate(err, quota.ReportPath)
 }
 
 // sumAccounts adds up the accounts of all gateways, by name.
--- a/pkg/control/accounts_test.go
+++ b/pkg/control/accounts_test.go
@@ -70,7 +70,7 @@
 	require.Contains(t, out, "large")
 	require.Contains(t, errOut, broken+": /accounts: status 500")
 	require.Contains(t, errOut, old+": /accounts: status 404: the program is no gateway, or one of an earlier release")
-	require.Contains(t, errOut, odd+": /accounts: json")
+	require.Contains(t, errOut, odd+": /accounts: answer: json")
 	require.Contains(t, errOut, "127.0.0.1:1: ")
 	require.Contains(t, errOut, "4 of 5 gateways gave no report")
 }
--- a/pkg/control/explain.go
+++ b/pkg/control/explain.go
@@ -6,26 +6,16 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"strings"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/explain"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 )
 
-const (
-	// gatewayTimeout bounds the wait for the answer of one gateway, which asks agents.
-	gatewayTimeout = 4 * time.Second
-	// metricsPort is the port of a gateway's metrics listener.
-	metricsPort = "9464"
-)
-
 // explainRequest is the flags of one invocation.
 type explainRequest struct {
 	query          explain.Query
@@ -106,39 +96,11 @@
 	return nil
 }
 
-// withMetricsPort adds the port of the metrics listener to an address without one.
-func withMetricsPort(address string) string {
-	if _, _, err := net.SplitHostPort(address); err == nil {
-		return address
-	}
-	return net.JoinHostPort(address, metricsPort)
-}
-
 // askGateway asks one gateway.
 func askGateway(address string, q explain.Query) (*explain.Answer, error) {
-	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(res)
-	req.SetRequestURI("http://" + address + explain.Path + "?" + q.Values().Encode())
-	client := fasthttp.Client{
-		MaxResponseBodySize: maxReplyBytes, ReadTimeout: gatewayTimeout,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}
-	if err := client.DoTimeout(req, res, gatewayTimeout); err != nil {
-		return nil, errors.Annotate(err, "not reached")
-	}
-	if res.StatusCode() != fasthttp.StatusOK {
-		var refused struct {
-			Error string `json:"error"`
-		}
-		if err := json.Unmarshal(res.Body(), &refused); err != nil || refused.Error == "" {
-			return nil, errors.Errorf("status %d; it may be of a version without this page", res.StatusCode())
-		}
-		return nil, errors.New(refused.Error)
-	}
 	var answer explain.Answer
-	if err := json.Unmarshal(res.Body(), &answer); err != nil {
-		return nil, errors.Annotate(err, "answer")
+	if err := readGatewayPage(address, explain.Path+"?"+q.Values().Encode(), &answer); err != nil {
+		return nil, errors.Trace(err)
 	}
 	return &answer, nil
 }
