Fair shares: an engine's queue is shared by client accounts

Cause: the agent's queue knew no accounts, so one that sent many times its usual load took the engine from the others in proportion to what it sent. Change: grant requests of accounts carry name and weight in a frame kind of their own, which only agents that read it get; GrantRequest is unchanged, since tuples of another length fail to decode.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -247,7 +247,7 @@
 		return nil, unable
 	}
 	objective := time.Until(x.began.Add(x.route.Objective))
-	stream, err := conn.Open(link.KindGrantRequest, &wire.GrantRequest{
+	stream, err := openGrant(conn, x.account, wire.GrantRequest{
 		Attempt: ident.Attempt(x.q.attempt), Model: w.Model, Adapter: w.AdapterVersion,
 		PromptTokens: x.q.promptTokens, OutputTokens: x.q.maxOutputTokens, Rank: x.route.Rank,
 		MaxWaitMS: x.maxGrantWait().Milliseconds(), ObjectiveMS: max(objective, 0).Milliseconds(), HasAlternative: opts.hasAlternative, HeldElsewhere: opts.heldElsewhere, AlternativeHolds: opts.alternativeHolds, MaySwitchModel: opts.maySwitchModel,
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -52,6 +52,8 @@
 	deadline time.Time // the earlier of the caller's and the route's deadline
 	route    *platform.Route
 	service  platform.Service
+	// account is the client account of the caller; nil if there are none.
+	account *platform.Account
 	// configuration is the configuration that the request is served by.
 	configuration *platform.Configuration
 
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -56,6 +56,11 @@
 	for _, req := range s.waiting {
 		reply, done := s.decide(req, ahead, now)
 		if done {
+			if reply.Code != wire.GrantIssued {
+				wait := time.Duration(reply.WaitMS) * time.Millisecond
+				unserved := !req.HasAlternative || now.Add(wait).After(req.deadline())
+				s.shares.leave(req, unserved && reply.Code == wire.GrantBusy, now)
+			}
 			replies = append(replies, Reply{ID: req.ID, GrantReply: reply})
 			continue
 		}
@@ -74,7 +79,8 @@
 // sort orders the waiting requests: those that can still meet their latency
 // objective come first, then by priority, then by the number of requests that wait
 // for the same weights, then by age. A load that finishes too late for the
-// objective would only delay the next one too.
+// objective would only delay the next one too. Requests of several client accounts are
+// then ordered by the accounts' shares.
 func (s *Scheduler) sort(now time.Time) {
 	late := make(map[RequestID]bool, len(s.waiting))
 	waiters := make(map[ident.Weights]int)
@@ -101,6 +107,7 @@
 		}
 		return x.Enqueued.Before(y.Enqueued)
 	})
+	s.shares.order(s.waiting, func(r *Request) bool { return late[r.ID] }, now)
 }
 
 func (s *Scheduler) decide(req *Request, ahead queueAhead, now time.Time) (wire.GrantReply, bool) {
@@ -219,6 +226,7 @@
 	s.servedRate = s.servedRate.add(now)
 	s.pendingPrefill += req.PromptTokens
 	s.kvTokens += req.kvTokens()
+	s.shares.grant(req, now)
 	s.running[req.ID] = &runningRequest{Request: req, grantedAt: now, backlog: s.pendingPrefill}
 	if a := s.held[req.weights().Unversioned()]; a != nil {
 		a.uses++
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -2,13 +2,15 @@
 // may be sent to the engine and which models and adapters the engine loads. It
 // does no I/O, and callers pass in the current time.
 //
-// It handles four load patterns:
+// It handles five load patterns:
 //   - Many rare adapters compete for few slots. Adapters in use are pinned, and
 //     the least recently used idle adapter is evicted first.
 //   - Prompts for a popular adapter arrive faster than one engine can prefill
 //     them. A wait forecast redirects the later ones to another engine at once.
 //   - More requests arrive than fit the engine's slots or memory. They queue
 //     here in priority order, where they can still be refused as not run.
+//   - A client account sends many times its usual load. The queue is shared by what
+//     the accounts are entitled to, so that the others are served as before.
 //   - An engine in need states that it takes fewer requests than arrive. It is used
 //     up to its limit, and the other requests go to other engines at once.
 package grant
@@ -29,6 +31,10 @@
 	wire.GrantRequest
 	ID       RequestID
 	Enqueued time.Time
+	// Account is the client account of the request, empty if there is none, and Weight
+	// what it is entitled to, relative to other accounts.
+	Account ident.Account
+	Weight  float64
 }
 
 func (r *Request) weights() ident.Weights {
@@ -105,6 +111,8 @@
 	// limit is the rate limit that the engine states. It counts grants, since each is
 	// for one send.
 	limit ratelimit.Limiter
+	// shares holds what client accounts use of the engine.
+	shares shares
 }
 
 // usage holds totals over the granted requests.
@@ -115,7 +123,7 @@
 
 // New returns a scheduler that knows nothing about its engine yet.
 func New() *Scheduler {
-	s := &Scheduler{running: make(map[RequestID]*runningRequest), speed: newSpeed(), pacing: newPacing(), loads: newLoads()}
+	s := &Scheduler{running: make(map[RequestID]*runningRequest), shares: newShares(), speed: newSpeed(), pacing: newPacing(), loads: newLoads()}
 	s.reset()
 	return s
 }
@@ -189,6 +197,7 @@
 	if req.MaySwitchModel && !s.models[req.Model] {
 		s.recordDemand(req.Model, req.Enqueued)
 	}
+	s.shares.enter(req)
 	s.waiting = append(s.waiting, req)
 }
 
@@ -197,6 +206,7 @@
 	for i, req := range s.waiting {
 		if req.ID == id {
 			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			s.shares.leave(req, !req.HasAlternative, now)
 			return
 		}
 	}
@@ -208,6 +218,7 @@
 	s.recordRun(now.Sub(r.grantedAt))
 	s.lastEnd = now
 	s.kvTokens -= r.kvTokens()
+	s.shares.end(r.Request)
 	delete(s.running, id)
 	if a := s.held[r.weights().Unversioned()]; a != nil {
 		a.uses--
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -52,6 +52,7 @@
 	KindPermitReply
 	KindRunQuery
 	KindRunReply
+	KindAccountGrantRequest
 	kindLimit
 )
 
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -117,7 +117,8 @@
 
 func (o *Orderer) handlers() link.Handlers {
 	return link.Handlers{
-		link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
+		link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindAccountGrantRequest: o.handleAccountGrantRequest,
+		link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
 		link.KindTargetNotice: o.handleTargetNotice, link.KindPermitRequest: o.handlePermitRequest,
 		link.KindRunQuery: o.handleRunQuery,
 	}
@@ -151,12 +152,24 @@
 	return nil
 }
 
-// handleGrantRequest serves the stream of one request until the request ends.
 func (o *Orderer) handleGrantRequest(ctx context.Context, s *link.Stream, f link.Frame) error {
 	var r wire.GrantRequest
 	if _, err := r.UnmarshalMsg(f.Body); err != nil {
 		return errors.Trace(err)
 	}
+	return o.serveGrant(ctx, s, wire.AccountGrantRequest{Request: r})
+}
+
+func (o *Orderer) handleAccountGrantRequest(ctx context.Context, s *link.Stream, f link.Frame) error {
+	var r wire.AccountGrantRequest
+	if _, err := r.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	return o.serveGrant(ctx, s, r)
+}
+
+// serveGrant serves the stream of one request until the request ends.
+func (o *Orderer) serveGrant(ctx context.Context, s *link.Stream, r wire.AccountGrantRequest) error {
 	id, replies := o.enqueue(r)
 	defer o.withdraw(ctx, s, id)
 	var reply wire.GrantReply
@@ -208,14 +221,14 @@
 	return nil
 }
 
-func (o *Orderer) enqueue(r wire.GrantRequest) (grant.RequestID, <-chan wire.GrantReply) {
+func (o *Orderer) enqueue(r wire.AccountGrantRequest) (grant.RequestID, <-chan wire.GrantReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.nextID++
 	id := o.nextID
 	replies := make(chan wire.GrantReply, 1)
 	o.pending[id] = replies
-	o.scheduler.Enqueue(&grant.Request{GrantRequest: r, ID: id, Enqueued: time.Now()})
+	o.scheduler.Enqueue(&grant.Request{GrantRequest: r.Request, ID: id, Enqueued: time.Now(), Account: r.Account, Weight: r.Weight})
 	o.replyLocked()
 	if _, waiting := o.pending[id]; waiting {
 		o.signal()
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -o grant_schema_gen.go -tests=false -io=false
 
-//msgp:tuple EngineSetup ModelSetup GrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport TargetNotice PermitRequest PermitReply RunQuery RunReply
+//msgp:tuple EngineSetup ModelSetup GrantRequest AccountGrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport TargetNotice PermitRequest PermitReply RunQuery RunReply
 
 // EngineSetup tells the agent beside an engine what the engine serves and how
 // much it holds. For the same instance, a setup from an older configuration
@@ -56,6 +56,16 @@
 	MaySwitchModel bool
 }
 
+// AccountGrantRequest is a GrantRequest on behalf of a client account. It is a message of
+// its own because releases that do not know accounts reject a GrantRequest with further
+// fields.
+type AccountGrantRequest struct {
+	Request GrantRequest
+	Account ident.Account
+	// Weight is what the account is entitled to, relative to other accounts.
+	Weight float64
+}
+
 // GrantCode is the outcome of a GrantRequest.
 type GrantCode uint8
 
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -7,6 +7,62 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *AccountGrantRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o, err = z.Request.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
+		return
+	}
+	o, err = z.Account.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	o = msgp.AppendFloat64(o, z.Weight)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AccountGrantRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	bts, err = z.Request.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
+		return
+	}
+	bts, err = z.Account.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	z.Weight, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Weight")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AccountGrantRequest) Msgsize() (s int) {
+	s = 1 + z.Request.Msgsize() + z.Account.Msgsize() + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *CrashReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
