The KV memory of an engine bounds all that it may hold

Cause: an engine whose requests exceed its memory crashes. Grants took up to 1.1 times the memory, an idle engine got a request of any size, grants of a lost link counted for 3 s although their runs may take 30 s, a restarted agent counted nothing of what its engine runs, a run that its entry abandoned counted until then only, requests that state no token counts took nothing, and a sum of huge counts overflowed. Change: the limit is the memory. What runs at a lost link counts until the engine's report no longer lists it; an ended request, until a report requested later; listed runs that nobody accounts for, with the output that they may still make. Unknown counts are those of an average request of a full engine, or what the report lists if that is more. After its start an agent leaves a quarter of the memory free for 3 s, and a gateway does not use a grant whose link is lost. A request larger than the memory gets 413. kv-used of the report is not used: it counts cached prompts, which an engine evicts. Decoding the runs no longer goes through [][]any.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -38,6 +38,9 @@
 	if ban, banned := x.g.quarantine.Banned(x.q.parts, time.Now()); banned {
 		return nil, refusal{reason: "part of the prompt crashes engines", wait: time.Until(ban.Until), detail: fmt.Sprintf("part %s, crashes %v", ban.Part, ban.Crashes)}
 	}
+	if x.service.Engine != nil && exceeds(x.q, x.service.Engine.KVTokens) {
+		return nil, x.tooLarge()
+	}
 	targets := x.awaitTargets()
 	if len(targets) == 0 {
 		if pause := x.g.pause(x.service.Name); pause > 0 {
@@ -51,6 +54,16 @@
 	return grant(targets)
 }
 
+// exceeds reports whether a request needs more KV cache than an engine has.
+func exceeds(q *request, kvTokens int) bool {
+	return kvTokens > 0 && (q.promptTokens > kvTokens || q.maxOutputTokens > kvTokens-q.promptTokens)
+}
+
+// tooLarge is the refusal of a request that no engine of the service can hold.
+func (x *exchange) tooLarge() refusal {
+	return refusal{reason: "request needs more memory than an engine has", tooLarge: true, detail: fmt.Sprintf("%d and %d tokens of %d", x.q.promptTokens, x.q.maxOutputTokens, x.service.Engine.KVTokens)}
+}
+
 const (
 	// targetPollInterval is how often a request that has no target looks for one.
 	targetPollInterval = 50 * time.Millisecond
@@ -135,6 +148,8 @@
 			return nil, refusal{reason: "timed out"}, nil
 		}
 		switch {
+		case reply.Reason == wire.ReasonTooLarge:
+			return nil, x.tooLarge(), nil
 		case reply.Code == wire.GrantBusy:
 			crowded := reply.Reason == wire.ReasonPrefill || reply.Reason == wire.ReasonEngineFull
 			if crowded {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -294,6 +294,12 @@
 		x.g.Info("msg", "target left before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
 		return outcomeUnsent
 	}
+	if a.lapsed(x.g.suspended()) || a.agent != nil && isClosed(a.agent) {
+		// The agent, or the one that replaces it, may have given the place away.
+		x.g.pool.Put(conn)
+		x.g.Info("msg", "grant ended before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
+		return outcomeUnsent
+	}
 	if !x.beginSend() {
 		conn.Close()
 		return outcomeUnsent
@@ -370,6 +376,8 @@
 	cause  wire.GrantReason // reason of the engine with the shortest wait
 	wait   time.Duration
 	detail string // evidence for the log
+	// tooLarge says that no engine of the service can ever hold the request.
+	tooLarge bool
 }
 
 // assignment is the target that a request is sent to.
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -37,6 +37,9 @@
 	}
 	x.g.metrics.refused.Inc(1)
 	x.g.Info("msg", "refused", "request", x.q.attempt, "service", x.service.Name, "weights", x.q.weights, "reason", why.reason, "cause", why.cause, "detail", why.detail, "forecast", why.wait, "sends", x.sends, "target", x.last.target, "step", x.last.step, "after", time.Since(x.began))
+	if why.tooLarge {
+		return x.c.writeError(fasthttp.StatusRequestEntityTooLarge, why.reason, 0) == nil // no later time is better
+	}
 	return x.c.writeError(fasthttp.StatusServiceUnavailable, why.reason, x.g.addJitter(why.retryAfter())) == nil
 }
 
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -17,10 +17,6 @@
 	// adapter. Without it all requests for a popular adapter would wait at its first
 	// home.
 	replicaRedirectWait = 100 * time.Millisecond
-	// kvOvercommit is the share of the engine's KV cache that granted requests may
-	// claim. It is above 1 because requests share prompts and end early, so their
-	// sum overstates what they need.
-	kvOvercommit = 1.1
 )
 
 // Reply is the reply to one request.
@@ -117,6 +113,9 @@
 	if s.draining {
 		return wire.GrantReply{Code: wire.GrantUnable, Reason: wire.ReasonDraining}, true
 	}
+	if s.tooLarge(req) {
+		return wire.GrantReply{Code: wire.GrantUnable, Reason: wire.ReasonTooLarge}, true
+	}
 	if s.instance == "" {
 		return wire.GrantReply{Code: wire.GrantBusy}, now.After(req.deadline())
 	}
@@ -210,24 +209,24 @@
 }
 
 func (s *Scheduler) fits(req *Request) bool {
-	if len(s.running) == 0 {
-		return true
+	if s.saturated(req) {
+		return false
 	}
-	return !s.saturated(req) && (s.pendingPrefill == 0 || s.prefillTime(s.pendingPrefill+req.PromptTokens) <= s.window)
+	return len(s.running) == 0 || s.pendingPrefill == 0 || s.prefillTime(s.pendingPrefill+req.PromptTokens) <= s.window
 }
 
 // saturated reports whether the engine lacks a slot or KV cache for the request.
 func (s *Scheduler) saturated(req *Request) bool {
-	return s.setup.Slots > 0 && len(s.running) >= s.setup.Slots ||
-		s.setup.KVTokens > 0 && float64(s.kvTokens+req.kvTokens()) > kvOvercommit*float64(s.setup.KVTokens)
+	return s.setup.Slots > 0 && len(s.running)+s.foreign >= s.setup.Slots || s.lacksMemory(req)
 }
 
 func (s *Scheduler) grant(req *Request, now time.Time) {
 	s.servedRate = s.servedRate.add(now)
 	s.pendingPrefill += req.PromptTokens
-	s.kvTokens += req.kvTokens()
+	needs := s.needs(req)
+	s.kvTokens += needs
 	s.shares.grant(req, now)
-	s.running[req.ID] = &runningRequest{Request: req, grantedAt: now, backlog: s.pendingPrefill}
+	s.running[req.ID] = &runningRequest{Request: req, grantedAt: now, backlog: s.pendingPrefill, needs: needs}
 	if a := s.held[req.weights().Unversioned()]; a != nil {
 		a.uses++
 	}
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -60,6 +60,8 @@
 	grantedAt time.Time
 	backlog   int // prompt tokens to prefill before its first event, including its own
 	started   bool
+	needs     int       // tokens of KV cache
+	lostAt    time.Time // when its link was lost; zero if it was not
 }
 
 // heldAdapter is an adapter that the engine holds.
@@ -113,11 +115,12 @@
 	limit ratelimit.Limiter
 	// shares holds what client accounts use of the engine.
 	shares shares
+	memory
 }
 
 // usage holds totals over the granted requests.
 type usage struct {
-	kvTokens       int // KV cache that they may need
+	kvTokens       int // KV cache that they may need, in tokens
 	pendingPrefill int // prompt tokens not yet prefilled
 }
 
@@ -197,6 +200,8 @@
 	if req.MaySwitchModel && !s.models[req.Model] {
 		s.recordDemand(req.Model, req.Enqueued)
 	}
+	req.PromptTokens, req.OutputTokens = clampTokens(req.PromptTokens), clampTokens(req.OutputTokens)
+	s.largestOutput = max(s.largestOutput, req.OutputTokens)
 	s.shares.enter(req)
 	s.waiting = append(s.waiting, req)
 }
@@ -214,10 +219,16 @@
 	if r == nil {
 		return
 	}
-	s.markStarted(r)
 	s.recordRun(now.Sub(r.grantedAt))
+	s.depart(r, now)
+	s.end(id, r, now)
+}
+
+// end removes a running request.
+func (s *Scheduler) end(id RequestID, r *runningRequest, now time.Time) {
+	s.markStarted(r)
 	s.lastEnd = now
-	s.kvTokens -= r.kvTokens()
+	s.kvTokens -= r.needs
 	s.shares.end(r.Request)
 	delete(s.running, id)
 	if a := s.held[r.weights().Unversioned()]; a != nil {
--- a/pkg/grant/shares_test.go
+++ b/pkg/grant/shares_test.go
@@ -47,6 +47,7 @@
 				sched.Withdraw(id, now)
 			}
 		}
+		sched.ObserveMemory(nil, true, now.Add(time.Millisecond), now)
 		for _, d := range loads {
 			if random.Float64() >= d.perSecond*step.Seconds() {
 				continue
--- a/pkg/orderer/metrics.go
+++ b/pkg/orderer/metrics.go
@@ -12,12 +12,16 @@
 	scope            tally.Scope
 	waiting, running tally.Gauge
 	held, loading    tally.Gauge
+	// memory is the KV cache that requests at the engine may need, in tokens, and
+	// unaccounted the part of runs that no entry accounts for any more.
+	memory, unaccounted tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	return metrics{
 		scope: scope, waiting: scope.Gauge("waiting"), running: scope.Gauge("running"),
 		held: scope.Gauge("adapters_held"), loading: scope.Gauge("adapters_loading"),
+		memory: scope.Gauge("memory_tokens"), unaccounted: scope.Gauge("memory_tokens_unaccounted"),
 	}
 }
 
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -40,10 +40,14 @@
 	o.misses, o.startMS, o.report, o.reportedAt = 0, report.StartMS, report, requestedAt
 	o.scheduler.Answered() // the report is newer than all orders
 	o.scheduler.Observe(grantReport(report), time.Now())
+	o.observeMemoryLocked(requestedAt)
 	o.observeNoticeLocked(report.Notice)
 	if o.scheduler.Pinned() {
 		o.checkRuns()
 	}
+	tokens, unaccounted := o.scheduler.Memory()
+	o.metrics.memory.Update(float64(tokens))
+	o.metrics.unaccounted.Update(float64(unaccounted))
 	waiting, running := o.scheduler.RequestCounts()
 	held, loading := o.scheduler.AdapterCounts()
 	o.metrics.waiting.Update(float64(waiting))
@@ -93,3 +97,18 @@
 	}
 	return out
 }
+
+// observeMemoryLocked tells the scheduler which requests the newest report lists. The
+// caller holds mu.
+func (o *Orderer) observeMemoryLocked(requestedAt time.Time) {
+	listed, err := o.report.Runs()
+	if (err != nil) != o.runsUnreadable {
+		o.runsUnreadable = err != nil
+		o.Warn("msg", "readability of the running requests in the engine report changed", "readable", err == nil, "err", err)
+	}
+	runs := make([]grant.Run, len(listed))
+	for i, r := range listed {
+		runs[i] = grant.Run{Attempt: r.Attempt, Tokens: r.Tokens}
+	}
+	o.scheduler.ObserveMemory(runs, err == nil, requestedAt, time.Now())
+}
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -33,9 +33,6 @@
 	// downAfter is the number of consecutive missing reports after which the engine
 	// counts as down.
 	downAfter = 2
-	// lostLinkGrace is how long the grants of a lost link count as in use. The entry
-	// may still be alive and its requests still running.
-	lostLinkGrace = 3 * time.Second
 )
 
 // Engine holds the functions of the engine client that the orderer uses.
@@ -68,14 +65,16 @@
 	// entryCount is how many entries are or were lately linked.
 	entryCount retry.EntryCount
 
-	leaving      bool // the engine process is about to leave
-	misses       int
-	startMS      int64                 // start of the engine process in Unix milliseconds
-	report       platform.EngineReport // the newest report
-	reportedAt   time.Time             // when the newest report was requested
-	reported     platform.TargetNotice // what the head of the newest report says that is valid
-	nextIdentify time.Time             // earliest time of the next health check
-	listener     net.Listener
+	leaving    bool // the engine process is about to leave
+	misses     int
+	startMS    int64                 // start of the engine process in Unix milliseconds
+	report     platform.EngineReport // the newest report
+	reportedAt time.Time             // when the newest report was requested
+	reported   platform.TargetNotice // what the head of the newest report says that is valid
+	// runsUnreadable says that the running requests of the newest report can't be decoded.
+	runsUnreadable bool
+	nextIdentify   time.Time // earliest time of the next health check
+	listener       net.Listener
 }
 
 // New returns the orderer of the engine on this VM.
@@ -237,26 +236,27 @@
 }
 
 // withdraw ends a request. If its link was lost, the request still counts as running
-// for lostLinkGrace.
+// until the engine's reports show that it has ended.
 func (o *Orderer) withdraw(ctx context.Context, s *link.Stream, id grant.RequestID) {
-	end := func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.pending, id)
+	if isClosed(s.Conn()) && !errors.Is(context.Cause(ctx), context.Canceled) {
+		o.scheduler.Lose(id, time.Now())
+	} else {
 		o.scheduler.Withdraw(id, time.Now())
-		delete(o.pending, id)
-		o.replyLocked()
-		o.signal()
 	}
+	o.replyLocked()
+	o.signal()
+}
+
+func isClosed(c *link.Conn) bool {
 	select {
-	case <-s.Conn().Done():
-		if errors.Is(context.Cause(ctx), context.Canceled) {
-			break
-		}
-		time.AfterFunc(lostLinkGrace, end)
-		return
+	case <-c.Done():
+		return true
 	default:
+		return false
 	}
-	end()
 }
 
 // replyLocked sends the replies that can be given now. The caller holds mu.
@@ -340,8 +340,8 @@
 	return o.scheduler.Order(time.Now())
 }
 
-// checkRuns passes the running requests of the newest report to the scheduler. They
-// are decoded only here, since reports are read often. The caller holds mu.
+// checkRuns passes the running requests of the newest report to the scheduler. The caller
+// holds mu.
 func (o *Orderer) checkRuns() {
 	runs, err := o.report.RunningAttempts()
 	if err != nil {
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
+	"github.com/hyssoproad/hyssoproad/pkg/grant"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
@@ -278,7 +279,7 @@
 }
 
 // A link is lost while its requests keep running: their adapters stay held for
-// lostLinkGrace.
+// grant.LostGrace.
 func TestKeepsAdaptersOfALostLink(t *testing.T) {
 	testOrderer(t, func(t *testing.T, e *fakeEngine, entry func() *link.Conn) {
 		lost := entry()
@@ -289,7 +290,7 @@
 		began := time.Now()
 		reply, _ := requestGrant(t, entry(), "a3")
 		require.Equal(t, wire.GrantIssued, reply.Code)
-		require.Greater(t, time.Since(began), lostLinkGrace-2*time.Second)
+		require.Greater(t, time.Since(began), grant.LostGrace-2*time.Second)
 		require.NotEmpty(t, e.unloaded)
 	})
 }
@@ -504,3 +505,45 @@
 		require.True(t, granted(again, 100*time.Millisecond))
 	})
 }
+
+// A link is lost while its request runs for 10 s: before, its memory and slot counted for
+// 3 s only, and the engine was given more than it can hold.
+func TestRunOfALostLinkTakesMemoryUntilItEnds(t *testing.T) {
+	testOrderer(t, func(t *testing.T, e *fakeEngine, entry func() *link.Conn) {
+		ask := func(c *link.Conn, attempt ident.Attempt, prompt int) *link.Stream {
+			s, err := c.Open(link.KindGrantRequest, &wire.GrantRequest{Attempt: attempt, Model: "m", PromptTokens: prompt, OutputTokens: 10, MaxWaitMS: 30_000, ObjectiveMS: 800})
+			require.NoError(t, err)
+			return s
+		}
+		time.Sleep(grant.LostGrace) // what an earlier process may have granted has come
+		lost := entry()
+		long := ask(lost, "long", 70_000)
+		_, err := long.Receive(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, long.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: 100}))
+		time.Sleep(10 * time.Millisecond)
+		e.mu.Lock()
+		e.runs = []ident.Attempt{"long"}
+		e.mu.Unlock()
+		lost.Close()
+		began := time.Now()
+		time.AfterFunc(10*time.Second, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.runs = nil
+		})
+		c := entry()
+		small := ask(c, "small", 20_000)
+		_, err = small.Receive(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, small.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: 100}))
+		require.Less(t, time.Since(began), 100*time.Millisecond, "there is room for it")
+		f, err := ask(c, "large", 40_000).Receive(t.Context())
+		require.NoError(t, err)
+		var reply wire.GrantReply
+		_, err = reply.UnmarshalMsg(f.Body)
+		require.NoError(t, err)
+		require.Equal(t, wire.GrantIssued, reply.Code, "%+v after %s", reply, time.Since(began))
+		require.InDelta(t, 10, time.Since(began).Seconds(), 0.6, "%+v", reply)
+	})
+}
--- a/pkg/wire/grant_reason.go
+++ b/pkg/wire/grant_reason.go
@@ -1,7 +1,7 @@
 package wire
 
 var grantReasonNames = [...]string{
-	"none", "engine-down", "model-absent", "reading", "places", "loading", "adapters-used", "old-version", "draining", "rate-limit",
+	"none", "engine-down", "model-absent", "reading", "places", "loading", "adapters-used", "old-version", "draining", "rate-limit", "too-large",
 }
 
 // String returns the reason's name.
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -93,6 +93,7 @@
 	ReasonOldVersionInUse             // an older version of the adapter is in use
 	ReasonDraining                    // the engine is about to leave
 	ReasonRateLimited                 // the rate limit that the engine states is used up
+	ReasonTooLarge                    // the request needs more KV cache than the engine has
 )
 
 // GrantReply answers a GrantRequest.
