Stand-ins of engines have a memory and cut off unread responses; slow soak callers

Cause: no stand-in ended when its requests exceeded its memory, or cut off a response that nobody reads, and all callers of the soak read at once. Change: a worker with KVTokens ends at the first request above it and lists the tokens of its runs; one with UnreadTime cuts off a response of which 4 KB stay unread for that long. A request that ends an engine breaks the guarantee engine-memory.

--- a/pkg/bench/soak.go
+++ b/pkg/bench/soak.go
@@ -25,6 +25,7 @@
 	fs.IntVar(&s.Engines, "engines", 4, "engines, each with a process beside it")
 	fs.IntVar(&s.PlainTargets, "plains", 3, "targets of the plain service")
 	fs.IntVar(&s.Clients, "clients", 24, "callers")
+	fs.IntVar(&s.SlowClients, "slow-clients", 24, "further callers that read slowly; none with -planned")
 	fs.IntVar(&s.SecondOctet, "network", 77, "second number of the loopback addresses")
 	return &ffcli.Command{
 		Name: "soak", ShortHelp: "inject faults into real processes with stand-ins and check the guarantees", FlagSet: fs,
--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -49,14 +49,19 @@
 	http       *http.Client
 	dialNumber atomic.Int64 // passed to the balancer; another number reaches another gateway
 	sent       int
+	slow       bool // it reads responses slowly
 }
 
-func newClient(d *deployment, number int) *client {
-	c := &client{d: d, number: number, random: rand.New(rand.NewPCG(d.Seed, uint64(number)+10))}
+func newClient(d *deployment, number int, slow bool) *client {
+	c := &client{d: d, number: number, slow: slow, random: rand.New(rand.NewPCG(d.Seed, uint64(number)+10))}
 	c.http = &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			return d.balancer.Dial(ctx, number, int(c.dialNumber.Load()))
+			conn, err := d.balancer.Dial(ctx, number, int(c.dialNumber.Load()))
+			if err == nil && slow {
+				shrinkReceiveBuffer(conn)
+			}
+			return conn, err
 		},
 	}}
 	return c
@@ -82,6 +87,8 @@
 	method, path string
 	stream       bool
 	statedTokens int // of output; some callers state none or too few
+	promptTokens int
+	eventBytes   int // least length of an event
 	timeout      time.Duration
 	disconnects  bool
 }
@@ -104,6 +111,10 @@
 	if r.stream = r.path == draftPrefix || r.path == notePrefix; r.stream {
 		r.Service, r.Adapter, r.timeout = draftService, randomAdapter(c.random), streamTimeout
 		r.statedTokens = statedTokens[c.random.IntN(len(statedTokens))]
+		r.promptTokens = randomPrompt(c.random)
+		if c.slow {
+			r.eventBytes = slowEventBytes
+		}
 		if part := c.d.deadlyPart.Load(); part != nil && c.random.Float64() < deadlyShare {
 			r.DeadlyPart = *part
 		}
@@ -114,6 +125,21 @@
 // statedTokens are the numbers of output tokens that callers state, each as often.
 var statedTokens = []int{0, streamLength / 4, streamLength, streamLength, streamLength, streamLength}
 
+const (
+	// longShare is the share of streams with a long prompt, of up to longPrompt tokens. A
+	// few of these fill an engine's memory.
+	longShare   = 0.1
+	longPrompt  = engineMemory / 3
+	shortPrompt = 100
+)
+
+func randomPrompt(random *rand.Rand) int {
+	if random.Float64() < longShare {
+		return 1 + random.IntN(longPrompt)
+	}
+	return shortPrompt
+}
+
 // deadlyShare is the share of streams whose prompts have the deadly part, while there is one.
 const deadlyShare = 0.15
 
@@ -158,14 +184,15 @@
 	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(r.timeout.Milliseconds(), 10))
 	if r.stream {
 		req.Header.Set(platform.HeaderModel, string(model)+"/"+string(r.Adapter))
-		req.Header.Set(platform.HeaderTokenCount, "100,"+strconv.Itoa(r.statedTokens))
+		req.Header.Set(platform.HeaderTokenCount, strconv.Itoa(r.promptTokens)+","+strconv.Itoa(r.statedTokens))
+		req.Header.Set(standin.HeaderEventBytes, strconv.Itoa(r.eventBytes))
 		req.Header.Set(standin.HeaderEvents, strconv.Itoa(streamLength))
 		req.Header.Set(platform.HeaderPromptParts, promptParts(c.number, r))
 	}
 	r.At = time.Now()
 	c.d.oracle.RecordRequest(r.Request)
 	answer, retryAfter := c.roundTrip(req, r)
-	answer.Disconnected = r.disconnects && ctx.Err() != nil
+	answer.Disconnected = answer.Disconnected || r.disconnects && ctx.Err() != nil
 	answer.At = time.Now()
 	c.d.oracle.RecordAnswer(r.Attempt, answer)
 	return retryAfter
@@ -178,8 +205,12 @@
 		return Answer{}, 0
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	answer := Answer{Status: res.StatusCode, Complete: err == nil}
+	reader, stuck := io.Reader(res.Body), false
+	if r.eventBytes > 0 {
+		reader, stuck = newSlowReader(reader, c.random)
+	}
+	body, err := io.ReadAll(reader)
+	answer := Answer{Status: res.StatusCode, Complete: err == nil, Disconnected: stuck && err != nil}
 	answer.Correct = answer.Complete && res.Header.Get(platform.HeaderAttempt) == string(r.Attempt) &&
 		res.Header.Get(platform.HeaderSignature) == standin.WorkerSignature(r.Attempt) && bytes.Equal(body, expectedBody(r))
 	if res.StatusCode != http.StatusServiceUnavailable {
@@ -199,7 +230,7 @@
 	}
 	var b bytes.Buffer
 	for n := 1; n <= streamLength; n++ {
-		b.WriteString(standin.WorkerEventText(r.Attempt, n))
+		b.WriteString(standin.WorkerEventText(r.Attempt, n, r.eventBytes))
 	}
 	return b.Bytes()
 }
--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -37,6 +37,7 @@
 	Only                            FaultKind
 	Gateways, Engines, PlainTargets int
 	Clients                         int
+	SlowClients                     int // that read responses slowly, beside the others
 	// SecondOctet is the second octet of the loopback addresses. Runs with different
 	// values can run at the same time.
 	SecondOctet int
@@ -51,8 +52,10 @@
 
 	engineSlots, adapterSlots = 16, 6
 	adapters                  = 40
-	memoryMB                  = 284 // memory of the users' entry VMs
-	stopGrace                 = 8 * time.Second
+	// engineMemory is the memory of an engine in tokens.
+	engineMemory = 9000
+	memoryMB     = 284 // memory of the users' entry VMs
+	stopGrace    = 8 * time.Second
 )
 
 // subnet is the third octet of an address: it depends on what listens there.
@@ -148,6 +151,7 @@
 	err := d.addTarget(i, standin.WorkerSettings{
 		Service: draftService, Model: model, Slots: engineSlots, AdapterSlots: adapterSlots,
 		ModelLoad: 600 * time.Millisecond, AdapterLoad: 120 * time.Millisecond, EventPause: 10 * time.Millisecond,
+		KVTokens: engineMemory, UnreadTime: unreadTime,
 		Newest: d.newestVersion,
 	}, engineNet, engineProxyNet)
 	if err != nil {
@@ -241,7 +245,7 @@
 	}
 	var err error
 	d.configuration, err = standin.EncodeConfiguration(d.version, routes, []standin.OperatorService{
-		{Name: draftService, Model: model, Slots: engineSlots, AdapterSlots: adapterSlots}, {Name: deskService},
+		{Name: draftService, Model: model, Slots: engineSlots, KVTokens: engineMemory, AdapterSlots: adapterSlots}, {Name: deskService},
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -33,6 +33,7 @@
 	GuaranteeCrashes        Guarantee = "crashing-part"        // requests that end engines are stopped
 	GuaranteeLimit          Guarantee = "stated-limit"         // a target gets no more requests than the rate limit that it states allows
 	GuaranteeOneEngine      Guarantee = "one-engine-at-a-time" // a stream goes on at another engine only once the one before has ended it
+	GuaranteeEngineMemory   Guarantee = "engine-memory"        // the requests at an engine stay within its memory
 	GuaranteeMemory         Guarantee = "memory-limit"         // no process takes more memory than its VM has
 	GuaranteeRoutes         Guarantee = "configuration"        // all gateways serve a new route and keep serving it
 )
@@ -108,6 +109,7 @@
 	draining   map[ident.Target]time.Time
 	faults     []*faultInterval
 	violations []Violation
+	cutUnread  int // responses that engines cut off because they stayed unread
 }
 
 // statedLimit is a rate limit that a target has stated since a time.
@@ -200,6 +202,10 @@
 	case standin.WorkerCrashed:
 		part := o.requests[e.Attempt].DeadlyPart
 		o.crashes[part] = append(o.crashes[part], e.At)
+	case standin.WorkerOverfilled:
+		o.violations = append(o.violations, Violation{GuaranteeEngineMemory, e.Attempt, fmt.Sprintf("%s ends at %s", e.Instance, e.At.Format(time.StampMilli))})
+	case standin.WorkerCutUnread:
+		o.cutUnread++
 	case standin.WorkerOrderAccepted:
 		if before, ordered := o.holders[e.Instance]; ordered && before != e.Holder {
 			o.violations = append(o.violations, Violation{GuaranteeSoleHolder, "", fmt.Sprintf("%s ordered by %s and %s", e.Instance, before, e.Holder)})
@@ -212,6 +218,14 @@
 	}
 }
 
+// CutUnread returns the number of responses that engines cut off because they stayed
+// unread.
+func (o *Oracle) CutUnread() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cutUnread
+}
+
 // Check returns all violations. planned means that the run had only planned
 // operations, which may not interrupt a request.
 func (o *Oracle) Check(planned bool) []Violation {
--- a/pkg/soak/run.go
+++ b/pkg/soak/run.go
@@ -44,6 +44,7 @@
 	FaultCounts
 	Sent, Served int // requests of the whole run
 	PeakMB       int // largest memory of a process
+	CutUnread    int // responses that engines cut off because they stayed unread
 	Violations   []Violation
 }
 
@@ -95,6 +96,7 @@
 	if float64(served) < minServedShare*float64(sent) || sent == 0 {
 		oracle.RecordViolation(Violation{GuaranteeRecovery, "", fmt.Sprintf("%d of %d requests served", served, sent)})
 	}
+	result.CutUnread = oracle.CutUnread()
 	result.Violations = oracle.Check(s.Planned)
 	return result, errors.Trace(ctx.Err())
 }
@@ -103,8 +105,12 @@
 func (d *deployment) startLoad(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
-	for i := range d.Clients {
-		c := newClient(d, i)
+	slow := d.SlowClients
+	if d.Planned {
+		slow = 0 // the end of a grace may cut them off
+	}
+	for i := range d.Clients + slow {
+		c := newClient(d, i, i >= d.Clients)
 		group.Go(func() { c.run(ctx) })
 	}
 	return func() {
@@ -218,8 +224,8 @@
 		total += n
 	}
 	sort.Strings(kinds)
-	if _, err := fmt.Fprintf(out, "seed %d: %d faults of %d kinds, %d pairs at once; %d of %d requests served; at most %d MB a process; %d violations\n",
-		r.Seed, total, len(r.Kinds), len(r.Pairs), r.Served, r.Sent, r.PeakMB, len(r.Violations)); err != nil {
+	if _, err := fmt.Fprintf(out, "seed %d: %d faults of %d kinds, %d pairs at once; %d of %d requests served; %d cut off unread; at most %d MB a process; %d violations\n",
+		r.Seed, total, len(r.Kinds), len(r.Pairs), r.Served, r.Sent, r.CutUnread, r.PeakMB, len(r.Violations)); err != nil {
 		return errors.Trace(err)
 	}
 	for _, k := range kinds {
--- a/pkg/standin/operator.go
+++ b/pkg/standin/operator.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -55,6 +56,7 @@
 	Name         ident.Service
 	Model        ident.Model // empty for a plain service
 	Slots        int
+	KVTokens     int // 100,000 if 0
 	AdapterSlots int
 }
 
@@ -73,7 +75,7 @@
 		encoded := map[string]any{"name": s.Name, "health-path": WorkerHealthPath}
 		if s.Model != "" {
 			encoded["engine"] = map[string]any{
-				"slots": s.Slots, "kv-capacity-tokens": 100000, "mb": 1000, "adapter-slots": s.AdapterSlots, "stride": 1,
+				"slots": s.Slots, "kv-capacity-tokens": cmp.Or(s.KVTokens, 100_000), "mb": 1000, "adapter-slots": s.AdapterSlots, "stride": 1,
 				"models": []any{map[string]any{"name": s.Model, "mb": 900, "load-s": 1, "disk-s": 0.5, "adapter-mb": 1}},
 			}
 		}
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -23,12 +23,18 @@
 	ModelLoad    time.Duration
 	AdapterLoad  time.Duration
 	EventPause   time.Duration // before each event of a stream
-	Work         time.Duration // duration of a plain request
-	Seed         uint64
+	// KVTokens is the memory of an engine in tokens; 0 for no limit. A request that does
+	// not fit beside those that the worker holds ends it.
+	KVTokens int
+	// UnreadTime is how long a response may stay unread before the worker cuts it off; 0
+	// for no limit.
+	UnreadTime time.Duration
+	Work       time.Duration // duration of a plain request
+	Seed       uint64
 	// Newest returns the newest announced version of an adapter.
-	Newest func(ident.Adapter) ident.Version
-	// OnEvent is called for each event of the worker. It must not call the worker.
+	Newest  func(ident.Adapter) ident.Version
 	OnCrash func() // ends the worker
+	// OnEvent is called for each event of the worker. It must not call the worker.
 	OnEvent func(WorkerEvent)
 }
 
@@ -68,6 +74,8 @@
 	WorkerEvictedInUse                             // an order unloads or replaces an adapter in use
 	WorkerCrashed                                  // a request with the deadly part ends the worker
 	WorkerEnded                                    // the worker stopped work on a request
+	WorkerOverfilled                               // a request exceeds the memory and ends the worker
+	WorkerCutUnread                                // a response stayed unread and was cut off
 )
 
 // WorkerEvent is an event that a worker reports to OnEvent.
@@ -102,7 +110,7 @@
 	modelOnDisk bool
 	held        map[ident.Adapter]*heldAdapter
 	pending     map[ident.Adapter]ident.Version
-	running     map[ident.Attempt]bool
+	running     map[ident.Attempt]int // the tokens that each request takes
 	faults      WorkerFaults
 	// limitedSince is when the worker first stated its rate limit.
 	limitedSince time.Time
@@ -132,7 +140,7 @@
 	w.startMS, w.sequence, w.busy, w.modelLoaded, w.draining = time.Now().Add(w.clockOffset).UnixMilli(), 0, false, false, false
 	w.heartbeats = 0
 	w.held, w.pending = make(map[ident.Adapter]*heldAdapter), make(map[ident.Adapter]ident.Version)
-	w.running = make(map[ident.Attempt]bool)
+	w.running = make(map[ident.Attempt]int)
 }
 
 // Instance returns the instance name, which changes at each restart.
@@ -221,6 +229,7 @@
 	startCount int // the worker's starts at admission
 	reason     string
 	status     int // 0 if the request is admitted
+	overfilled bool
 	version    ident.Version
 }
 
@@ -248,7 +257,14 @@
 		held.uses++
 		a.version = held.version
 	}
-	w.running[r.attempt] = true
+	w.running[r.attempt] = r.tokens()
+	if w.KVTokens > 0 {
+		held := 0
+		for _, tokens := range w.running {
+			held += tokens
+		}
+		a.overfilled = held > w.KVTokens
+	}
 	return a
 }
 
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -33,12 +35,26 @@
 	parts          []ident.PromptPart
 	lastEvent      int
 	events         int // number of events of a stream; 0 for a plain response
+	eventBytes     int // least length of each event
+	prompt, output int // tokens that the caller states
+}
+
+// tokens returns the tokens that the request takes in memory. An engine makes no more than
+// the caller states.
+func (r workerRequest) tokens() int {
+	if r.output > 0 {
+		return r.prompt + r.output
+	}
+	return r.prompt + r.events
 }
 
 // HeaderEvents is the number of events of a stream whose caller states no number of output
 // tokens, or a wrong one.
 const HeaderEvents = "X-Standin-Events"
 
+// HeaderEventBytes is the least length of each event of a stream.
+const HeaderEventBytes = "X-Standin-Event-Bytes"
+
 func readWorkerRequest(r *http.Request) workerRequest {
 	h := r.Header
 	req := workerRequest{
@@ -49,8 +65,10 @@
 	}
 	req.parts = platform.ParsePromptParts([]byte(h.Get(platform.HeaderPromptParts)))
 	req.model, req.adapter = platform.ParseModel([]byte(h.Get(platform.HeaderModel)))
-	if _, output := platform.ParseTokenCount([]byte(h.Get(platform.HeaderTokenCount))); req.model != "" {
-		req.events = output
+	req.prompt, req.output = platform.ParseTokenCount([]byte(h.Get(platform.HeaderTokenCount)))
+	req.eventBytes = parseNumber(h.Get(HeaderEventBytes))
+	if req.model != "" {
+		req.events = req.output
 		if n := parseNumber(h.Get(HeaderEvents)); n > 0 {
 			req.events = n
 		}
@@ -108,8 +126,8 @@
 		report["available"] = map[string]any{"on-disk": []ident.Model{w.Model}}
 	}
 	runs := [][]any{}
-	for attempt := range w.running {
-		runs = append(runs, []any{attempt, 0, 0, 0})
+	for attempt, tokens := range w.running {
+		runs = append(runs, []any{attempt, tokens, 0, 0})
 	}
 	report["pending"], report["runs"] = pending, runs
 	w.mu.Unlock()
@@ -161,6 +179,12 @@
 		w.OnCrash()
 		return
 	}
+	if a.overfilled && w.OnCrash != nil {
+		event.Kind = WorkerOverfilled
+		w.notify(event)
+		w.OnCrash()
+		return
+	}
 	switch {
 	case w.drawFault(faults.NoResponseShare):
 		<-r.Context().Done()
@@ -172,10 +196,10 @@
 	case req.events > 0 && w.drawFault(faults.LateEndShare):
 		half := req
 		half.events = (req.lastEvent + req.events) / 2
-		w.stream(out, r, half, false)
+		w.stream(out, r, half, false, event)
 		w.endLate(r, a)
 	case req.events > 0:
-		w.stream(out, r, req, w.drawFault(faults.TruncateShare))
+		w.stream(out, r, req, w.drawFault(faults.TruncateShare), event)
 	default:
 		w.sendResponse(out, req, faults)
 		if w.drawFault(faults.LateCopyShare) {
@@ -291,38 +315,75 @@
 // WorkerBody returns the body of a plain response to the attempt.
 func WorkerBody(attempt ident.Attempt) string { return "answer to " + string(attempt) + "\n" }
 
-// WorkerEventText returns event n of a stream for the attempt.
-func WorkerEventText(attempt ident.Attempt, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, attempt, n)
+// WorkerEventText returns event n of a stream for the attempt, of at least the given
+// length.
+func WorkerEventText(attempt ident.Attempt, n, length int) string {
+	text := fmt.Sprintf("id: %d\ndata: %s %d", n, attempt, n)
+	return text + strings.Repeat(".", max(length-len(text), 0)) + "\n\n"
 }
 
 // stream sends the events after the last one that the caller received. If cut is
 // set, it aborts the connection halfway through, in the middle of an event.
-func (w *Worker) stream(out http.ResponseWriter, r *http.Request, req workerRequest, cut bool) {
+func (w *Worker) stream(out http.ResponseWriter, r *http.Request, req workerRequest, cut bool, event WorkerEvent) {
 	out.Header().Set("Content-Type", "text/event-stream")
-	flusher, _ := out.(http.Flusher)
+	controller := http.NewResponseController(out)
+	if w.UnreadTime > 0 {
+		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }() // the connection is closed otherwise
+	}
 	for n := req.lastEvent + 1; n <= req.events; n++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(w.EventPause):
 		}
-		text := WorkerEventText(req.attempt, n)
+		text := WorkerEventText(req.attempt, n, req.eventBytes)
 		if cut && n > req.events/2 {
 			_, _ = io.WriteString(out, strings.TrimSuffix(text, "\n")) // in the middle of an event
-			flusher.Flush()
+			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := io.WriteString(out, text); err != nil {
+		err := w.writeEvent(out, controller, text)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			event.Kind = WorkerCutUnread
+			w.notify(event)
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
 			return
 		}
-		flusher.Flush()
 	}
 }
 
+// unreadPieceBytes is the part of an event that a caller has to read within UnreadTime.
+const unreadPieceBytes = 4 << 10
+
+// writeEvent writes an event. It returns os.ErrDeadlineExceeded if it stays unread.
+func (w *Worker) writeEvent(out io.Writer, controller *http.ResponseController, text string) error {
+	for len(text) > 0 {
+		if w.UnreadTime > 0 {
+			_ = controller.SetWriteDeadline(time.Now().Add(w.UnreadTime))
+		}
+		n := min(len(text), unreadPieceBytes)
+		if _, err := io.WriteString(out, text[:n]); err != nil {
+			return err
+		}
+		text = text[n:]
+	}
+	return controller.Flush()
+}
+
+// unreadBufferBytes is what the kernel holds of a response with UnreadTime. A larger buffer
+// takes more only after a third of it has been read, which hides a slow caller's progress.
+const unreadBufferBytes = 32 << 10
+
 // Serve serves the worker on the listener until the server is closed.
 func (w *Worker) Serve(l net.Listener) *http.Server {
-	server := &http.Server{Handler: w, ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+	server := &http.Server{Handler: w, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		if tcp, ok := c.(*net.TCPConn); ok && w.UnreadTime > 0 {
+			_ = tcp.SetWriteBuffer(unreadBufferBytes)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}}
 	go func() { _ = server.Serve(l) }() // ends when the server is closed
 	return server
 }
--- /dev/null
+++ b/pkg/standin/worker_test.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+// startEngine serves an engine that holds its model, and returns its address.
+func startEngine(t *testing.T, s WorkerSettings) (*Worker, string) {
+	t.Helper()
+	s.Service, s.Model, s.Slots = "s", "m", 8
+	w := NewWorker(s)
+	w.modelLoaded = true
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := w.Serve(l)
+	t.Cleanup(func() { require.NoError(t, server.Close()) })
+	return w, l.Addr().String()
+}
+
+func engineRequest(t *testing.T, address, attempt, tokens string, eventBytes int) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", nil)
+	require.NoError(t, err)
+	r.Header.Set(platform.HeaderAttempt, attempt)
+	r.Header.Set(platform.HeaderModel, "m")
+	r.Header.Set(platform.HeaderTokenCount, tokens)
+	r.Header.Set(HeaderEventBytes, fmt.Sprint(eventBytes))
+	return r
+}
+
+// The engines of the platform crash when the requests that they hold exceed their memory:
+// the stand-in does so too, at the first token above it.
+func TestEngineEndsWhenItsRequestsExceedItsMemory(t *testing.T) {
+	for _, test := range []struct {
+		second  string
+		crashes int64
+	}{{"89,10", 0}, {"90,10", 0}, {"91,10", 1}} {
+		var crashes atomic.Int64
+		_, address := startEngine(t, WorkerSettings{KVTokens: 200, EventPause: 20 * time.Millisecond, OnCrash: func() { crashes.Add(1) }})
+		first, err := http.DefaultClient.Do(engineRequest(t, address, "1", "90,10", 0))
+		require.NoError(t, err)
+		second, err := http.DefaultClient.Do(engineRequest(t, address, "2", test.second, 0))
+		require.NoError(t, err)
+		for _, res := range []*http.Response{first, second} {
+			_, _ = io.Copy(io.Discard, res.Body)
+			require.NoError(t, res.Body.Close())
+		}
+		require.Equal(t, test.crashes, crashes.Load(), "tokens %s", test.second)
+	}
+}
+
+// The engines of the platform cut off a response that nobody reads for some seconds, and
+// end the run; one that is read slowly goes on.
+func TestEngineCutsOffAResponseThatStaysUnread(t *testing.T) {
+	const unread = 500 * time.Millisecond
+	cut := make(chan WorkerEvent, 1)
+	_, address := startEngine(t, WorkerSettings{UnreadTime: unread, OnEvent: func(e WorkerEvent) {
+		if e.Kind == WorkerCutUnread {
+			cut <- e
+		}
+	}})
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp4", address)
+		require.NoError(t, err)
+		require.NoError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+		require.NoError(t, engineRequest(t, address, "1", "1,100", 100<<10).Write(c))
+		return c
+	}
+	c := dial()
+	defer c.Close()
+	select {
+	case e := <-cut:
+		require.EqualValues(t, "1", e.Attempt)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "not cut off")
+	}
+	slow := dial()
+	defer slow.Close()
+	buffer := make([]byte, 16<<10)
+	for began := time.Now(); time.Since(began) < 3*unread; {
+		_, err := io.ReadFull(slow, buffer)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Empty(t, cut)
+}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,7 +2,7 @@
 # Executes one soak run. hyssoproad-bench serves the stand-ins, sends the load and
 # injects the faults. This script starts the processes and restarts each one that
 # exits, as the platform does. SEED, TIME, PLANNED=1, ONLY (one kind of
-# fault), CLIENTS and NETWORK select the run.
+# fault), CLIENTS, SLOW (callers that read slowly) and NETWORK select the run.
 set -euo pipefail
 seed=${SEED:-1}
 dir=${DIR:-build/soak/$seed}
@@ -10,7 +10,7 @@
 rm -rf "$dir"
 mkdir -p "$dir/pids" "$dir/logs"
 
-"$bin/hyssoproad-bench" soak -dir "$dir" -seed "$seed" -time "${TIME:-60s}" -network "${NETWORK:-77}" ${PLANNED:+-planned} ${ONLY:+-only "$ONLY"} ${CLIENTS:+-clients "$CLIENTS"} 2> "$dir/logs/soak.log" &
+"$bin/hyssoproad-bench" soak -dir "$dir" -seed "$seed" -time "${TIME:-60s}" -network "${NETWORK:-77}" ${PLANNED:+-planned} ${ONLY:+-only "$ONLY"} ${CLIENTS:+-clients "$CLIENTS"} ${SLOW:+-slow-clients "$SLOW"} 2> "$dir/logs/soak.log" &
 bench=$!
 
 # Restarts a process whenever it exits, until the run ends.
