Callers that read slowly hold up no engine, and no engine is blamed for them

Cause: a stream's target was read only while its caller read. An engine cuts off a response that stays unread for some seconds: the gateway counted that as the engine's failure, or, since the deadline of the next event had passed meanwhile, as its stall, and sent the stream to another engine. A caller had to read a whole plain response within 5 s, and kept its place at the target until then. The kernel held up to 4 MB for each caller. A cut or gap after the target stayed unread because of the caller is logged as such and counts neither in the outlier detector, nor as a stall, nor as a lost request. Places at targets end with the target's response. The kernel holds 128 KB for a caller.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -99,7 +100,7 @@
 func (g *Gateway) assign(t fleet.Target) *assignment {
 	_, limited := g.notices.Limit(t.Instance)
 	g.loads.begin(t.Instance)
-	return &assignment{target: t, instance: t.Instance, permitted: limited, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}}
+	return &assignment{target: t, instance: t.Instance, permitted: limited, release: sync.OnceFunc(func() { g.loads.end(t.Instance) }), reportFirstEvent: func(time.Duration) {}}
 }
 
 const (
@@ -296,7 +297,7 @@
 		x.g.versions.Update(w)
 	}
 	return &assignment{
-		target: t, agent: conn, instance: reply.Instance, version: reply.Version, release: stream.Close, acquired: time.Now(), suspended: x.g.suspended(),
+		target: t, agent: conn, instance: reply.Instance, version: reply.Version, release: sync.OnceFunc(stream.Close), acquired: time.Now(), suspended: x.g.suspended(),
 		reportFirstEvent: func(d time.Duration) {
 			// A lost report only makes the agent's forecast less accurate.
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
--- a/pkg/gateway/body_buffers.go
+++ b/pkg/gateway/body_buffers.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// exchange counts a buffer of another capacity in place of one, even above the limit. It is
+// for a few bytes that end what is held.
+func (b bodyBuffers) exchange(before, after int) {
+	b.release(before)
+	if after > freeBodyBytes {
+		b.used.Add(int64(after))
+	}
+}
+
+// above reports whether more than a share of the limit is taken.
+func (b bodyBuffers) above(share float64) bool {
+	return float64(b.used.Load()) > share*float64(b.limit)
+}
+
 // release returns the memory of a buffer of the given capacity.
 func (b bodyBuffers) release(capacity int) {
 	if capacity > freeBodyBytes {
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -16,7 +16,7 @@
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
-// writeTimeout bounds one write to a caller that does not read its response.
+// writeTimeout is how long a caller may read nothing of its response.
 const writeTimeout = 5 * time.Second
 
 // errCallerDisconnected is the cancellation cause of a request whose caller has
@@ -30,6 +30,10 @@
 	r  *bufio.Reader
 	// out buffers response bytes that are not written yet.
 	out []byte
+	// held holds what the caller has not read of a stream; nil until there is one.
+	held *heldOutput
+	// streaming is the context of the stream that is being written, or nil.
+	streaming context.Context
 	// served reports whether the connection has carried a request.
 	served bool
 	// responseStarted reports whether bytes of the current response were written.
@@ -72,18 +76,33 @@
 	c.responseStarted, c.closeAfterResponse, c.http11 = false, !q.keepAlive || c.g.stop.begun(), q.head.IsHTTP11()
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
+	q.ctx = ctx
 	peekErr := make(chan error, 1)
 	go c.watchForClose(cancel, peekErr)
 	// A response that started before the stop did not announce the close, so its
 	// connection carries another request, whose response does.
 	reusable := c.g.handle(ctx, c, q, began)
 	q.releaseBody(c.g.bodies)
-	if !reusable || c.closeAfterResponse {
+	if !c.awaitDelivery(q) || !reusable || c.closeAfterResponse {
 		return false
 	}
 	return c.awaitNext(peekErr, limits.IdleTimeout)
 }
 
+// awaitDelivery waits until the caller has read what is held of its stream, and reports
+// whether it has.
+func (c *callerConn) awaitDelivery(q *request) bool {
+	if c.streaming == nil {
+		return true
+	}
+	c.streaming = nil
+	err := c.held.await(q.ctx)
+	if err != nil && q.ctx.Err() == nil {
+		c.g.logUnread(q, err)
+	}
+	return err == nil
+}
+
 // awaitNext waits for the connection's next request and reports whether it arrived.
 func (c *callerConn) awaitNext(peekErr <-chan error, idleTimeout time.Duration) bool {
 	c.g.active.Add(-1)
@@ -224,8 +243,12 @@
 	return c.flushWith(body)
 }
 
-// beginStream buffers the head of a response whose body is sent in parts.
-func (c *callerConn) beginStream(res *forward.Response) {
+// beginStream buffers the head of a response whose body is sent in parts until ctx ends.
+func (c *callerConn) beginStream(ctx context.Context, res *forward.Response) {
+	if c.held == nil {
+		c.held = newHeldOutput(c.nc, c.g.bodies)
+	}
+	c.streaming = ctx
 	if !c.http11 {
 		c.closeAfterResponse = true
 	}
@@ -262,6 +285,11 @@
 	if c.http11 {
 		c.out = append(c.out, "0\r\n\r\n"...)
 	}
+	if c.held.isWriting() {
+		out := c.out
+		c.out = nil
+		return errors.Trace(c.held.addEnd(out))
+	}
 	return c.flush()
 }
 
@@ -299,7 +327,12 @@
 
 func (c *callerConn) write(b []byte) error {
 	c.responseStarted = true
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.nc.Write(b)
+	if c.streaming == nil {
+		return errors.Trace(writeWhileRead(c.nc, b))
+	}
+	held, err := c.held.write(c.streaming, b)
+	if held {
+		c.g.metrics.heldWrites.Inc(1)
+	}
 	return errors.Trace(err)
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -73,6 +73,8 @@
 	// target succeeds. The capacity of its body counts in the body buffers.
 	failedResponse *forward.Response
 	failedBody     []byte
+	// unread is how long the caller has kept the stream from being read.
+	unread unreadTime
 	// eventSeen says that the last target has sent an event.
 	eventSeen bool
 	// State of a streamed response.
@@ -272,7 +274,7 @@
 	if x.q.attempt == "" {
 		maxIdle = 0 // only a new connection carries no responses to other requests
 	}
-	x.eventSeen = false
+	x.eventSeen, x.unread = false, unreadTime{}
 	x.begin(a, stepDial)
 	conn, err := x.g.pool.Get(x.ctx, a.target.Address, maxIdle)
 	if err != nil {
@@ -391,7 +393,7 @@
 	// listed in the store.
 	instance ident.Target
 	version  ident.Version // adapter version on the target; 0 if none
-	release  func()
+	release  func()        // only the first call counts
 	// acquired is when the assignment was granted, and suspended how long the VM had
 	// been suspended by then. Both are zero if the assignment does not lapse.
 	acquired         time.Time
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
 	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 	"github.com/hyssoproad/hyssoproad/pkg/retry"
+	"github.com/hyssoproad/hyssoproad/pkg/socket"
 	"github.com/hyssoproad/hyssoproad/pkg/uptime"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
@@ -191,9 +192,15 @@
 	g.detector(t.Service).Record(t.Instance, false, time.Now())
 }
 
+// callerSendBuffer is what the kernel holds for a caller that has not read it. By default
+// it takes up to 4 MB, which hundreds of slow callers would exhaust a VM's memory with, and
+// takes more only once a third of that has been read, which hides a slow caller's progress.
+const callerSendBuffer = 128 << 10
+
 // Start listens for callers and serves them.
-func (g *Gateway) Start(context.Context) error {
-	listener, err := net.Listen("tcp4", g.node.CallerAddress)
+func (g *Gateway) Start(ctx context.Context) error {
+	config := net.ListenConfig{Control: socket.SendBuffer(callerSendBuffer)}
+	listener, err := config.Listen(ctx, "tcp4", g.node.CallerAddress)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -19,6 +19,9 @@
 	firstEvent     tally.Histogram                 // of streams: from a send to the first event
 	abandonedRuns  [len(runEndNames)]tally.Counter // abandoned sends before another one, by what showed their end
 	abandonedWait  tally.Histogram                 // of these: until the end showed
+	heldWrites     tally.Counter                   // writes of events that a caller did not read at once
+	unreadCuts     tally.Counter                   // streams that a target cut while a slow caller kept them unread
+	unread         tally.Counter                   // responses that a caller did not read in time
 	listAge        tally.Histogram                 // of sends: time for which the list of targets was not confirmed
 }
 
@@ -31,7 +34,8 @@
 		abortedStreams: scope.Counter("streams_broken_off"), retries: scope.Counter("repeated_sends"), limitedSends: scope.Counter("sends_to_limited_targets"),
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
 		abandonedWait: scope.Histogram("abandoned_run_wait", latencyBuckets),
-		listAge:       scope.Histogram("target_list_age", latencyBuckets),
+		heldWrites:    scope.Counter("held_writes"), unreadCuts: scope.Counter("streams_cut_unread"), unread: scope.Counter("responses_unread"),
+		listAge: scope.Histogram("target_list_age", latencyBuckets),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http/httputil"
 	"strconv"
@@ -18,6 +19,7 @@
 
 // request is a caller's request, with its complete body.
 type request struct {
+	ctx     context.Context // ends when the caller disconnects
 	head    fasthttp.RequestHeader
 	method  string
 	uri     string
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -63,8 +63,12 @@
 	if x.streamStarted {
 		return outcomeUnknown // the target did not resume the stream
 	}
+	a.release() // a caller that reads slowly takes no place at the target
 	if err := x.c.writeResponse(res, body, x.q.method); err != nil {
 		x.c.closeAfterResponse = true
+		if !x.callerDisconnected() && isTimeout(err) {
+			x.g.logUnread(x.q, err)
+		}
 	}
 	return outcomeDelivered
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -100,11 +100,20 @@
 				x.endForStop(phaseSent)
 				return outcomeUnknown
 			}
-			if !x.forwardEvents(res, pending[:complete]) {
+			began := time.Now()
+			if err := x.forwardEvents(res, pending[:complete]); err != nil {
 				x.abandon(a, res.Conn())
 				x.c.closeAfterResponse = true
+				if !x.callerDisconnected() && isTimeout(err) {
+					x.g.logUnread(x.q, err)
+				}
 				return outcomeDelivered
 			}
+			if x.unread.record(began, time.Now()) {
+				// The target was not read meanwhile, which is no stall.
+				res.SetReadDeadline(x.nextEventDeadline())
+				last = time.Now()
+			}
 			pending = x.g.bodies.shrink(pending[:copy(pending, pending[complete:])])
 		}
 		switch {
@@ -116,7 +125,11 @@
 		}
 		if err != nil {
 			x.abandon(a, res.Conn())
-			x.fail(a, stepStream, err)
+			if x.unread.explains(time.Now()) {
+				x.failUnread(a, err)
+			} else {
+				x.fail(a, stepStream, err)
+			}
 			return outcomeUnknown
 		}
 	}
@@ -141,7 +154,7 @@
 		x.reportPause(a, t.maxGap)
 	}
 	if !x.streamStarted {
-		x.c.beginStream(res)
+		x.c.beginStream(x.ctx, res)
 	}
 	x.complete = true
 	if err := x.c.endStream(); err != nil {
@@ -150,17 +163,16 @@
 	return outcomeDelivered
 }
 
-// forwardEvents writes complete events to the caller. It reports whether the write
-// succeeded.
-func (x *exchange) forwardEvents(res *forward.Response, events []byte) bool {
+// forwardEvents writes complete events to the caller, or holds them for it.
+func (x *exchange) forwardEvents(res *forward.Response, events []byte) error {
 	if id := lastEventID(events); id != "" {
 		x.lastEvent, x.lastEventAt = id, time.Now()
 	}
 	if !x.streamStarted {
 		x.streamStarted, x.streamForm = true, formOf(res)
-		x.c.beginStream(res)
+		x.c.beginStream(x.ctx, res)
 	}
-	return x.c.writeBodyPart(events) == nil
+	return errors.Trace(x.c.writeBodyPart(events))
 }
 
 func (x *exchange) nextEventDeadline() time.Time {
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -122,3 +122,13 @@
 	defer d.mu.Unlock()
 	return d.ejected(now) > 0
 }
+
+// FailureRate returns the moving average of a target's failures.
+func (d *Detector) FailureRate(t ident.Target) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.targets[t]; r != nil {
+		return r.failureRate
+	}
+	return 0
+}
--- a/pkg/socket/socket.go
+++ b/pkg/socket/socket.go
@@ -32,11 +32,19 @@
 // UserTimeout returns a dialer's control function that sets TCP_USER_TIMEOUT, the time
 // that sent bytes may stay unacknowledged.
 func UserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return setOption(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
+// SendBuffer returns a listener's control function that sets how many bytes the kernel
+// holds for each accepted connection until the peer has taken them.
+func SendBuffer(size int) func(network, address string, raw syscall.RawConn) error {
+	return setOption(unix.SOL_SOCKET, unix.SO_SNDBUF, size)
+}
+
+func setOption(level, option, value int) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var setErr error
-		err := raw.Control(func(fd uintptr) {
-			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
+		err := raw.Control(func(fd uintptr) { setErr = unix.SetsockoptInt(int(fd), level, option, value) })
 		if err != nil {
 			return err
 		}
