Connections to targets are counted by reason, and kept for those that may use them

A gateway sends each engine a request about every 4 s. Connections are used again up to 4 s, or 1 s by requests that may not be repeated, so that most have expired by then. In addition a request that may not be repeated closed all idle connections of its target that were too old for it, although others could have used them. Change: these stay in the pool. Each connection is counted by its origin (reused, new, new-for-old, new-required) and the reason why it is not kept (expired, closed-by-target, closed-by-response, spoiled, abandoned, surplus), and a reused one that fails before a byte of the response as reuse-failed, with a log row. The limits stay: a target may drop an idle connection without notice, and a request that is not idempotent must not meet that.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -171,7 +171,13 @@
 // closes it otherwise. It can if the whole response was read, no stray response or
 // further bytes arrived, and the target keeps the connection open.
 func (p *Pool) Release(res *Response) {
-	if !res.complete || res.stray || res.ConnectionClose() || res.EndsWithConnection() || res.c.r.Buffered() > 0 {
+	switch {
+	case !res.complete || res.stray || res.c.r.Buffered() > 0:
+		p.Observe(ConnSpoiled)
+		res.c.Close()
+		return
+	case res.ConnectionClose() || res.EndsWithConnection():
+		p.Observe(ConnClosedByResponse)
 		res.c.Close()
 		return
 	}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -40,8 +40,9 @@
 	nc        net.Conn
 	r         *bufio.Reader
 	address   string
-	idleSince time.Time // when it was last returned to the pool
-	reused    bool      // it has carried another request
+	idleSince time.Time     // when it was last returned to the pool
+	idle      time.Duration // for how long, before its present request
+	reused    bool          // it has carried another request
 	maxIdle   time.Duration
 	// peerClosed says that the target has closed the connection. A reset or a time-out may
 	// be of this side alone.
@@ -54,6 +55,10 @@
 	onStall func() (next time.Time, wait bool)
 }
 
+// Reused returns how long the connection was idle before its request, if it has carried
+// another one.
+func (c *Conn) Reused() (idle time.Duration, ok bool) { return c.idle, c.reused }
+
 // OnStall sets the function that decides what happens when the deadline of a read
 // has passed: it returns the next deadline, or false to let the read fail. Without
 // one the read fails.
@@ -95,6 +100,8 @@
 type Pool struct {
 	// Dial opens a connection. Tests replace it.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Observe is called for each event of a connection, also while the pool is locked.
+	Observe func(ConnEvent)
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -102,7 +109,7 @@
 
 // NewPool returns an empty pool that dials over TCP.
 func NewPool() *Pool {
-	return &Pool{Dial: dial, idle: make(map[string][]*Conn)}
+	return &Pool{Dial: dial, Observe: func(ConnEvent) {}, idle: make(map[string][]*Conn)}
 }
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
@@ -113,35 +120,52 @@
 // Get returns a pooled connection to address that was idle for at most idleLimit,
 // or else a new one. With a limit of 0 the connection is always new.
 func (p *Pool) Get(ctx context.Context, address string, idleLimit time.Duration) (*Conn, error) {
-	for idleLimit > 0 {
-		c := p.takeIdle(address)
-		if c == nil {
-			break
-		}
-		if time.Since(c.idleSince) <= min(c.maxIdle, idleLimit) && c.alive() {
+	c, why := p.takeIdle(address, idleLimit)
+	for ; c != nil; c, why = p.takeIdle(address, idleLimit) {
+		if c.alive() {
+			p.Observe(ConnReused)
 			return c, nil
 		}
+		p.Observe(ConnClosedByTarget)
 		c.Close()
 	}
 	nc, err := p.Dial(ctx, address)
 	if err != nil {
+		p.Observe(ConnFailed)
 		return nil, errors.Annotatef(err, "dialing %s", address)
 	}
-	c := &Conn{nc: nc, address: address, maxIdle: MaxIdle}
+	p.Observe(why)
+	c = &Conn{nc: nc, address: address, maxIdle: MaxIdle}
 	c.r = bufio.NewReaderSize(stallReader{c}, readBufferBytes)
 	return c, nil
 }
 
-func (p *Pool) takeIdle(address string) *Conn {
+// takeIdle takes the connection that was used last out of the pool, or returns why a new
+// one is needed. One that was idle for too long only for this request stays for others.
+func (p *Pool) takeIdle(address string, idleLimit time.Duration) (*Conn, ConnEvent) {
+	if idleLimit <= 0 {
+		return nil, ConnNewRequired
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for {
+		list := p.idle[address]
+		if len(list) == 0 {
+			return nil, ConnNew
+		}
+		c := list[len(list)-1]
+		idle := time.Since(c.idleSince)
+		if idle <= c.maxIdle && idle > idleLimit {
+			return nil, ConnNewForOld
+		}
+		p.idle[address] = list[:len(list)-1]
+		if idle <= c.maxIdle {
+			c.idle = idle
+			return c, ConnReused
+		}
+		p.Observe(ConnExpired)
+		c.Close()
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
 }
 
 // alive reports whether the target has neither closed the connection nor sent bytes
@@ -152,7 +176,8 @@
 // longer closes it.
 func (p *Pool) Put(c *Conn) {
 	if c.unbind != nil && !c.unbind() {
-		c.Close() // the request was abandoned
+		p.Observe(ConnAbandoned)
+		c.Close()
 		return
 	}
 	c.unbind = nil
@@ -168,6 +193,7 @@
 	}
 	p.mu.Unlock()
 	if full {
+		p.Observe(ConnSurplus)
 		c.Close()
 	}
 }
@@ -180,6 +206,7 @@
 		kept := list[:0]
 		for _, c := range list {
 			if time.Since(c.idleSince) > c.maxIdle {
+				p.Observe(ConnExpired)
 				c.Close()
 				continue
 			}
--- a/pkg/gateway/abandon.go
+++ b/pkg/gateway/abandon.go
@@ -53,6 +53,7 @@
 // until it has ended its run.
 func (x *exchange) abandon(a *assignment, conn *forward.Conn) {
 	conn.Abandon()
+	x.g.metrics.countConn(forward.ConnAbandoned)
 	x.abandoned = &abandonedSend{conn: conn, assigned: a, at: time.Now()}
 }
 
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -312,6 +313,7 @@
 	x.logSend(a, sent)
 	x.begin(a, stepSend)
 	if err := x.writeRequest(a, conn); err != nil {
+		x.countReuseFailed(conn, err)
 		x.abandon(a, conn)
 		x.fail(a, stepSend, err)
 		return outcomeUnknown
@@ -320,6 +322,7 @@
 	conn.OnStall(x.stallHandler(a))
 	res, err := conn.Receive(x.q.method, x.q.attempt, x.firstByteDeadline(sent))
 	if err != nil {
+		x.countReuseFailed(conn, err)
 		x.abandon(a, conn)
 		x.fail(a, stepAnswer, err)
 		return outcomeUnknown
@@ -327,6 +330,18 @@
 	return x.handleResponse(a, res, sent)
 }
 
+// countReuseFailed counts a connection that was closed before a byte of the response, if it
+// was reused: its target may have dropped it while it was idle.
+func (x *exchange) countReuseFailed(conn *forward.Conn, err error) {
+	idle, reused := conn.Reused()
+	closed := conn.PeerClosed() || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if !reused || !closed || x.expired() {
+		return
+	}
+	x.g.metrics.countConn(forward.ConnReuseFailed)
+	x.g.Info("msg", "reused connection failed", "request", x.q.attempt, "idle", idle, "idempotent", x.retryable())
+}
+
 // writeRequest writes the request to a target. A large body is not copied.
 func (x *exchange) writeRequest(a *assignment, conn *forward.Conn) error {
 	buffer := bytebufferpool.Get()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -106,6 +106,7 @@
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
+	g.pool.Observe = g.metrics.countConn
 	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.tellKnown,
 		link.Handlers{link.KindCrashReport: g.handleCrashReport, link.KindTargetNotice: g.handleTargetNotice})
 	return g
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssoproad/hyssoproad/pkg/forward"
 )
 
 // metrics are the gateway's metrics.
@@ -14,20 +16,24 @@
 	timedOut       tally.Counter
 	abortedStreams tally.Counter
 	retries        tally.Counter
-	limitedSends   tally.Counter                   // to targets that state a rate limit
-	grantWait      tally.Histogram                 // of streams: from a request's arrival to its send
-	firstEvent     tally.Histogram                 // of streams: from a send to the first event
-	abandonedRuns  [len(runEndNames)]tally.Counter // abandoned sends before another one, by what showed their end
-	abandonedWait  tally.Histogram                 // of these: until the end showed
-	heldWrites     tally.Counter                   // writes of events that a caller did not read at once
-	unreadCuts     tally.Counter                   // streams that a target cut while a slow caller kept them unread
-	unread         tally.Counter                   // responses that a caller did not read in time
-	listAge        tally.Histogram                 // of sends: time for which the list of targets was not confirmed
+	limitedSends   tally.Counter                     // to targets that state a rate limit
+	grantWait      tally.Histogram                   // of streams: from a request's arrival to its send
+	firstEvent     tally.Histogram                   // of streams: from a send to the first event
+	abandonedRuns  [len(runEndNames)]tally.Counter   // abandoned sends before another one, by what showed their end
+	abandonedWait  tally.Histogram                   // of these: until the end showed
+	heldWrites     tally.Counter                     // writes of events that a caller did not read at once
+	unreadCuts     tally.Counter                     // streams that a target cut while a slow caller kept them unread
+	connections    [forward.ConnEvents]tally.Counter // to targets, by event
+	unread         tally.Counter                     // responses that a caller did not read in time
+	listAge        tally.Histogram                   // of sends: time for which the list of targets was not confirmed
 }
 
 // latencyBuckets double from the time of a round trip to a caller's longest wait.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
 
+// countConn counts an event of a connection to a target.
+func (m *metrics) countConn(e forward.ConnEvent) { m.connections[e].Inc(1) }
+
 func newMetrics(scope tally.Scope) metrics {
 	m := metrics{
 		requests: scope.Counter("requests"), refused: scope.Counter("refused"), timedOut: scope.Counter("timed_out"),
@@ -40,6 +46,9 @@
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
 	}
+	for i := range m.connections {
+		m.connections[i] = scope.Tagged(map[string]string{"event": forward.ConnEvent(i).String()}).Counter("connections")
+	}
 	for i, name := range runEndNames {
 		m.abandonedRuns[i] = scope.Tagged(map[string]string{"end": name}).Counter("abandoned_runs")
 	}
