--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -60,7 +60,16 @@
 		c, err := link.Server(far, link.Identity{Role: wire.RoleAgent, VM: "vm-2", Liveness: link.GrantLiveness}, link.Handlers{
 			link.KindEngineSetup: func(context.Context, *link.Stream, link.Frame) error { return nil },
 			link.KindGrantRequest: func(ctx context.Context, s *link.Stream, f link.Frame) error {
-				return h.serveGrant(ctx, s, f, address)
+				var r wire.GrantRequest
+				_, err := r.UnmarshalMsg(f.Body)
+				require.NoError(h.t, err)
+				return h.serveGrant(ctx, s, r, address)
+			},
+			link.KindAccountGrantRequest: func(ctx context.Context, s *link.Stream, f link.Frame) error {
+				var r wire.AccountGrantRequest
+				_, err := r.UnmarshalMsg(f.Body)
+				require.NoError(h.t, err)
+				return h.serveGrant(ctx, s, r.Request, address)
 			},
 			link.KindRequestLost: func(_ context.Context, s *link.Stream, f link.Frame) error {
 				var r wire.RequestLost
@@ -92,10 +101,7 @@
 	return near, nil
 }
 
-func (h *agentHarness) serveGrant(ctx context.Context, s *link.Stream, f link.Frame, address string) error {
-	var r wire.GrantRequest
-	_, err := r.UnmarshalMsg(f.Body)
-	require.NoError(h.t, err)
+func (h *agentHarness) serveGrant(ctx context.Context, s *link.Stream, r wire.GrantRequest, address string) error {
 	h.mu.Lock()
 	h.requests = append(h.requests, address)
 	h.open++
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,6 +39,9 @@
 	if why, banned := x.banned(); banned {
 		return nil, why
 	}
+	if x.service.Engine != nil && exceeds(x.q, x.service.Engine.KVTokens) {
+		return nil, x.tooLarge()
+	}
 	targets := x.awaitTargets()
 	if len(targets) == 0 {
 		return nil, x.noTarget()
@@ -68,6 +72,16 @@
 // needsGrant reports whether an agent has to grant the request.
 func (x *exchange) needsGrant() bool { return x.service.Engine != nil && x.q.weights.Model != "" }
 
+// exceeds reports whether a request needs more KV cache than an engine has.
+func exceeds(q *request, kvTokens int) bool {
+	return kvTokens > 0 && (q.promptTokens > kvTokens || q.maxOutputTokens > kvTokens-q.promptTokens)
+}
+
+// tooLarge is the refusal of a request that no engine of the service can hold.
+func (x *exchange) tooLarge() refusal {
+	return refusal{reason: "request needs more memory than an engine has", tooLarge: true, detail: fmt.Sprintf("%d and %d tokens of %d", x.q.promptTokens, x.q.maxOutputTokens, x.service.Engine.KVTokens)}
+}
+
 const (
 	// targetPollInterval is how often a request that has no target looks for one.
 	targetPollInterval = 50 * time.Millisecond
@@ -103,7 +117,7 @@
 func (g *Gateway) assign(t fleet.Target) *assignment {
 	_, limited := g.notices.Limit(t.Instance)
 	g.loads.begin(t.Instance)
-	return &assignment{target: t, instance: t.Instance, permitted: limited, release: func() { g.loads.end(t.Instance) }, reportFirstEvent: func(time.Duration) {}, reportPace: func(*wire.PaceReport) {}}
+	return &assignment{target: t, instance: t.Instance, permitted: limited, release: sync.OnceFunc(func() { g.loads.end(t.Instance) }), reportFirstEvent: func(time.Duration) {}, reportPace: func(*wire.PaceReport) {}}
 }
 
 const (
@@ -166,6 +180,8 @@
 			return refusal{reason: "timed out"}, nil
 		}
 		switch {
+		case reply.Reason == wire.ReasonTooLarge:
+			return x.tooLarge(), nil
 		case reply.Code == wire.GrantBusy:
 			crowded := isCrowded(reply)
 			if crowded || reply.Reason == wire.ReasonRateLimited {
@@ -275,8 +291,7 @@
 		return nil, unable
 	}
 	requested := time.Now()
-	request := x.grantRequest(w, opts)
-	stream, err := conn.Open(link.KindGrantRequest, &request)
+	stream, err := openGrant(conn, x.account, x.grantRequest(w, opts))
 	if err != nil {
 		return nil, unable
 	}
@@ -307,7 +322,7 @@
 		x.g.versions.Update(w)
 	}
 	a := &assignment{
-		target: t, agent: conn, instance: reply.Instance, version: reply.Version, release: stream.Close, acquired: time.Now(), suspended: x.g.suspended(),
+		target: t, agent: conn, instance: reply.Instance, version: reply.Version, release: sync.OnceFunc(stream.Close), acquired: time.Now(), suspended: x.g.suspended(),
 		reportFirstEvent: func(d time.Duration) {
 			// A lost report only makes the agent's forecast less accurate.
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -76,6 +77,8 @@
 	failedBody     []byte
 	// load is the load that the last response states.
 	load platform.TargetLoad
+	// unread is how long the caller has kept the stream from being read.
+	unread unreadTime
 	// eventSeen says that the last target has sent an event.
 	eventSeen bool
 	// State of a streamed response.
@@ -277,7 +280,7 @@
 	if x.q.attempt == "" {
 		maxIdle = 0 // only a new connection carries no responses to other requests
 	}
-	x.eventSeen = false
+	x.eventSeen, x.unread = false, unreadTime{}
 	x.begin(a, stepDial)
 	conn, err := x.g.pool.Get(x.ctx, a.target.Address, maxIdle)
 	if err != nil {
@@ -303,6 +306,12 @@
 		x.g.pool.Put(conn)
 		return outcomeUnsent // its key was removed meanwhile
 	}
+	if a.lapsed(x.g.suspended()) || a.agent != nil && isClosed(a.agent) {
+		// The agent, or the one that replaces it, may have given the place away.
+		x.g.pool.Put(conn)
+		x.g.Info("msg", "grant ended before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
+		return outcomeUnsent
+	}
 	if !x.beginSend() {
 		conn.Close()
 		return outcomeUnsent
@@ -313,6 +322,7 @@
 	x.logSend(a, sent)
 	x.begin(a, stepSend)
 	if err := x.writeRequest(a, conn); err != nil {
+		x.countReuseFailed(conn, err)
 		x.abandon(a, conn)
 		x.fail(a, stepSend, err)
 		return outcomeUnknown
@@ -321,6 +331,7 @@
 	conn.OnStall(x.stallHandler(a))
 	res, err := conn.Receive(x.q.method, x.q.attempt, x.firstByteDeadline(sent))
 	if err != nil {
+		x.countReuseFailed(conn, err)
 		x.abandon(a, conn)
 		x.fail(a, stepAnswer, err)
 		return outcomeUnknown
@@ -328,6 +339,18 @@
 	return x.handleResponse(a, res, sent)
 }
 
+// countReuseFailed counts a connection that was closed before a byte of the response, if it
+// was reused: its target may have dropped it while it was idle.
+func (x *exchange) countReuseFailed(conn *forward.Conn, err error) {
+	idle, reused := conn.Reused()
+	closed := conn.PeerClosed() || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if !reused || !closed || x.expired() {
+		return
+	}
+	x.g.metrics.countConn(forward.ConnReuseFailed)
+	x.g.Info("msg", "reused connection failed", "request", x.q.attempt, "idle", idle, "idempotent", x.retryable())
+}
+
 // writeRequest writes the request to a target. A large body is not copied.
 func (x *exchange) writeRequest(a *assignment, conn *forward.Conn) error {
 	buffer := bytebufferpool.Get()
@@ -381,6 +404,8 @@
 	cause  wire.GrantReason // reason of the engine with the shortest wait
 	wait   time.Duration
 	detail string // evidence for the log
+	// tooLarge says that no engine of the service can ever hold the request.
+	tooLarge bool
 }
 
 // assignment is the target that a request is sent to.
@@ -394,7 +419,7 @@
 	// listed in the store.
 	instance ident.Target
 	version  ident.Version // adapter version on the target; 0 if none
-	release  func()
+	release  func()        // only the first call counts
 	// acquired is when the assignment was granted, and suspended how long the VM had
 	// been suspended by then. Both are zero if the assignment does not lapse.
 	acquired         time.Time
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssoproad/hyssoproad/pkg/forward"
 )
 
 // metrics are the gateway's metrics.
@@ -26,11 +28,18 @@
 	trust          tally.Gauge                     // 1 if the configuration is used for requests that need a key
 	// unreadableLoads counts the responses whose load has a field that cannot be read.
 	unreadableLoads tally.Counter
+	heldWrites      tally.Counter                     // writes of events that a caller did not read at once
+	unreadCuts      tally.Counter                     // streams that a target cut while a slow caller kept them unread
+	connections     [forward.ConnEvents]tally.Counter // to targets, by event
+	unread          tally.Counter                     // responses that a caller did not read in time
 }
 
 // latencyBuckets double from the time of a round trip to a caller's longest wait.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
 
+// countConn counts an event of a connection to a target.
+func (m *metrics) countConn(e forward.ConnEvent) { m.connections[e].Inc(1) }
+
 func newMetrics(scope tally.Scope) metrics {
 	m := metrics{
 		requests: scope.Counter("requests"), refused: scope.Counter("refused"), timedOut: scope.Counter("timed_out"),
@@ -41,10 +50,14 @@
 		listAge:         scope.Histogram("target_list_age", latencyBuckets),
 		trust:           scope.Gauge("configuration_trusted"),
 		unreadableLoads: scope.Counter("unreadable_loads"),
+		heldWrites:      scope.Counter("held_writes"), unreadCuts: scope.Counter("streams_cut_unread"), unread: scope.Counter("responses_unread"),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
 	}
+	for i := range m.connections {
+		m.connections[i] = scope.Tagged(map[string]string{"event": forward.ConnEvent(i).String()}).Counter("connections")
+	}
 	for i, name := range runEndNames {
 		m.abandonedRuns[i] = scope.Tagged(map[string]string{"end": name}).Counter("abandoned_runs")
 	}
--- a/pkg/grant/budget_test.go
+++ b/pkg/grant/budget_test.go
@@ -26,7 +26,9 @@
 		sched.Decide(now)
 		sched.Started(id, time.Duration(float64(percent)/100*float64(usualEventTime+time.Duration(tokens)*time.Millisecond/25)))
 		sched.Withdraw(id, now)
+		sched.ObserveMemory(nil, true, now.Add(time.Millisecond), now) // the engine has ended it
 	}
+	sched.ObserveMemory(nil, true, now.Add(LostGrace+time.Millisecond), now)
 	sched.Enqueue(request(1, 1, now))
 	sched.Decide(now)
 	sched.RecordStream(1, pauseObjective, usualEventTime)
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -17,10 +17,6 @@
 	// adapter. Without it all requests for a popular adapter would wait at its first
 	// home.
 	replicaRedirectWait = 100 * time.Millisecond
-	// kvOvercommit is the share of the engine's KV cache that granted requests may
-	// claim. It is above 1 because requests share prompts and end early, so their
-	// sum overstates what they need.
-	kvOvercommit = 1.1
 )
 
 // Reply is the reply to one request.
@@ -57,6 +53,11 @@
 	for _, req := range s.waiting {
 		reply, done := s.decide(req, ahead, now)
 		if done {
+			if reply.Code != wire.GrantIssued {
+				wait := time.Duration(reply.WaitMS) * time.Millisecond
+				unserved := !req.HasAlternative || now.Add(wait).After(req.deadline())
+				s.shares.leave(req, unserved && reply.Code == wire.GrantBusy, now)
+			}
 			replies = append(replies, Reply{ID: req.ID, GrantReply: reply})
 			continue
 		}
@@ -77,7 +78,8 @@
 // sort orders the waiting requests: those that can still meet their latency
 // objective come first, then by priority, then by the number of requests that wait
 // for the same weights, then by age. A load that finishes too late for the
-// objective would only delay the next one too.
+// objective would only delay the next one too. Requests of several client accounts are
+// then ordered by the accounts' shares.
 func (s *Scheduler) sort(now time.Time) {
 	late := make(map[RequestID]bool, len(s.waiting))
 	waiters := make(map[ident.Weights]int)
@@ -104,6 +106,7 @@
 		}
 		return x.Enqueued.Before(y.Enqueued)
 	})
+	s.shares.order(s.waiting, func(r *Request) bool { return late[r.ID] }, now)
 }
 
 func (s *Scheduler) decide(req *Request, ahead queueAhead, now time.Time) (wire.GrantReply, bool) {
@@ -113,6 +116,9 @@
 	if s.draining {
 		return wire.GrantReply{Code: wire.GrantUnable, Reason: wire.ReasonDraining}, true
 	}
+	if s.tooLarge(req) {
+		return wire.GrantReply{Code: wire.GrantUnable, Reason: wire.ReasonTooLarge}, true
+	}
 	if s.instance == "" {
 		return wire.GrantReply{Code: wire.GrantBusy}, now.After(req.deadline())
 	}
@@ -207,10 +213,13 @@
 }
 
 func (s *Scheduler) fits(req *Request, now time.Time) bool {
+	if s.saturated(req) {
+		return false
+	}
 	if len(s.running) == 0 {
 		return true
 	}
-	if s.saturated(req) || s.tooLong(req, now) {
+	if s.tooLong(req, now) {
 		return false
 	}
 	return s.pendingPrefill == 0 || s.prefillTime(s.pendingPrefill+req.PromptTokens) <= s.window && s.pendingPrefill+req.PromptTokens <= s.prefillBudget(now)
@@ -218,15 +227,16 @@
 
 // saturated reports whether the engine lacks a slot or KV cache for the request.
 func (s *Scheduler) saturated(req *Request) bool {
-	return s.setup.Slots > 0 && len(s.running) >= s.setup.Slots ||
-		s.setup.KVTokens > 0 && float64(s.kvTokens+req.kvTokens()) > kvOvercommit*float64(s.setup.KVTokens)
+	return s.setup.Slots > 0 && len(s.running)+s.foreign >= s.setup.Slots || s.lacksMemory(req)
 }
 
 func (s *Scheduler) grant(req *Request, now time.Time) {
 	s.servedRate = s.servedRate.add(now)
 	s.pendingPrefill += req.PromptTokens
-	s.kvTokens += req.kvTokens()
-	s.running[req.ID] = &runningRequest{Request: req, grantedAt: now, backlog: s.pendingPrefill}
+	needs := s.needs(req)
+	s.kvTokens += needs
+	s.shares.grant(req, now)
+	s.running[req.ID] = &runningRequest{Request: req, grantedAt: now, backlog: s.pendingPrefill, needs: needs}
 	if a := s.held[req.weights().Unversioned()]; a != nil {
 		a.uses++
 	}
--- a/pkg/grant/preview.go
+++ b/pkg/grant/preview.go
@@ -53,6 +53,8 @@
 	}
 	out.models = maps.Clone(s.models)
 	out.loading, out.copies, out.demand = maps.Clone(s.loading), maps.Clone(s.copies), maps.Clone(s.demand)
+	out.shares, out.departed = s.shares.clone(), slices.Clone(s.departed)
+	out.readings = slices.Clone(s.readings)
 	out.limit = s.limit.Clone(now)
 	return &out
 }
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -2,13 +2,15 @@
 // may be sent to the engine and which models and adapters the engine loads. It
 // does no I/O, and callers pass in the current time.
 //
-// It handles four load patterns:
+// It handles five load patterns:
 //   - Many rare adapters compete for few slots. Adapters in use are pinned, and
 //     the least recently used idle adapter is evicted first.
 //   - Prompts for a popular adapter arrive faster than one engine can prefill
 //     them. A wait forecast redirects the later ones to another engine at once.
 //   - More requests arrive than fit the engine's slots or memory. They queue
 //     here in priority order, where they can still be refused as not run.
+//   - A client account sends many times its usual load. The queue is shared by what
+//     the accounts are entitled to, so that the others are served as before.
 //   - An engine in need states that it takes fewer requests than arrive. It is used
 //     up to its limit, and the other requests go to other engines at once.
 package grant
@@ -29,6 +31,10 @@
 	wire.GrantRequest
 	ID       RequestID
 	Enqueued time.Time
+	// Account is the client account of the request, empty if there is none, and Weight
+	// what it is entitled to, relative to other accounts.
+	Account ident.Account
+	Weight  float64
 }
 
 func (r *Request) weights() ident.Weights {
@@ -57,6 +63,8 @@
 	// gapObjective is the longest allowed pause between two of its events; 0 if none or
 	// unknown.
 	gapObjective time.Duration
+	needs        int       // tokens of KV cache
+	lostAt       time.Time // when its link was lost; zero if it was not
 }
 
 // heldAdapter is an adapter that the engine holds.
@@ -113,17 +121,20 @@
 	// limit is the rate limit that the engine states. It counts grants, since each is
 	// for one send.
 	limit ratelimit.Limiter
+	// shares holds what client accounts use of the engine.
+	shares shares
+	memory
 }
 
 // usage holds totals over the granted requests.
 type usage struct {
-	kvTokens       int // KV cache that they may need
+	kvTokens       int // KV cache that they may need, in tokens
 	pendingPrefill int // prompt tokens not yet prefilled
 }
 
 // New returns a scheduler that knows nothing about its engine yet.
 func New() *Scheduler {
-	s := &Scheduler{running: make(map[RequestID]*runningRequest), speed: newSpeed(), pacing: newPacing(), prefill: newPrefillModel(), loads: newLoads()}
+	s := &Scheduler{running: make(map[RequestID]*runningRequest), shares: newShares(), speed: newSpeed(), pacing: newPacing(), prefill: newPrefillModel(), loads: newLoads()}
 	s.reset()
 	return s
 }
@@ -197,6 +208,9 @@
 	if req.MaySwitchModel && !s.models[req.Model] {
 		s.recordDemand(req.Model, req.Enqueued)
 	}
+	req.PromptTokens, req.OutputTokens = clampTokens(req.PromptTokens), clampTokens(req.OutputTokens)
+	s.largestOutput = max(s.largestOutput, req.OutputTokens)
+	s.shares.enter(req)
 	s.waiting = append(s.waiting, req)
 }
 
@@ -205,6 +219,7 @@
 	for i, req := range s.waiting {
 		if req.ID == id {
 			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			s.shares.leave(req, !req.HasAlternative, now)
 			return
 		}
 	}
@@ -212,10 +227,17 @@
 	if r == nil {
 		return
 	}
-	s.markStarted(r)
 	s.recordRun(now.Sub(r.grantedAt))
+	s.depart(r, now)
+	s.end(id, r, now)
+}
+
+// end removes a running request.
+func (s *Scheduler) end(id RequestID, r *runningRequest, now time.Time) {
+	s.markStarted(r)
 	s.lastEnd = now
-	s.kvTokens -= r.kvTokens()
+	s.kvTokens -= r.needs
+	s.shares.end(r.Request)
 	delete(s.running, id)
 	if a := s.held[r.weights().Unversioned()]; a != nil {
 		a.uses--
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -58,6 +58,7 @@
 	KindPaceReport
 	KindGrantPreview
 	KindGrantPreviewReply
+	KindAccountGrantRequest
 	kindLimit
 )
 
--- a/pkg/orderer/metrics.go
+++ b/pkg/orderer/metrics.go
@@ -15,6 +15,9 @@
 	// quotaGranted and quotaDenied are answers to gateways that ask for quota.
 	quotaGranted, quotaDenied tally.Counter
 	pace                      tally.Gauge // that the engine stated last, in percent
+	// memory is the KV cache that requests at the engine may need, in tokens, and
+	// unaccounted the part of runs that no entry accounts for any more.
+	memory, unaccounted tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -22,7 +25,8 @@
 		scope: scope, waiting: scope.Gauge("waiting"), running: scope.Gauge("running"),
 		held: scope.Gauge("adapters_held"), loading: scope.Gauge("adapters_loading"),
 		quotaGranted: scope.Counter("quota_granted"), quotaDenied: scope.Counter("quota_denied"),
-		pace: scope.Gauge("pace"),
+		pace:   scope.Gauge("pace"),
+		memory: scope.Gauge("memory_tokens"), unaccounted: scope.Gauge("memory_tokens_unaccounted"),
 	}
 }
 
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -33,9 +33,6 @@
 	// downAfter is the number of consecutive missing reports after which the engine
 	// counts as down.
 	downAfter = 2
-	// lostLinkGrace is how long the grants of a lost link count as in use. The entry
-	// may still be alive and its requests still running.
-	lostLinkGrace = 3 * time.Second
 )
 
 // Engine holds the functions of the engine client that the orderer uses.
@@ -70,14 +67,16 @@
 	// entryCount is how many entries are or were lately linked.
 	entryCount retry.EntryCount
 
-	leaving      bool // the engine process is about to leave
-	misses       int
-	startMS      int64                 // start of the engine process in Unix milliseconds
-	report       platform.EngineReport // the newest report
-	reportedAt   time.Time             // when the newest report was requested
-	reported     platform.TargetNotice // what the head of the newest report says that is valid
-	nextIdentify time.Time             // earliest time of the next health check
-	listener     net.Listener
+	leaving    bool // the engine process is about to leave
+	misses     int
+	startMS    int64                 // start of the engine process in Unix milliseconds
+	report     platform.EngineReport // the newest report
+	reportedAt time.Time             // when the newest report was requested
+	reported   platform.TargetNotice // what the head of the newest report says that is valid
+	// runsUnreadable says that the running requests of the newest report can't be decoded.
+	runsUnreadable bool
+	nextIdentify   time.Time // earliest time of the next health check
+	listener       net.Listener
 }
 
 // New returns the orderer of the engine on this VM.
@@ -119,7 +118,8 @@
 
 func (o *Orderer) handlers() link.Handlers {
 	return link.Handlers{
-		link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
+		link.KindEngineSetup: o.handleSetup, link.KindGrantRequest: o.handleGrantRequest, link.KindAccountGrantRequest: o.handleAccountGrantRequest,
+		link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
 		link.KindTargetNotice: o.handleTargetNotice, link.KindPermitRequest: o.handlePermitRequest,
 		link.KindRunQuery: o.handleRunQuery, link.KindQuotaLimits: o.handleQuotaLimits, link.KindQuotaRequest: o.handleQuotaRequest,
 		link.KindGrantPreview: o.handleGrantPreview,
@@ -154,12 +154,24 @@
 	return nil
 }
 
-// handleGrantRequest serves the stream of one request until the request ends.
 func (o *Orderer) handleGrantRequest(ctx context.Context, s *link.Stream, f link.Frame) error {
 	var r wire.GrantRequest
 	if _, err := r.UnmarshalMsg(f.Body); err != nil {
 		return errors.Trace(err)
 	}
+	return o.serveGrant(ctx, s, wire.AccountGrantRequest{Request: r})
+}
+
+func (o *Orderer) handleAccountGrantRequest(ctx context.Context, s *link.Stream, f link.Frame) error {
+	var r wire.AccountGrantRequest
+	if _, err := r.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	return o.serveGrant(ctx, s, r)
+}
+
+// serveGrant serves the stream of one request until the request ends.
+func (o *Orderer) serveGrant(ctx context.Context, s *link.Stream, r wire.AccountGrantRequest) error {
 	id, replies := o.enqueue(r)
 	defer o.withdraw(ctx, s, id)
 	var reply wire.GrantReply
@@ -222,14 +234,14 @@
 	return nil
 }
 
-func (o *Orderer) enqueue(r wire.GrantRequest) (grant.RequestID, <-chan wire.GrantReply) {
+func (o *Orderer) enqueue(r wire.AccountGrantRequest) (grant.RequestID, <-chan wire.GrantReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.nextID++
 	id := o.nextID
 	replies := make(chan wire.GrantReply, 1)
 	o.pending[id] = replies
-	o.scheduler.Enqueue(&grant.Request{GrantRequest: r, ID: id, Enqueued: time.Now()})
+	o.scheduler.Enqueue(&grant.Request{GrantRequest: r.Request, ID: id, Enqueued: time.Now(), Account: r.Account, Weight: r.Weight})
 	o.replyLocked()
 	if _, waiting := o.pending[id]; waiting {
 		o.signal()
@@ -238,26 +250,27 @@
 }
 
 // withdraw ends a request. If its link was lost, the request still counts as running
-// for lostLinkGrace.
+// until the engine's reports show that it has ended.
 func (o *Orderer) withdraw(ctx context.Context, s *link.Stream, id grant.RequestID) {
-	end := func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.pending, id)
+	if isClosed(s.Conn()) && !errors.Is(context.Cause(ctx), context.Canceled) {
+		o.scheduler.Lose(id, time.Now())
+	} else {
 		o.scheduler.Withdraw(id, time.Now())
-		delete(o.pending, id)
-		o.replyLocked()
-		o.signal()
 	}
+	o.replyLocked()
+	o.signal()
+}
+
+func isClosed(c *link.Conn) bool {
 	select {
-	case <-s.Conn().Done():
-		if errors.Is(context.Cause(ctx), context.Canceled) {
-			break
-		}
-		time.AfterFunc(lostLinkGrace, end)
-		return
+	case <-c.Done():
+		return true
 	default:
+		return false
 	}
-	end()
 }
 
 // replyLocked sends the replies that can be given now. The caller holds mu.
@@ -341,8 +354,8 @@
 	return o.scheduler.Order(time.Now())
 }
 
-// checkRuns passes the running requests of the newest report to the scheduler. They
-// are decoded only here, since reports are read often. The caller holds mu.
+// checkRuns passes the running requests of the newest report to the scheduler. The caller
+// holds mu.
 func (o *Orderer) checkRuns() {
 	runs, err := o.report.RunningAttempts()
 	if err != nil {
--- a/pkg/soak/quota.go
+++ b/pkg/soak/quota.go
@@ -39,7 +39,7 @@
 
 // newFlooder returns a client that sends far more than the quota of its account.
 func newFlooder(d *deployment, number int) *client {
-	c := newClient(d, d.Clients+number)
+	c := newClient(d, d.Clients+number, false)
 	c.account, c.pause = floodAccount, floodPause
 	return c
 }
