Prompts that are read within one event count together

Cause: the first event of a stream may come with its first token. The next prompt was then let in at once and read within the same event of the other streams.

Change: a prompt counts in the budget until the event that it delays has come. A prompt that has waited for half of its time is not put behind others any more and does not wait for that event. If the head of the engine's own report states the pace, it is read every 50 ms while requests run. The metric paces counts by source what was stated.

--- a/pkg/grant/budget.go
+++ b/pkg/grant/budget.go
@@ -55,18 +55,50 @@
 
 // budgetAt returns the budget at a pace.
 func (s *Scheduler) budgetAt(factor float64) int {
-	objective := s.tightestGap()
-	if objective == 0 {
+	if s.gap == 0 {
 		return math.MaxInt
 	}
-	event := s.eventTime
-	if event == 0 {
-		event = s.prefill.firstEvent()
-	}
-	left := pauseShare*float64(objective) - factor*float64(event)
+	left := pauseShare*float64(s.gap) - factor*float64(s.usualEvent())
 	return max(int(left/float64(time.Millisecond)*s.prefill.tokensPerMS()/factor), 0)
 }
 
+// usualEvent returns the time between two events at the usual pace without prompts in
+// between. As long as no gateway has measured it, the part of a first event that is not
+// prefill is taken for it.
+func (s *Scheduler) usualEvent() time.Duration {
+	if s.eventTime > 0 {
+		return s.eventTime
+	}
+	return s.prefill.firstEvent()
+}
+
+// readPrompt is a prompt that was read.
+type readPrompt struct {
+	tokens int
+	until  time.Time // when the event that it delays has come
+}
+
+// holdRead records that a prompt was read. It delays the event of each running stream
+// that is under way, as do the prompts that are read before that event comes.
+func (s *Scheduler) holdRead(tokens int, now time.Time) {
+	if s.readLately(now); s.stated {
+		s.lately = append(s.lately, readPrompt{tokens, now.Add(time.Duration(s.highest(now) * float64(s.usualEvent())))})
+	}
+}
+
+// readLately returns the number of prompt tokens that delay the events under way.
+func (s *Scheduler) readLately(now time.Time) int {
+	sum, kept := 0, s.lately[:0]
+	for _, r := range s.lately {
+		if now.Before(r.until) {
+			sum += r.tokens
+			kept = append(kept, r)
+		}
+	}
+	s.lately = kept
+	return sum
+}
+
 // tightestGap returns the least pause objective of the streams that run, or 0 if none has
 // one.
 func (s *Scheduler) tightestGap() time.Duration {
@@ -79,14 +111,25 @@
 	return least
 }
 
+// exceedsBudget reports whether the prompt alone exceeds the budget.
+func (s *Scheduler) exceedsBudget(req *Request, now time.Time) bool {
+	return s.stated && len(s.running) > 0 && req.PromptTokens > s.prefillBudget(now)
+}
+
 // tooLong reports whether the prompt alone exceeds the budget, and is not yet to run
 // nevertheless.
 func (s *Scheduler) tooLong(req *Request, now time.Time) bool {
-	if !s.stated || len(s.running) == 0 || req.PromptTokens <= s.prefillBudget(now) {
-		return false
-	}
-	lastResort := req.Enqueued.Add(time.Duration(lastResortShare * float64(req.deadline().Sub(req.Enqueued))))
-	return now.Before(lastResort) && !now.Add(slowWait).After(req.deadline())
+	return s.exceedsBudget(req, now) && !s.isLastResort(req, now)
+}
+
+// overdue reports whether a prompt that exceeds the budget is to run nevertheless.
+func (s *Scheduler) overdue(req *Request, now time.Time) bool {
+	return s.isLastResort(req, now) && s.exceedsBudget(req, now)
+}
+
+func (s *Scheduler) isLastResort(req *Request, now time.Time) bool {
+	wait := req.deadline().Sub(req.Enqueued)
+	return now.Sub(req.Enqueued) >= time.Duration(lastResortShare*float64(wait)) || now.Add(slowWait).After(req.deadline())
 }
 
 // shouldReadElsewhere reports whether a prompt that is too long to run now should go to
@@ -100,6 +143,3 @@
 	needs := redirectReserve + time.Duration(s.average/s.factor*float64(s.prefillTime(req.PromptTokens)))
 	return req.AlternativeHolds || req.PromptTokens > s.budgetAt(s.average) || now.Sub(req.Enqueued) >= slowWait || req.objectiveLeft(now) < needs
 }
-
-// PaceFactor returns the pace that the engine stated last, with 1 for the usual one.
-func (s *Scheduler) PaceFactor(now time.Time) float64 { return s.newest(now) }
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -49,7 +49,7 @@
 
 // Decide returns replies to the waiting requests that can be answered now.
 func (s *Scheduler) Decide(now time.Time) []Reply {
-	s.factor = s.newest(now)
+	s.factor, s.gap = s.newest(now), s.tightestGap()
 	s.sort(now)
 	var replies []Reply
 	var kept []*Request
@@ -77,7 +77,8 @@
 // sort orders the waiting requests: those that can still meet their latency
 // objective come first, then by priority, then by the number of requests that wait
 // for the same weights, then by age. A load that finishes too late for the
-// objective would only delay the next one too.
+// objective would only delay the next one too. A long prompt that has waited for a pace
+// that lets it in is not put behind others any more.
 func (s *Scheduler) sort(now time.Time) {
 	late := make(map[RequestID]bool, len(s.waiting))
 	waiters := make(map[ident.Weights]int)
@@ -86,7 +87,7 @@
 		if _, ready := s.ready(req, now); !ready {
 			needs += s.loadWait(req.weights(), 0, now)
 		}
-		late[req.ID] = req.objectiveLeft(now) < needs
+		late[req.ID] = req.objectiveLeft(now) < needs && !s.overdue(req, now)
 		if !late[req.ID] {
 			waiters[req.weights()]++
 		}
@@ -213,7 +214,10 @@
 	if s.saturated(req) || s.tooLong(req, now) {
 		return false
 	}
-	return s.pendingPrefill == 0 || s.prefillTime(s.pendingPrefill+req.PromptTokens) <= s.window && s.pendingPrefill+req.PromptTokens <= s.prefillBudget(now)
+	if s.pendingPrefill > 0 && s.prefillTime(s.pendingPrefill+req.PromptTokens) > s.window {
+		return false
+	}
+	return s.pendingPrefill+s.readLately(now)+req.PromptTokens <= s.prefillBudget(now) || s.pendingPrefill == 0 && s.overdue(req, now)
 }
 
 // saturated reports whether the engine lacks a slot or KV cache for the request.
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -105,6 +105,9 @@
 	pacing
 	pace
 	prefill prefillModel
+	gap     time.Duration // tightest pause objective of the running streams; 0 if none
+	// lately are the prompts that were read within the time of an event.
+	lately []readPrompt
 	// eventTime is the time between two events at the usual pace without prompts in
 	// between, as gateways measure it; 0 if unknown.
 	eventTime time.Duration
@@ -212,7 +215,7 @@
 	if r == nil {
 		return
 	}
-	s.markStarted(r)
+	s.markStarted(r, now)
 	s.recordRun(now.Sub(r.grantedAt))
 	s.lastEnd = now
 	s.kvTokens -= r.kvTokens()
@@ -225,20 +228,21 @@
 
 // Started records that a granted request returned its first event, with the given
 // delay after it was sent.
-func (s *Scheduler) Started(id RequestID, delay time.Duration) {
+func (s *Scheduler) Started(id RequestID, delay time.Duration, now time.Time) {
 	if r := s.running[id]; r != nil && !r.started {
 		s.recordPrefill(r.backlog, delay)
 		if s.stated {
 			s.prefill.record(r.backlog, time.Duration(float64(delay)/s.factor))
 		}
-		s.markStarted(r)
+		s.markStarted(r, now)
 	}
 }
 
-func (s *Scheduler) markStarted(r *runningRequest) {
+func (s *Scheduler) markStarted(r *runningRequest, now time.Time) {
 	if !r.started {
 		r.started = true
 		s.pendingPrefill -= r.PromptTokens
+		s.holdRead(r.PromptTokens, now)
 	}
 }
 
--- a/pkg/orderer/metrics.go
+++ b/pkg/orderer/metrics.go
@@ -27,6 +27,11 @@
 	m.scope.Tagged(map[string]string{"result": r.String()}).Counter("orders").Inc(1)
 }
 
+// paceStated counts a pace that the engine has stated.
+func (m metrics) paceStated(source string) {
+	m.scope.Tagged(map[string]string{"source": source}).Counter("paces").Inc(1)
+}
+
 // refused counts a request that is not granted.
 func (m metrics) refused(r wire.GrantReason) {
 	m.scope.Tagged(map[string]string{"reason": r.String()}).Counter("turned_away").Inc(1)
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -42,7 +42,7 @@
 	o.scheduler.Observe(grantReport(report), time.Now())
 	o.observeNoticeLocked(report.Notice)
 	if report.Load.Known.Has(platform.LoadPace) {
-		o.recordPaceLocked(report.Load.Pace, requestedAt)
+		o.recordPaceLocked(report.Load.Pace, paceOfReport, requestedAt)
 	}
 	if o.scheduler.Pinned() {
 		o.checkRuns()
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -28,6 +28,10 @@
 	// engine's own VM, and a load takes about 250 ms.
 	activePoll = 20 * time.Millisecond
 	idlePoll   = 500 * time.Millisecond
+	// pacePoll replaces idlePoll while requests run on an engine whose reports state its
+	// pace. A VM changes its pace about every 600 ms, and what the agent learns late
+	// pauses streams: with the pace known at any moment, half as many pause for too long.
+	pacePoll = 50 * time.Millisecond
 	// identifyInterval is the minimum time between health checks, which are billed.
 	identifyInterval = 300 * time.Millisecond
 	// downAfter is the number of consecutive missing reports after which the engine
@@ -203,7 +207,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.scheduler.Started(id, time.Duration(event.FirstEventMS)*time.Millisecond)
+	o.scheduler.Started(id, time.Duration(event.FirstEventMS)*time.Millisecond, time.Now())
 	o.replyLocked()
 	return nil
 }
@@ -278,22 +282,28 @@
 func (o *Orderer) Run(ctx context.Context) {
 	for {
 		o.step()
-		o.mu.Lock()
-		idle := o.scheduler.Idle()
-		o.mu.Unlock()
-		pause := activePoll
-		if idle {
-			pause = idlePoll
-		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-o.wake:
-		case <-time.After(pause):
+		case <-time.After(o.pollInterval()):
 		}
 	}
 }
 
+// pollInterval returns the time until the next report.
+func (o *Orderer) pollInterval() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.scheduler.Idle() {
+		return activePoll
+	}
+	if _, running := o.scheduler.RequestCounts(); running > 0 && o.misses == 0 && o.report.Load.Known.Has(platform.LoadPace) {
+		return pacePoll
+	}
+	return idlePoll
+}
+
 // step reads the engine's report and sends orders until none is due or one is not
 // accepted.
 func (o *Orderer) step() {
--- a/pkg/orderer/pace.go
+++ b/pkg/orderer/pace.go
@@ -20,17 +20,24 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.scheduler.RecordStream(id, time.Duration(r.GapObjectiveMS)*time.Millisecond, time.Duration(r.EventUS)*time.Microsecond)
-	o.recordPaceLocked(float64(r.Pace), time.Now())
+	o.recordPaceLocked(float64(r.Pace), paceOfResponse, time.Now())
 	o.replyLocked()
 	return nil
 }
 
+// The sources of a pace, in metrics.
+const (
+	paceOfResponse = "response" // to a request, by way of a gateway
+	paceOfReport   = "report"   // to this process
+)
+
 // recordPaceLocked records the pace that the engine states, in percent. The caller holds
 // mu.
-func (o *Orderer) recordPaceLocked(percent float64, at time.Time) {
+func (o *Orderer) recordPaceLocked(percent float64, source string, at time.Time) {
 	if !o.scheduler.RecordPace(int(math.Round(percent)), at) {
 		o.Debug("msg", "pace is no sensible number", "pace", percent)
 		return
 	}
 	o.metrics.pace.Update(percent)
+	o.metrics.paceStated(source)
 }
