Late streams are counted and logged by their cause

Cause: no metric or row told whether a stream was late by its first event or by a pause, and what its engine did meanwhile.

Change: the gateway counts streams served to their end (streams_served) and late ones (late_streams) by cause and by a class of the pace at the head of the response, records the longest pause of each stream (longest_pause), and logs up to five rows a second about late streams with the load that the engine stated. The agent is told of streams that have paused for too long and logs, at most twice a second, what was read on its engine while such a stream ran: the highest pace, the most running requests and prompt tokens, the largest prompt, and what it has learned of the engine.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -68,6 +68,7 @@
 	stop          stopState
 	eventInterval eventInterval
 	stepTime      stepTime
+	lateRows      rowLimit // rows about late streams
 	// lengths, firstEvents and plainTimes are of streams, until their first event and of
 	// other requests, from their send on.
 	lengths                 forecast.Lengths
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -14,9 +14,10 @@
 	timedOut       tally.Counter
 	abortedStreams tally.Counter
 	retries        tally.Counter
-	limitedSends   tally.Counter                   // to targets that state a rate limit
-	grantWait      tally.Histogram                 // of streams: from a request's arrival to its send
-	firstEvent     tally.Histogram                 // of streams: from a send to the first event
+	limitedSends   tally.Counter   // to targets that state a rate limit
+	grantWait      tally.Histogram // of streams: from a request's arrival to its send
+	firstEvent     tally.Histogram // of streams: from a send to the first event
+	streams        streamMetrics
 	abandonedRuns  [len(runEndNames)]tally.Counter // abandoned sends before another one, by what showed their end
 	abandonedWait  tally.Histogram                 // of these: until the end showed
 	// unreadableLoads counts the responses whose load has a field that cannot be read.
@@ -33,6 +34,7 @@
 		abortedStreams: scope.Counter("streams_broken_off"), retries: scope.Counter("repeated_sends"), limitedSends: scope.Counter("sends_to_limited_targets"),
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
 		abandonedWait:   scope.Histogram("abandoned_run_wait", latencyBuckets),
+		streams:         newStreamMetrics(scope),
 		unreadableLoads: scope.Counter("unreadable_loads"),
 		listAge:         scope.Histogram("target_list_age", latencyBuckets),
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -84,6 +84,9 @@
 				resumed = false // further IDs only increase
 			}
 			if first {
+				if x.streamStarted {
+					timing.resumedGap = time.Since(x.lastSign())
+				}
 				a.reportFirstEvent(time.Since(sent))
 				x.g.clearParts(x.q.parts)
 				timing.firstEvent = time.Since(sent)
@@ -133,6 +136,7 @@
 	grantWait  time.Duration // from the request's arrival to its send
 	firstEvent time.Duration // from the send to the first event
 	maxGap     time.Duration // longest time between two reads with complete events
+	resumedGap time.Duration // from the last event of another target; 0 if there was none
 	total      time.Duration
 	events     int
 }
@@ -146,6 +150,7 @@
 	if t.events > 1 {
 		x.reportPause(a, t.maxGap)
 	}
+	x.recordLateness(a, t)
 	if !x.streamStarted {
 		x.c.beginStream(res)
 	}
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -234,6 +234,7 @@
 	if a := s.held[req.weights().Unversioned()]; a != nil {
 		a.uses++
 	}
+	s.recordLoad(req, now)
 }
 
 // queueWait estimates how long the engine's current and queued work delays the
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -57,6 +57,7 @@
 	// gapObjective is the longest allowed pause between two of its events; 0 if none or
 	// unknown.
 	gapObjective time.Duration
+	load         StreamLoad
 }
 
 // heldAdapter is an adapter that the engine holds.
--- a/pkg/orderer/metrics.go
+++ b/pkg/orderer/metrics.go
@@ -12,14 +12,15 @@
 	scope            tally.Scope
 	waiting, running tally.Gauge
 	held, loading    tally.Gauge
-	pace             tally.Gauge // that the engine stated last, in percent
+	latePauses       tally.Counter // streams that paused for longer than their objective
+	pace             tally.Gauge   // that the engine stated last, in percent
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	return metrics{
 		scope: scope, waiting: scope.Gauge("waiting"), running: scope.Gauge("running"),
 		held: scope.Gauge("adapters_held"), loading: scope.Gauge("adapters_loading"),
-		pace: scope.Gauge("pace"),
+		pace: scope.Gauge("pace"), latePauses: scope.Counter("late_pauses"),
 	}
 }
 
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -72,14 +72,18 @@
 	// entryCount is how many entries are or were lately linked.
 	entryCount retry.EntryCount
 
-	leaving      bool // the engine process is about to leave
-	misses       int
-	startMS      int64                 // start of the engine process in Unix milliseconds
-	report       platform.EngineReport // the newest report
-	reportedAt   time.Time             // when the newest report was requested
-	reported     platform.TargetNotice // what the head of the newest report says that is valid
-	nextIdentify time.Time             // earliest time of the next health check
-	listener     net.Listener
+	leaving    bool // the engine process is about to leave
+	misses     int
+	startMS    int64                 // start of the engine process in Unix milliseconds
+	report     platform.EngineReport // the newest report
+	reportedAt time.Time             // when the newest report was requested
+	reported   platform.TargetNotice // what the head of the newest report says that is valid
+	// latePauseLogged is when a stream that had paused for too long was last logged, and
+	// latePausesSkipped the number of those since then.
+	latePauseLogged   time.Time
+	latePausesSkipped int
+	nextIdentify      time.Time // earliest time of the next health check
+	listener          net.Listener
 }
 
 // New returns the orderer of the engine on this VM.
--- a/pkg/orderer/pace.go
+++ b/pkg/orderer/pace.go
@@ -19,6 +19,10 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if r.PauseMS > 0 {
+		o.recordLatePauseLocked(id, r)
+		return nil
+	}
 	o.scheduler.RecordStream(id, time.Duration(r.GapObjectiveMS)*time.Millisecond, time.Duration(r.EventUS)*time.Microsecond)
 	o.recordPaceLocked(float64(r.Pace), paceOfResponse, time.Now())
 	o.replyLocked()
@@ -41,3 +45,26 @@
 	o.metrics.pace.Update(percent)
 	o.metrics.paceStated(source)
 }
+
+// recordLatePauseLocked counts a stream that has paused for too long, and logs what was
+// read on the engine while it ran. The caller holds mu.
+func (o *Orderer) recordLatePauseLocked(id grant.RequestID, r wire.PaceReport) {
+	o.metrics.latePauses.Inc(1)
+	now := time.Now()
+	if now.Sub(o.latePauseLogged) < latePauseRowInterval {
+		o.latePausesSkipped++
+		return
+	}
+	load, ok := o.scheduler.StreamLoad(id)
+	if !ok {
+		return
+	}
+	o.Info("msg", "stream paused for too long", "request", load.Attempt, "pause-ms", r.PauseMS, "objective-ms", r.GapObjectiveMS, "pace-at-head", r.Pace,
+		"peak-pace", int(math.Round(100*load.PeakPace)), "peak-running", load.PeakRunning, "peak-prefill", load.PeakPrefill, "largest-prompt", load.LargestPrompt,
+		"tokens-per-ms", load.TokensPerMS, "event-time", load.EventTime, "window", load.Window, "skipped", o.latePausesSkipped)
+	o.latePauseLogged, o.latePausesSkipped = now, 0
+}
+
+// latePauseRowInterval is the time between two rows about streams that have paused for too
+// long. One prompt delays all streams of the engine, often a dozen.
+const latePauseRowInterval = 500 * time.Millisecond
--- a/pkg/orderer/pace_test.go
+++ b/pkg/orderer/pace_test.go
@@ -1,12 +1,16 @@
 package orderer
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
@@ -72,3 +76,39 @@
 	require.NoError(t, err)
 	return reply
 }
+
+// Streams that have paused for too long are counted, and a row tells what was read on the
+// engine meanwhile: one for the many streams that one prompt has delayed.
+func TestLongPausesAreExplained(t *testing.T) {
+	testOrdererWith(t, func(t *testing.T, o *Orderer, e *fakeEngine) {
+		var rows bytes.Buffer
+		o.Log = common.NewLog(&rows, "info")
+		scope := tally.NewTestScope("", nil)
+		o.metrics = newMetrics(scope)
+		o.mu.Lock()
+		o.scheduler.Setup(wire.EngineSetup{Configuration: 1, Instance: "i-1", Slots: 8, KVTokens: 100_000, MB: 100, AdapterSlots: 2, Models: []wire.ModelSetup{{Name: "m", MB: 90, AdapterMB: 1}}})
+		o.recordPaceLocked(160, paceOfResponse, time.Now())
+		o.mu.Unlock()
+		first, replies := o.enqueue(wire.GrantRequest{Attempt: "r-1", Model: "m", PromptTokens: 100, OutputTokens: 10, MaxWaitMS: 5000, ObjectiveMS: 800})
+		require.Equal(t, wire.GrantIssued, (<-replies).Code)
+		o.mu.Lock()
+		o.scheduler.Started(first, 50*time.Millisecond, time.Now())
+		o.mu.Unlock()
+		_, replies = o.enqueue(wire.GrantRequest{Attempt: "r-2", Model: "m", PromptTokens: 1500, OutputTokens: 10, MaxWaitMS: 5000, ObjectiveMS: 800})
+		require.Equal(t, wire.GrantIssued, (<-replies).Code)
+		for range 3 {
+			o.mu.Lock()
+			o.recordLatePauseLocked(first, wire.PaceReport{Pace: 100, GapObjectiveMS: 300, PauseMS: 400})
+			o.mu.Unlock()
+		}
+		require.Equal(t, 1, strings.Count(rows.String(), "stream paused for too long"), rows.String())
+		require.Contains(t, rows.String(), "request=r-1 pause-ms=400 objective-ms=300 pace-at-head=100 peak-pace=160 peak-running=2")
+		require.Contains(t, rows.String(), "largest-prompt=1500")
+		require.Equal(t, int64(3), scope.Snapshot().Counters()["late_pauses+"].Value())
+		time.Sleep(latePauseRowInterval)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.recordLatePauseLocked(first, wire.PaceReport{Pace: 100, GapObjectiveMS: 300, PauseMS: 400})
+		require.Contains(t, rows.String(), "skipped=2")
+	})
+}
--- a/pkg/wire/load_schema.go
+++ b/pkg/wire/load_schema.go
@@ -5,7 +5,8 @@
 //msgp:tuple PaceReport
 
 // PaceReport passes on what the response to a granted request says about its engine's
-// load, on the stream of the grant and before the first event is reported.
+// load, on the stream of the grant and before the first event is reported. It is sent
+// again at the end of a stream that has paused for longer than its objective.
 type PaceReport struct {
 	// Pace is how long work takes on the engine's VM, in percent; 100 is usual.
 	Pace int
@@ -17,4 +18,7 @@
 	// EventUS is the time between two events of a stream at the usual pace and without
 	// prompts in between, in us, as the gateway has measured it; 0 if it has not.
 	EventUS int64
+	// PauseMS is the longest pause between two events of the stream that has ended, in ms;
+	// 0 before.
+	PauseMS int64
 }
--- a/pkg/wire/load_schema_gen.go
+++ b/pkg/wire/load_schema_gen.go
@@ -9,12 +9,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PaceReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendInt(o, z.Pace)
 	o = msgp.AppendInt(o, z.Running)
 	o = msgp.AppendInt64(o, z.GapObjectiveMS)
 	o = msgp.AppendInt64(o, z.EventUS)
+	o = msgp.AppendInt64(o, z.PauseMS)
 	return
 }
 
@@ -26,8 +27,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Pace, bts, err = msgp.ReadIntBytes(bts)
@@ -50,12 +51,17 @@
 		err = msgp.WrapError(err, "EventUS")
 		return
 	}
+	z.PauseMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PauseMS")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PaceReport) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
