--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -24,6 +24,7 @@
 	AdapterLoad  time.Duration
 	EventPause   time.Duration // before each event of a stream
 	Work         time.Duration // duration of a plain request
+	Pace         WorkerPace    // scales EventPause and Work
 	Seed         uint64
 	// Newest returns the newest announced version of an adapter.
 	Newest func(ident.Adapter) ident.Version
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -155,6 +155,7 @@
 		w.notify(event)
 	}()
 	out.Header().Set(platform.HeaderSignature, WorkerSignature(req.attempt))
+	w.stateLoad(out.Header())
 	if slices.Contains(req.parts, faults.DeadlyPart) && w.OnCrash != nil {
 		event.Kind = WorkerCrashed
 		w.notify(event)
@@ -266,7 +267,7 @@
 
 // sendResponse sends a plain response.
 func (w *Worker) sendResponse(out http.ResponseWriter, req workerRequest, faults WorkerFaults) {
-	time.Sleep(w.Work)
+	time.Sleep(w.scaled(w.Work))
 	body := WorkerBody(req.attempt)
 	if !w.drawFault(faults.TruncateShare) && !w.drawFault(faults.DuplicateShare) {
 		_, _ = io.WriteString(out, body) // fails if the caller disconnects
@@ -305,7 +306,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(w.EventPause):
+		case <-time.After(w.scaled(w.EventPause)):
 		}
 		text := WorkerEventText(req.attempt, n)
 		if cut && n > req.events/2 {
