No refusal of a long prompt for its forecast wait

Cause: a request whose time left was below the forecast wait of 300 ms was refused without a last question to the engine with the shortest wait, which would have run it.

Change: with the reason long-prompt the last question is always asked.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -104,7 +104,9 @@
 // busy, it waits for the one with the shortest forecast wait.
 func (x *exchange) acquireGrant(targets []fleet.Target) (*assignment, refusal) {
 	a, why, soonest := x.askHomes(targets)
-	if a != nil || soonest == nil || why.wait >= x.maxGrantWait() {
+	// A prompt that is too long for the engines' pace runs as the last resort, so that its
+	// forecast wait is no reason for a refusal.
+	if a != nil || soonest == nil || why.wait >= x.maxGrantWait() && why.cause != wire.ReasonLongPrompt {
 		return a, why
 	}
 	a, reply := x.requestGrant(*soonest, x.weights(), grantOptions{})
--- a/pkg/gateway/pace_test.go
+++ b/pkg/gateway/pace_test.go
@@ -77,6 +77,22 @@
 	})
 }
 
+// A caller with little time left sends a long prompt while all engines are slow: it is not
+// refused because of the pace, since an engine would run it.
+func TestLongPromptsAreNotRefusedForTheirForecastWait(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.script(respondPaced("3,0,48,400", 0, 3))
+		h.grant = func(_ string, r wire.GrantRequest) wire.GrantReply {
+			if r.HasAlternative {
+				return wire.GrantReply{Code: wire.GrantBusy, Reason: wire.ReasonLongPrompt, WaitMS: 300, LinkedEntries: 1}
+			}
+			return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+		}
+		res := h.send(strings.Replace(streamRequest("/stream/"), "X-Deadline-Ms: 1000", "X-Deadline-Ms: 500", 1))
+		require.Equal(t, 200, res.StatusCode)
+	})
+}
+
 // A prompt that is too long for the pace of its home is moved on, without spreading the
 // adapter over more homes and without asking more engines than usual. If all say so, the
 // home with the shortest wait runs it in the end.
