--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -16,11 +16,12 @@
 	timedOut       tally.Counter
 	abortedStreams tally.Counter
 	retries        tally.Counter
-	limitedSends   tally.Counter                   // to targets that state a rate limit
-	promptTokens   tally.Counter                   // of streams that engines have begun to answer
-	keptTokens     tally.Counter                   // of these, what the engines are taken to have kept
-	grantWait      tally.Histogram                 // of streams: from a request's arrival to its send
-	firstEvent     tally.Histogram                 // of streams: from a send to the first event
+	limitedSends   tally.Counter   // to targets that state a rate limit
+	promptTokens   tally.Counter   // of streams that engines have begun to answer
+	keptTokens     tally.Counter   // of these, what the engines are taken to have kept
+	grantWait      tally.Histogram // of streams: from a request's arrival to its send
+	firstEvent     tally.Histogram // of streams: from a send to the first event
+	streams        streamMetrics
 	abandonedRuns  [len(runEndNames)]tally.Counter // abandoned sends before another one, by what showed their end
 	abandonedWait  tally.Histogram                 // of these: until the end showed
 	listAge        tally.Histogram                 // of sends: time for which the list of targets was not confirmed
@@ -47,9 +48,10 @@
 		promptTokens: scope.Counter("prompt_tokens"), keptTokens: scope.Counter("prompt_tokens_kept"),
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
 		abandonedWait:   scope.Histogram("abandoned_run_wait", latencyBuckets),
+		streams:         newStreamMetrics(scope),
+		unreadableLoads: scope.Counter("unreadable_loads"),
 		listAge:         scope.Histogram("target_list_age", latencyBuckets),
 		trust:           scope.Gauge("configuration_trusted"),
-		unreadableLoads: scope.Counter("unreadable_loads"),
 		heldWrites:      scope.Counter("held_writes"), unreadCuts: scope.Counter("streams_cut_unread"), unread: scope.Counter("responses_unread"),
 	}
 	for i, name := range outcomeNames {
--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -45,7 +45,7 @@
 
 // Decide returns replies to the waiting requests that can be answered now.
 func (s *Scheduler) Decide(now time.Time) []Reply {
-	s.factor = s.newest(now)
+	s.factor, s.gap = s.newest(now), s.tightestGap()
 	s.sort(now)
 	var replies []Reply
 	var kept []*Request
@@ -79,7 +79,8 @@
 // objective come first, then by priority, then by the number of requests that wait
 // for the same weights, then by age. A load that finishes too late for the
 // objective would only delay the next one too. Requests of several client accounts are
-// then ordered by the accounts' shares.
+// then ordered by the accounts' shares. A long prompt that has waited for a pace that lets
+// it in is not put behind others any more.
 func (s *Scheduler) sort(now time.Time) {
 	late := make(map[RequestID]bool, len(s.waiting))
 	waiters := make(map[ident.Weights]int)
@@ -88,7 +89,7 @@
 		if _, ready := s.ready(req, now); !ready {
 			needs += s.loadWait(req.weights(), 0, now)
 		}
-		late[req.ID] = req.objectiveLeft(now) < needs
+		late[req.ID] = req.objectiveLeft(now) < needs && !s.overdue(req, now)
 		if !late[req.ID] {
 			waiters[req.weights()]++
 		}
@@ -222,7 +223,10 @@
 	if s.tooLong(req, now) {
 		return false
 	}
-	return s.pendingPrefill == 0 || s.prefillTime(s.pendingPrefill+req.PromptTokens) <= s.window && s.pendingPrefill+req.PromptTokens <= s.prefillBudget(now)
+	if s.pendingPrefill > 0 && s.prefillTime(s.pendingPrefill+req.PromptTokens) > s.window {
+		return false
+	}
+	return s.pendingPrefill+s.readLately(now)+req.PromptTokens <= s.prefillBudget(now) || s.pendingPrefill == 0 && s.overdue(req, now)
 }
 
 // saturated reports whether the engine lacks a slot or KV cache for the request.
@@ -240,6 +244,7 @@
 	if a := s.held[req.weights().Unversioned()]; a != nil {
 		a.uses++
 	}
+	s.recordLoad(req, now)
 }
 
 // queueWait estimates how long the engine's current and queued work delays the
--- a/pkg/grant/memory.go
+++ b/pkg/grant/memory.go
@@ -154,7 +154,7 @@
 		switch {
 		case r.lostAt.IsZero() || reported.Sub(r.lostAt) < LostGrace:
 		case runs, !known && now.Sub(r.lostAt) < maxUnknownTime:
-			s.markStarted(r) // its prompt has been read, or is no longer waited for
+			s.markStarted(r, now) // its prompt has been read, or is no longer waited for
 		default:
 			s.end(id, r, now)
 		}
--- a/pkg/grant/memory_test.go
+++ b/pkg/grant/memory_test.go
@@ -174,7 +174,7 @@
 			e := m.entries[i%len(m.entries)]
 			if id := m.ask(e, 2000, 500); !e.granted[id].IsZero() {
 				m.send(e, id)
-				m.sched.Started(id, 100*time.Millisecond)
+				m.sched.Started(id, 100*time.Millisecond, m.now)
 			}
 		}
 		entry := func(t *rapid.T) *modelEntry { return m.entries[rapid.IntRange(0, len(m.entries)-1).Draw(t, "entry")] }
@@ -189,7 +189,7 @@
 				if e := entry(t); !e.paused {
 					for id := range e.granted {
 						m.send(e, id)
-						m.sched.Started(id, 100*time.Millisecond)
+						m.sched.Started(id, 100*time.Millisecond, m.now)
 					}
 				}
 			},
@@ -356,7 +356,7 @@
 				return
 			}
 			m.send(e, id)
-			m.sched.Started(id, 100*time.Millisecond)
+			m.sched.Started(id, 100*time.Millisecond, m.now)
 		}
 		for id := range e.sent {
 			delete(e.sent, id)
--- a/pkg/grant/preview_test.go
+++ b/pkg/grant/preview_test.go
@@ -66,7 +66,7 @@
 			requirePreview(t, sched, req, now)
 			switch rapid.IntRange(0, 3).Draw(t, "then") {
 			case 0:
-				sched.Started(id, 50*time.Millisecond)
+				sched.Started(id, 50*time.Millisecond, start)
 			case 1:
 				sched.Withdraw(RequestID(rapid.IntRange(1, i+1).Draw(t, "end")), now)
 			}
--- a/pkg/grant/scheduler.go
+++ b/pkg/grant/scheduler.go
@@ -65,6 +65,7 @@
 	gapObjective time.Duration
 	needs        int       // tokens of KV cache
 	lostAt       time.Time // when its link was lost; zero if it was not
+	load         StreamLoad
 }
 
 // heldAdapter is an adapter that the engine holds.
@@ -113,6 +114,9 @@
 	pacing
 	pace
 	prefill prefillModel
+	gap     time.Duration // tightest pause objective of the running streams; 0 if none
+	// lately are the prompts that were read within the time of an event.
+	lately []readPrompt
 	// eventTime is the time between two events at the usual pace without prompts in
 	// between, as gateways measure it; 0 if unknown.
 	eventTime time.Duration
@@ -234,7 +238,7 @@
 
 // end removes a running request.
 func (s *Scheduler) end(id RequestID, r *runningRequest, now time.Time) {
-	s.markStarted(r)
+	s.markStarted(r, now)
 	s.lastEnd = now
 	s.kvTokens -= r.needs
 	s.shares.end(r.Request)
@@ -247,20 +251,21 @@
 
 // Started records that a granted request returned its first event, with the given
 // delay after it was sent.
-func (s *Scheduler) Started(id RequestID, delay time.Duration) {
+func (s *Scheduler) Started(id RequestID, delay time.Duration, now time.Time) {
 	if r := s.running[id]; r != nil && !r.started {
 		s.recordPrefill(r.backlog, delay)
 		if s.stated {
 			s.prefill.record(r.backlog, time.Duration(float64(delay)/s.factor))
 		}
-		s.markStarted(r)
+		s.markStarted(r, now)
 	}
 }
 
-func (s *Scheduler) markStarted(r *runningRequest) {
+func (s *Scheduler) markStarted(r *runningRequest, now time.Time) {
 	if !r.started {
 		r.started = true
 		s.pendingPrefill -= r.PromptTokens
+		s.holdRead(r.PromptTokens, now)
 	}
 }
 
--- a/pkg/grant/shares_test.go
+++ b/pkg/grant/shares_test.go
@@ -71,7 +71,7 @@
 			if reply.Code != wire.GrantIssued {
 				continue
 			}
-			sched.Started(reply.ID, 20*time.Millisecond)
+			sched.Started(reply.ID, 20*time.Millisecond, now)
 			ends[reply.ID] = now.Add(runTime)
 			v := byAccount[r.Account]
 			v.served, v.tokens = v.served+1, v.tokens+r.kvTokens()
--- a/pkg/orderer/observe.go
+++ b/pkg/orderer/observe.go
@@ -43,7 +43,7 @@
 	o.observeMemoryLocked(requestedAt)
 	o.observeNoticeLocked(report.Notice)
 	if report.Load.Known.Has(platform.LoadPace) {
-		o.recordPaceLocked(report.Load.Pace, requestedAt)
+		o.recordPaceLocked(report.Load.Pace, paceOfReport, requestedAt)
 	}
 	if o.scheduler.Pinned() {
 		o.checkRuns()
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -31,6 +31,7 @@
 	UnreadTime time.Duration
 	Work       time.Duration // duration of a plain request
 	Seed       uint64
+	Pace       WorkerPace // scales EventPause and Work
 	// Newest returns the newest announced version of an adapter.
 	Newest  func(ident.Adapter) ident.Version
 	OnCrash func() // ends the worker
