Engines of one moment are all remembered as holders of a beginning

In the first 10 ms after the start an empty place was not older than a used one, so that engines replaced each other. Seen by the test of gateways that know the same, which now has cases in which knowledge counts and does not.

--- a/pkg/affinity/table.go
+++ b/pkg/affinity/table.go
@@ -66,7 +66,8 @@
 	return t
 }
 
-func (t *Table) ticks(now time.Time) uint32 { return uint32(now.Sub(t.epoch) / tick) }
+// ticks returns the time since the epoch, at least 1, so that an empty holder is the oldest.
+func (t *Table) ticks(now time.Time) uint32 { return 1 + uint32(now.Sub(t.epoch)/tick) }
 
 func (t *Table) shard(hash uint64) *shard { return &t.shards[hash%shardCount] }
 
--- a/pkg/affinity/table_test.go
+++ b/pkg/affinity/table_test.go
@@ -136,13 +136,25 @@
 	require.Equal(t, []int{100, 100, 100}, kept(spread, "new", now))
 }
 
+// TestAllEnginesOfOneMomentAreRemembered guards against engines that replace each other in a
+// record that has room for them, such as right after the start.
+func TestAllEnginesOfOneMomentAreRemembered(t *testing.T) {
+	known := New(start)
+	for i := range maxHolders {
+		known.Record(prompt("session", "a"), engineAt(i), 150, start)
+	}
+	require.Len(t, known.Holders(prompt("session", "a"), start), maxHolders)
+	require.Len(t, known.Holders(prompt("other", "a"), start), maxHolders)
+	require.Empty(t, known.Holders(prompt("session", "b"), start))
+}
+
 // TestSessionsAreKnownBesideAHotBeginning guards against sessions that are not drawn home
 // because more engines keep their shared beginning than are remembered for it.
 func TestSessionsAreKnownBesideAHotBeginning(t *testing.T) {
 	known := New(start)
 	known.Record(prompt("session", "hot"), engineAt(1), 150, start)
 	for i := range 2 * maxHolders {
-		known.Record(prompt(fmt.Sprint(i), "hot"), engineAt(2+i), 150, start.Add(time.Second))
+		known.Record(prompt(fmt.Sprint(i), "hot"), engineAt(2+i), 150, start.Add(time.Second+time.Duration(i)*tick))
 	}
 	require.Equal(t, 150, keptTokens(known, prompt("session", "hot"), engineAt(1), start.Add(2*time.Second)))
 	require.Zero(t, keptTokens(known, prompt("session", "hot"), engineAt(2), start.Add(2*time.Second)))
--- a/pkg/gateway/placing_test.go
+++ b/pkg/gateway/placing_test.go
@@ -211,26 +211,25 @@
 	const gateways, engines = 30, 12
 	for _, test := range []struct {
 		name    string
-		adapter ident.Adapter
-		prompt  string
 		keepers int // engines that keep the shared part
+		reads   int // of it, just before, at each gateway
+		spread  int // engines that get the requests
 		most    int // requests at one engine
 	}{
-		{"nothing is kept", "", "part:400,%s:100", 0, 8},
-		{"all keep the shared part", "", "part:400,%s:100", 4, 16},
-		{"one keeps what all need", "", "part:400,%s:100", 1, 8},
+		{"nothing is kept", 0, 0, engines, 8},
+		{"as many keep the shared part as its rate needs", 4, 8, 4, 14},
+		{"one keeps what its rate needs many for", 1, 40, engines, 8},
 	} {
 		firsts := make(map[ident.Target]int)
 		for i := range gateways {
 			g := placingGateway(engines)
-			for j := range 40 {
-				if test.keepers > 0 { // 4 requests a second at each gateway
-					placedRequest(g, "", test.adapter, fmt.Sprintf(test.prompt, fmt.Sprint("s", j))).read(placedEngine(j % test.keepers))
-				}
+			for j := range test.reads {
+				placedRequest(g, "", "", fmt.Sprintf("part:400,s%d:100", j)).read(placedEngine(j % test.keepers))
 			}
-			x := placedRequest(g, fmt.Sprint("attempt-", i), test.adapter, fmt.Sprintf(test.prompt, fmt.Sprint("new-", i)))
+			x := placedRequest(g, fmt.Sprint("attempt-", i), "", fmt.Sprintf("part:400,new-%d:100", i))
 			firsts[x.order()[0]]++
 		}
+		require.Len(t, firsts, test.spread, test.name)
 		for name, n := range firsts {
 			require.LessOrEqual(t, n, test.most, "%s: %s of %v", test.name, name, firsts)
 		}
