Tests of explanations and the model are free of data races

go test -race found unlocked reads by the dump of the state, and a random source and counters that background requests share. The dump now holds the locks that guard what it reads; it still shows a preview without a copy.

--- a/pkg/gateway/explain_state_test.go
+++ b/pkg/gateway/explain_state_test.go
@@ -5,13 +5,16 @@
 	"reflect"
 	"sort"
 	"strings"
+	"sync"
+	"unsafe"
 
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 )
 
 // stateOf returns all that is reachable from a value as text, but for connections, whose
-// counters of frames and bytes a question advances, and for functions and channels.
+// counters of frames and bytes a question advances, and for functions and channels. It holds
+// the locks that guard what it reads.
 func stateOf(values ...any) string {
 	d := &stateDump{seen: make(map[uintptr]bool)}
 	for _, v := range values {
@@ -45,7 +48,19 @@
 	case reflect.Interface:
 		d.write(v.Elem())
 	case reflect.Struct:
+		if v.Type().PkgPath() == "sync/atomic" {
+			d.writeAtomic(v)
+			return
+		}
 		for i := range v.NumField() {
+			if unlock, locked := lockField(v.Field(i)); locked {
+				defer unlock()
+			}
+		}
+		for i := range v.NumField() {
+			if v.Type().Field(i).Type.PkgPath() == "sync" {
+				continue
+			}
 			fmt.Fprintf(d, "%s:", v.Type().Field(i).Name)
 			d.write(v.Field(i))
 			d.WriteByte(' ')
@@ -62,6 +77,34 @@
 	}
 }
 
+// lockField locks a field that is a lock.
+func lockField(v reflect.Value) (unlock func(), locked bool) {
+	if !v.CanAddr() {
+		return nil, false
+	}
+	at := unsafe.Pointer(v.UnsafeAddr())
+	switch v.Type() {
+	case reflect.TypeFor[sync.Mutex]():
+		m := (*sync.Mutex)(at)
+		return m.Unlock, m.TryLock()
+	case reflect.TypeFor[sync.RWMutex]():
+		m := (*sync.RWMutex)(at)
+		return m.Unlock, m.TryLock()
+	}
+	return nil, false
+}
+
+// writeAtomic writes a value of package atomic.
+func (d *stateDump) writeAtomic(v reflect.Value) {
+	if !v.CanAddr() {
+		return
+	}
+	load := reflect.NewAt(v.Type(), unsafe.Pointer(v.UnsafeAddr())).MethodByName("Load")
+	if load.IsValid() {
+		d.write(load.Call(nil)[0])
+	}
+}
+
 // writeMap writes a map in the order of its keys, and of their addresses if they are
 // connections.
 func (d *stateDump) writeMap(v reflect.Value) {
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -91,13 +92,14 @@
 				}
 				h.disturb()
 				sent, other := 0, 0
+				random := rand.New(rand.NewPCG(7, 8))
 				for n := range 150 {
 					h.load("/stream/", 60, 500*time.Millisecond)
 					h.load("/safe/", 40, 500*time.Millisecond)
-					time.Sleep(time.Duration(100+h.random.IntN(300)) * time.Millisecond)
+					time.Sleep(time.Duration(100+random.IntN(300)) * time.Millisecond)
 					synctest.Wait()
 					g := h.gateways[n%len(h.gateways)]
-					q := explainedQuery(n, h.random.IntN(4), []string{"/stream/", "/safe/"}[n%2])
+					q := explainedQuery(n, random.IntN(4), []string{"/stream/", "/safe/"}[n%2])
 					answer, err := g.Explain(t.Context(), q)
 					require.NoError(t, err)
 					res := h.serveQuery(g, q)
@@ -155,6 +157,7 @@
 		after := state()
 		require.True(t, before == after, "the state has changed: %s", firstDifference(before, after))
 		h.request(0, "/stream/", 1)
+		synctest.Wait()
 		require.False(t, before == state(), "the dump shows a request")
 	})
 }
--- a/pkg/gateway/placing_model_test.go
+++ b/pkg/gateway/placing_model_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -187,6 +188,7 @@
 
 // model is a run of the model.
 type model struct {
+	mu       sync.Mutex // guards the engines
 	random   *rand.Rand
 	gateways []*Gateway
 	engines  map[ident.Target]*modelEngine
@@ -283,6 +285,8 @@
 	if p.order != nil {
 		homes = p.order(x, r, homes)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for i, t := range homes[:maxCrowdedAgents] {
 		e := m.engines[t.Instance]
 		wait := e.busyUntil.Sub(now)
@@ -336,7 +340,12 @@
 			g.placing.known.Record(affinity.NewPrompt(x.weights(), x.q.prompt), target, read+modelOutputTokens, time.Now())
 		}
 	})
-	time.AfterFunc(first+modelRun, func() { g.loads.end(target.Instance); e.running -= modelOutputTokens })
+	time.AfterFunc(first+modelRun, func() {
+		g.loads.end(target.Instance)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		e.running -= modelOutputTokens
+	})
 }
 
 // TestPlacementInAModelOfTheFleet guards against an order by cost that loads more adapters, or
