Soak: accounts with a quota have clients of their own

Cause: the list of accounts and keys of other checks is changed at the same time; a list of its own keeps the two apart.

Measured: go test ./pkg/soak ./pkg/standin passes.

--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -50,12 +50,11 @@
 	http       *http.Client
 	dialNumber atomic.Int64 // passed to the balancer; another number reaches another gateway
 	sent       int
-	account    standin.OperatorAccount
-	pause      time.Duration // mean pause between two requests
+	quota      *quotaAccount // whose requests it sends; nil for none with a quota
 }
 
 func newClient(d *deployment, number int) *client {
-	c := &client{d: d, number: number, random: rand.New(rand.NewPCG(d.Seed, uint64(number)+10)), account: accountOf(number), pause: thinkTime}
+	c := &client{d: d, number: number, random: rand.New(rand.NewPCG(d.Seed, uint64(number)+10))}
 	c.http = &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -74,7 +73,7 @@
 			c.http.CloseIdleConnections()
 			time.Sleep(retryAfter)
 		}
-		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(c.pause)))
+		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(thinkTime)))
 	}
 	c.http.CloseIdleConnections()
 }
@@ -159,16 +158,13 @@
 	}
 	req.Header.Set(platform.HeaderAttempt, string(r.Attempt))
 	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(r.timeout.Milliseconds(), 10))
-	tokens := 0
 	if r.stream {
-		tokens = promptTokens + r.statedTokens
 		req.Header.Set(platform.HeaderModel, string(model)+"/"+string(r.Adapter))
 		req.Header.Set(platform.HeaderTokenCount, strconv.Itoa(promptTokens)+","+strconv.Itoa(r.statedTokens))
 		req.Header.Set(standin.HeaderEvents, strconv.Itoa(streamLength))
 		req.Header.Set(platform.HeaderPromptParts, promptParts(c.number, r))
 	}
-	req.Header.Set(standin.HeaderKey, c.account.Key)
-	r.Account, r.Cost = c.account.Name, c.account.Cost(tokens)
+	c.sign(req, r)
 	r.At = time.Now()
 	c.d.oracle.RecordRequest(r.Request)
 	answer, retryAfter := c.roundTrip(req, r)
--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -206,6 +206,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if file, err = standin.WithQuotaBounds(file); err != nil {
+		return nil, errors.Trace(err)
+	}
 	p := &process{name: name, links: []*standin.Proxy{link}}
 	d.processes = append(d.processes, p)
 	return p, errors.Trace(os.WriteFile(filepath.Join(d.Dir, name+".json"), file, 0o644))
@@ -246,7 +249,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if d.configuration, err = standin.WithAccounts(d.configuration, soakAccounts); err != nil {
+	if d.configuration, err = standin.WithQuotas(d.configuration, quotaAccountList()); err != nil {
 		return errors.Trace(err)
 	}
 	return errors.Trace(d.store.Publish(platform.KindConfiguration, platform.ConfigurationName, d.configuration))
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -34,8 +34,6 @@
 	GuaranteeLimit          Guarantee = "stated-limit"         // a target gets no more requests than the rate limit that it states allows
 	GuaranteeOneEngine      Guarantee = "one-engine-at-a-time" // a stream goes on at another engine only once the one before has ended it
 	GuaranteeMemory         Guarantee = "memory-limit"         // no process takes more memory than its VM has
-	GuaranteeQuota          Guarantee = "quota"                // no account runs more than its quota, over all gateways
-	GuaranteeWithinQuota    Guarantee = "within-quota"         // no account is refused within its quota
 	GuaranteeRoutes         Guarantee = "configuration"        // all gateways serve a new route and keep serving it
 )
 
@@ -73,9 +71,6 @@
 	Idempotent bool             // it may run more than once or be resumed
 	DeadlyPart ident.PromptPart // part of its prompt that ends engines, if any
 	At         time.Time
-	// Account is the caller's account, and Cost what the request costs of its quota.
-	Account ident.Account
-	Cost    float64
 }
 
 // Answer is the response that the caller received.
@@ -111,6 +106,7 @@
 	crashes    map[ident.PromptPart][]time.Time // ends of targets under each part, in order
 	limited    map[statedLimit][]time.Time      // requests that reached targets with a limit, in order
 	draining   map[ident.Target]time.Time
+	quotas     quotaLedger
 	faults     []*faultInterval
 	violations []Violation
 }
@@ -234,12 +230,10 @@
 	for part, crashes := range o.crashes {
 		out = append(out, checkCrashes(part, crashes)...)
 	}
+	out = append(out, o.checkQuotas()...)
 	for l, arrivals := range o.limited {
 		out = append(out, checkLimit(l, arrivals)...)
 	}
-	for _, a := range soakAccounts {
-		out = append(out, o.checkQuota(a)...)
-	}
 	for attempt, a := range o.answers {
 		out = append(out, o.checkAnswer(o.requests[attempt], a, planned)...)
 	}
@@ -374,14 +368,17 @@
 }
 
 // Served returns how many requests were sent between two times, and how many of
-// them got the expected response. Requests whose caller disconnected and those of the
-// account that sends too much don't count.
+// them got the expected response. Requests whose caller disconnected and those of
+// accounts that send too much don't count.
 func (o *Oracle) Served(from, to time.Time) (sent, served int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for attempt, r := range o.requests {
 		a, answered := o.answers[attempt]
-		if r.At.Before(from) || !r.At.Before(to) || answered && a.Disconnected || r.Account == floodAccount.Name {
+		if r.At.Before(from) || !r.At.Before(to) || answered && a.Disconnected {
+			continue
+		}
+		if o.floods(attempt) {
 			continue
 		}
 		sent++
--- a/pkg/soak/run.go
+++ b/pkg/soak/run.go
@@ -103,14 +103,11 @@
 func (d *deployment) startLoad(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
+	d.startQuotaLoad(ctx, &group)
 	for i := range d.Clients {
 		c := newClient(d, i)
 		group.Go(func() { c.run(ctx) })
 	}
-	for i := range flooders {
-		c := newFlooder(d, i)
-		group.Go(func() { c.flood(ctx) })
-	}
 	return func() {
 		cancel()
 		group.Wait()
@@ -199,7 +196,6 @@
 	req.Host = standin.OperatorHost
 	req.Header.Set(platform.HeaderAttempt, string(r.Attempt))
 	req.Header.Set(platform.HeaderDeadline, "2000")
-	req.Header.Set(standin.HeaderKey, soakAccounts[0].Key)
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return errors.Trace(err)
--- a/pkg/standin/operator.go
+++ b/pkg/standin/operator.go
@@ -29,8 +29,7 @@
 	return json.MarshalIndent(map[string]any{
 		"node-name": s.VM, "ip": s.IP, "zone": "local", "listen": listen, "app": s.Engine,
 		"inner-ports": []int{s.PeerPort, s.PeerPort + 10}, "limits": map[string]any{"memory-mb": s.MemoryMB},
-		"bounds": map[string]any{"grace-s": s.StopGrace.Seconds(), "retry-budget-ratio": 0.2, "retry-budget-slack": 50, "budget-window-s": 10,
-			"quota-window-s": QuotaWindow.Seconds(), "quota-excess": QuotaExcess, "quota-slack": QuotaSlack},
+		"bounds":   map[string]any{"grace-s": s.StopGrace.Seconds(), "retry-budget-ratio": 0.2, "retry-budget-slack": 50, "budget-window-s": 10},
 		"platform": map[string]any{"address": s.Store, "form": "objects"},
 	}, "", "  ")
 }
--- a/pkg/standin/account.go
+++ b/pkg/standin/quota.go
@@ -18,21 +18,18 @@
 	QuotaSlack  = 10.0
 )
 
-// HeaderKey is the header in which callers send the key of their account.
-const HeaderKey = "Api-Key"
-
-// OperatorAccount is a client account of a configuration.
-type OperatorAccount struct {
+// QuotaAccount is a client account with a quota.
+type QuotaAccount struct {
 	Name        ident.Account
 	Key         string
 	Tokens      bool // its quota counts tokens
 	PlainTokens float64
-	// PerSecond and Burst are its quota; 0 is no limit.
+	// PerSecond and Burst are its quota.
 	PerSecond, Burst float64
 }
 
 // Cost returns what a request of the account costs that states a number of tokens, or 0.
-func (a OperatorAccount) Cost(tokens int) float64 {
+func (a QuotaAccount) Cost(tokens int) float64 {
 	switch {
 	case !a.Tokens:
 		return 1
@@ -42,13 +39,13 @@
 	return float64(tokens)
 }
 
-// WithAccounts returns a configuration with the accounts added.
-func WithAccounts(configuration json.RawMessage, accounts []OperatorAccount) (json.RawMessage, error) {
+// WithQuotas returns a configuration with the accounts added to those that it has.
+func WithQuotas(configuration json.RawMessage, accounts []QuotaAccount) (json.RawMessage, error) {
 	var fields map[string]any
 	if err := json.Unmarshal(configuration, &fields); err != nil {
 		return nil, errors.Trace(err)
 	}
-	var list []any
+	list, _ := fields["tenants"].([]any)
 	for _, a := range accounts {
 		unit := "requests"
 		if a.Tokens {
@@ -62,3 +59,19 @@
 	out, err := json.Marshal(fields)
 	return out, errors.Trace(err)
 }
+
+// WithQuotaBounds returns a settings file that states the window rule of quotas.
+func WithQuotaBounds(settings []byte) ([]byte, error) {
+	var fields map[string]any
+	if err := json.Unmarshal(settings, &fields); err != nil {
+		return nil, errors.Trace(err)
+	}
+	bounds, _ := fields["bounds"].(map[string]any)
+	if bounds == nil {
+		bounds = make(map[string]any)
+	}
+	bounds["quota-window-s"], bounds["quota-excess"], bounds["quota-slack"] = QuotaWindow.Seconds(), QuotaExcess, QuotaSlack
+	fields["bounds"] = bounds
+	out, err := json.MarshalIndent(fields, "", "  ")
+	return out, errors.Trace(err)
+}
