--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -164,7 +164,7 @@
 		req.Header.Set(standin.HeaderEvents, strconv.Itoa(streamLength))
 		req.Header.Set(platform.HeaderPromptParts, promptParts(c.number, r))
 	}
-	c.sign(req, r)
+	c.sign(req, &r)
 	r.At = time.Now()
 	c.d.oracle.RecordRequest(r.Request)
 	answer, retryAfter := c.roundTrip(req, r)
--- a/pkg/soak/quota.go
+++ b/pkg/soak/quota.go
@@ -70,7 +70,8 @@
 		r.disconnects = false
 		if c.quota.floods {
 			// Requests that run longer would bound the flood.
-			r = clientRequest{Request: Request{Attempt: r.Attempt, Service: deskService, Idempotent: true}, method: http.MethodGet, path: lookPrefix, timeout: plainTimeout}
+			r.Service, r.Adapter, r.Idempotent, r.DeadlyPart = deskService, "", true, ""
+			r.method, r.path, r.stream, r.timeout = http.MethodGet, lookPrefix, false, plainTimeout
 		}
 		c.dialNumber.Add(int64(c.sent % 2)) // the account's traffic changes gateways
 		c.send(r)
@@ -80,7 +81,7 @@
 }
 
 // sign adds the key of the client's account, if that has a quota, and records the cost.
-func (c *client) sign(req *http.Request, r clientRequest) {
+func (c *client) sign(req *http.Request, r *clientRequest) {
 	if c.quota == nil {
 		return
 	}
