--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -49,13 +49,12 @@
 	http       *http.Client
 	dialNumber atomic.Int64 // passed to the balancer; another number reaches another gateway
 	sent       int
-	account    standin.OperatorAccount
-	pause      time.Duration // mean pause between two requests
+	quota      *quotaAccount // whose requests it sends; nil for none with a quota
 	slow       bool          // it reads responses slowly
 }
 
 func newClient(d *deployment, number int, slow bool) *client {
-	c := &client{d: d, number: number, slow: slow, random: rand.New(rand.NewPCG(d.Seed, uint64(number)+10)), account: accountOf(number), pause: thinkTime}
+	c := &client{d: d, number: number, slow: slow, random: rand.New(rand.NewPCG(d.Seed, uint64(number)+10))}
 	c.http = &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -78,7 +77,7 @@
 			c.http.CloseIdleConnections()
 			time.Sleep(retryAfter)
 		}
-		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(c.pause)))
+		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(thinkTime)))
 	}
 	c.http.CloseIdleConnections()
 }
@@ -184,17 +183,14 @@
 	}
 	req.Header.Set(platform.HeaderAttempt, string(r.Attempt))
 	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(r.timeout.Milliseconds(), 10))
-	tokens := 0
 	if r.stream {
-		tokens = r.promptTokens + r.statedTokens
 		req.Header.Set(platform.HeaderModel, string(model)+"/"+string(r.Adapter))
 		req.Header.Set(platform.HeaderTokenCount, strconv.Itoa(r.promptTokens)+","+strconv.Itoa(r.statedTokens))
 		req.Header.Set(standin.HeaderEventBytes, strconv.Itoa(r.eventBytes))
 		req.Header.Set(standin.HeaderEvents, strconv.Itoa(streamLength))
 		req.Header.Set(platform.HeaderPromptParts, promptParts(c.number, r))
 	}
-	req.Header.Set(standin.HeaderKey, c.account.Key)
-	r.Account, r.Cost = c.account.Name, c.account.Cost(tokens)
+	c.sign(req, &r)
 	r.At = time.Now()
 	c.d.oracle.RecordRequest(r.Request)
 	answer, retryAfter := c.roundTrip(req, r)
