--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -32,6 +32,8 @@
 	out []byte
 	// held holds what the caller has not read of a stream; nil until there is one.
 	held *heldOutput
+	// unreadLogged reports whether it was logged that the caller does not read the response.
+	unreadLogged bool
 	// streaming is the context of the stream that is being written, or nil.
 	streaming context.Context
 	// served reports whether the connection has carried a request.
@@ -73,7 +75,7 @@
 	}
 	c.g.conns.set(c, connServing)
 	_ = c.nc.SetReadDeadline(time.Time{})
-	c.responseStarted, c.closeAfterResponse, c.http11 = false, !q.keepAlive || c.g.stop.begun(), q.head.IsHTTP11()
+	c.responseStarted, c.closeAfterResponse, c.http11, c.unreadLogged = false, !q.keepAlive || c.g.stop.begun(), q.head.IsHTTP11(), false
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	q.ctx = ctx
@@ -98,7 +100,7 @@
 	c.streaming = nil
 	err := c.held.await(q.ctx)
 	if err != nil && q.ctx.Err() == nil {
-		c.g.logUnread(q, err)
+		c.logUnread(q, err)
 	}
 	return err == nil
 }
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -67,7 +67,7 @@
 	if err := x.c.writeResponse(res, body, x.q.method); err != nil {
 		x.c.closeAfterResponse = true
 		if !x.callerDisconnected() && isTimeout(err) {
-			x.g.logUnread(x.q, err)
+			x.c.logUnread(x.q, err)
 		}
 	}
 	return outcomeDelivered
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -105,7 +105,7 @@
 				x.abandon(a, res.Conn())
 				x.c.closeAfterResponse = true
 				if !x.callerDisconnected() && isTimeout(err) {
-					x.g.logUnread(x.q, err)
+					x.c.logUnread(x.q, err)
 				}
 				return outcomeDelivered
 			}
--- a/pkg/gateway/unread.go
+++ b/pkg/gateway/unread.go
@@ -51,8 +51,12 @@
 		"unread", x.unread.total, "idempotent", x.retryable())
 }
 
-// logUnread logs that a caller did not read its response in time.
-func (g *Gateway) logUnread(q *request, err error) {
-	g.metrics.unread.Inc(1)
-	g.Info("msg", "caller does not read its response", "request", q.attempt, "step", "write", "err", err)
+// logUnread logs that the caller did not read its response in time.
+func (c *callerConn) logUnread(q *request, err error) {
+	if c.unreadLogged {
+		return
+	}
+	c.unreadLogged = true
+	c.g.metrics.unread.Inc(1)
+	c.g.Info("msg", "caller does not read its response", "request", q.attempt, "step", "write", "err", err)
 }
--- a/pkg/standin/proxy.go
+++ b/pkg/standin/proxy.go
@@ -99,6 +99,8 @@
 		_ = client.Close()
 		return
 	}
+	limitBuffers(client)
+	limitBuffers(upstream)
 	p.track(client, true)
 	p.track(upstream, true)
 	done := make(chan struct{}, 2)
@@ -129,6 +131,17 @@
 	delete(p.conns, c)
 }
 
+// proxySocketBytes is what the kernel holds for each direction of a proxy's connections. A
+// network holds little; by default it is several MB, which hides a peer that does not read.
+const proxySocketBytes = 64 << 10
+
+func limitBuffers(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(proxySocketBytes) // without it the proxy only holds more
+		_ = tcp.SetWriteBuffer(proxySocketBytes)
+	}
+}
+
 // closeWrite ends one direction of a connection.
 func closeWrite(c net.Conn) error {
 	tcp, ok := c.(*net.TCPConn)
