Soak: client accounts whose keys are added and removed during the run

Callers sign with the keys of four accounts, and also send unknown, missing and removed keys and accounts of their own. The oracle checks that no key reaches a target, that a target is told the account that holds the key, that unknown keys don't run, that a key removed more than revoke-ms before does not run, and that held keys aren't refused. Two more kinds of fault cut a process off from the store for longer than revoke-ms.

--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -24,6 +24,7 @@
 	notePrefix  = "/note/"  // a stream that runs once
 	bookPrefix  = "/book/"  // runs at most once
 	lookPrefix  = "/look/"  // idempotent
+	openPrefix  = "/open/"  // idempotent and public
 )
 
 const (
@@ -84,13 +85,14 @@
 	statedTokens int // of output; some callers state none or too few
 	timeout      time.Duration
 	disconnects  bool
+	namedAccount string // that the caller names without being asked
 }
 
 func (c *client) nextRequest() clientRequest {
 	c.sent++
 	r := clientRequest{method: http.MethodPost, timeout: plainTimeout, disconnects: c.random.Float64() < disconnectShare}
 	r.Attempt = ident.Attempt(fmt.Sprintf("%d-%d-%d", c.d.Seed, c.number, c.sent))
-	r.Service = deskService
+	r.Service, r.NeedsKey = deskService, true
 	switch p := c.random.Float64(); {
 	case p < 0.35:
 		r.path, r.Idempotent = draftPrefix, true
@@ -98,9 +100,12 @@
 		r.path = notePrefix
 	case p < 0.8:
 		r.path = bookPrefix
-	default:
+	case p < 0.95:
 		r.method, r.path, r.Idempotent = http.MethodGet, lookPrefix, true
+	default:
+		r.method, r.path, r.Idempotent, r.NeedsKey = http.MethodGet, openPrefix, true, false
 	}
+	c.d.accounts.sign(&r, c.random)
 	if r.stream = r.path == draftPrefix || r.path == notePrefix; r.stream {
 		r.Service, r.Adapter, r.timeout = draftService, randomAdapter(c.random), streamTimeout
 		r.statedTokens = statedTokens[c.random.IntN(len(statedTokens))]
@@ -156,6 +161,7 @@
 	}
 	req.Header.Set(platform.HeaderAttempt, string(r.Attempt))
 	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(r.timeout.Milliseconds(), 10))
+	r.setKeyHeaders(req.Header)
 	if r.stream {
 		req.Header.Set(platform.HeaderModel, string(model)+"/"+string(r.Adapter))
 		req.Header.Set(platform.HeaderTokenCount, "100,"+strconv.Itoa(r.statedTokens))
--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -98,6 +98,7 @@
 	oracle    *Oracle
 	store     *standin.Objects
 	balancer  *standin.Balancer
+	accounts  *accountBook
 	targets   []*target
 	processes []*process
 
@@ -111,7 +112,7 @@
 
 // newDeployment starts the stand-ins and writes the processes' settings files.
 func newDeployment(s Settings, oracle *Oracle) (*deployment, error) {
-	d := &deployment{Settings: s, oracle: oracle, store: standin.NewObjects(s.Seed), versions: make(map[ident.Adapter]ident.Version)}
+	d := &deployment{Settings: s, oracle: oracle, store: standin.NewObjects(s.Seed), accounts: newAccountBook(), versions: make(map[ident.Adapter]ident.Version)}
 	r := router.New()
 	d.store.Register(r)
 	listener, err := net.Listen("tcp4", s.address(storeNet, 0, storePort))
@@ -122,6 +123,11 @@
 	if err := d.publishConfiguration(""); err != nil {
 		return nil, errors.Trace(err)
 	}
+	for _, a := range d.accounts.operatorAccounts() {
+		for _, key := range a.Keys {
+			oracle.RecordKeyAdded(key, time.Now())
+		}
+	}
 	var entries []standin.BalancedEntry
 	for i := range s.Gateways {
 		node := standin.NodeSettings{Callers: s.address(gatewayNet, i, callersPort), Readiness: s.address(gatewayNet, i, readinessPort), IP: s.ip(gatewayNet, i)}
@@ -197,6 +203,7 @@
 func (d *deployment) addProcess(name string, node standin.NodeSettings) (*process, error) {
 	i := len(d.processes)
 	node.VM, node.PeerPort, node.MemoryMB, node.StopGrace = ident.VM(name), peerPort, memoryMB, stopGrace
+	node.Revoke = revokeTime
 	node.Store = d.address(storeProxyNet, i, storePort)
 	link, err := standin.NewProxy(node.Store, d.address(storeNet, 0, storePort))
 	if err != nil {
@@ -235,6 +242,7 @@
 		{Prefix: notePrefix, RetryPolicy: platform.RunStream, Service: draftService, Timeout: 8 * time.Second, Objective: time.Second, Attempts: 2},
 		{Prefix: bookPrefix, RetryPolicy: platform.RunAtMostOnce, Service: deskService, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond, Attempts: 2},
 		{Prefix: lookPrefix, RetryPolicy: platform.RunIdempotent, Service: deskService, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond, Attempts: 2},
+		{Prefix: openPrefix, RetryPolicy: platform.RunIdempotent, Service: deskService, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond, Attempts: 2, Public: true},
 	}
 	for _, prefix := range d.addedPrefixes {
 		routes = append(routes, standin.OperatorRoute{Prefix: prefix, RetryPolicy: platform.RunIdempotent, Service: deskService, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond, Attempts: 2})
@@ -242,7 +250,7 @@
 	var err error
 	d.configuration, err = standin.EncodeConfiguration(d.version, routes, []standin.OperatorService{
 		{Name: draftService, Model: model, Slots: engineSlots, AdapterSlots: adapterSlots}, {Name: deskService},
-	})
+	}, d.accounts.operatorAccounts()...)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -256,6 +264,7 @@
 	if err := d.store.Publish(platform.KindConfiguration, platform.ConfigurationName, d.configuration); err != nil {
 		return errors.Trace(err)
 	}
+	d.recordRewrite()
 	for adapter, version := range d.versions {
 		name, spec, err := standin.EncodeVersion(model, ident.AdapterVersion{Adapter: adapter, Version: version})
 		if err != nil {
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -65,6 +65,8 @@
 	{"target-replaced", true, false, 4500 * time.Millisecond, replaceTarget},
 	{"configuration-changes", true, false, 0, changeConfiguration},
 	{"version-announced", true, false, 0, announceVersion},
+	{"store-link-silent", false, false, 12 * time.Second, storeLinkFault(standin.LinkStall)},
+	{"store-link-cut", false, false, 12 * time.Second, storeLinkFault(standin.LinkCut)},
 }
 
 func randomProcess(d *deployment, random *rand.Rand) *process {
@@ -115,6 +117,16 @@
 	}
 }
 
+// storeLinkFault cuts a process off from the store alone, for longer than a removed key may
+// be used.
+func storeLinkFault(m standin.LinkMode) func(*deployment, *rand.Rand) (func() error, error) {
+	return func(d *deployment, random *rand.Rand) (func() error, error) {
+		link := randomProcess(d, random).links[0]
+		link.SetMode(m)
+		return func() error { link.SetMode(standin.LinkOpen); return nil }, nil
+	}
+}
+
 func resetProcessLinks(d *deployment, random *rand.Rand) (func() error, error) {
 	for _, link := range randomProcess(d, random).links {
 		link.Reset()
@@ -153,6 +165,7 @@
 // restoreStore makes the store return from an older copy. Its writers write again within
 // half a second what it has lost, and records of targets that are gone expire later.
 func restoreStore(d *deployment, random *rand.Rand) (func() error, error) {
+	d.oracle.RecordLoss(time.Now())
 	d.store.Restore(time.Duration(random.Int64N(int64(maxCopyAge))))
 	time.AfterFunc(time.Duration(random.Int64N(int64(rewriteTime))), func() {
 		if err := d.rewrite(); err != nil {
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -71,6 +71,13 @@
 	Idempotent bool             // it may run more than once or be resumed
 	DeadlyPart ident.PromptPart // part of its prompt that ends engines, if any
 	At         time.Time
+	// NeedsKey says that its route is not public. Key is the key that it carries, and
+	// Account the client account that holds or held it; empty if none ever did.
+	NeedsKey bool
+	Key      string
+	Account  ident.Account
+	// Invalid says that the key is not held, so that the request is not to be served.
+	Invalid bool
 }
 
 // Answer is the response that the caller received.
@@ -106,6 +113,7 @@
 	crashes    map[ident.PromptPart][]time.Time // ends of targets under each part, in order
 	limited    map[statedLimit][]time.Time      // requests that reached targets with a limit, in order
 	draining   map[ident.Target]time.Time
+	keys       keyHistory
 	faults     []*faultInterval
 	violations []Violation
 }
@@ -127,7 +135,7 @@
 	return &Oracle{
 		requests: make(map[ident.Attempt]Request), answers: make(map[ident.Attempt]Answer), runs: make(map[ident.Attempt][]*run),
 		holders: make(map[ident.Target]ident.VM), versions: make(map[ident.Adapter][]announcement), draining: make(map[ident.Target]time.Time), crashes: make(map[ident.PromptPart][]time.Time),
-		limited: make(map[statedLimit][]time.Time),
+		limited: make(map[statedLimit][]time.Time), keys: newKeyHistory(),
 	}
 }
 
@@ -225,6 +233,7 @@
 			continue
 		}
 		out = append(out, o.checkRuns(request, runs)...)
+		out = append(out, o.keys.checkRuns(request, runs)...)
 	}
 	for part, crashes := range o.crashes {
 		out = append(out, checkCrashes(part, crashes)...)
@@ -234,6 +243,7 @@
 	}
 	for attempt, a := range o.answers {
 		out = append(out, o.checkAnswer(o.requests[attempt], a, planned)...)
+		out = append(out, o.checkRefusedKey(o.requests[attempt], a)...)
 	}
 	return out
 }
@@ -372,7 +382,7 @@
 	defer o.mu.Unlock()
 	for attempt, r := range o.requests {
 		a, answered := o.answers[attempt]
-		if r.At.Before(from) || !r.At.Before(to) || answered && a.Disconnected {
+		if r.Invalid || r.At.Before(from) || !r.At.Before(to) || answered && a.Disconnected {
 			continue
 		}
 		sent++
--- a/pkg/soak/run.go
+++ b/pkg/soak/run.go
@@ -107,6 +107,7 @@
 		c := newClient(d, i)
 		group.Go(func() { c.run(ctx) })
 	}
+	group.Go(func() { d.rotateKeys(ctx) })
 	return func() {
 		cancel()
 		group.Wait()
@@ -191,10 +192,12 @@
 	}
 	r := Request{Service: deskService, Idempotent: true, At: time.Now()}
 	r.Attempt = probeAttempt(d.Seed, gateway, n)
+	d.accounts.signProbe(&r)
 	d.oracle.RecordRequest(r)
 	req.Host = standin.OperatorHost
 	req.Header.Set(platform.HeaderAttempt, string(r.Attempt))
 	req.Header.Set(platform.HeaderDeadline, "2000")
+	req.Header.Set(platform.HeaderAPIKey, r.Key)
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return errors.Trace(err)
--- a/pkg/standin/operator.go
+++ b/pkg/standin/operator.go
@@ -18,6 +18,9 @@
 	PeerPort           int
 	MemoryMB           int
 	StopGrace          time.Duration
+	// Revoke is the time within which a removed key has to be refused; 0 if it does not
+	// bind.
+	Revoke time.Duration
 }
 
 // Encode returns the contents of the process's settings file as JSON.
@@ -26,10 +29,14 @@
 	if s.Callers != "" {
 		listen["front"], listen["ready"] = s.Callers, s.Readiness
 	}
+	bounds := map[string]any{"grace-s": s.StopGrace.Seconds(), "retry-budget-ratio": 0.2, "retry-budget-slack": 50, "budget-window-s": 10}
+	if s.Revoke > 0 {
+		bounds["revoke-strict"], bounds["revoke-ms"] = true, s.Revoke.Milliseconds()
+	}
 	return json.MarshalIndent(map[string]any{
 		"node-name": s.VM, "ip": s.IP, "zone": "local", "listen": listen, "app": s.Engine,
 		"inner-ports": []int{s.PeerPort, s.PeerPort + 10}, "limits": map[string]any{"memory-mb": s.MemoryMB},
-		"bounds":   map[string]any{"grace-s": s.StopGrace.Seconds(), "retry-budget-ratio": 0.2, "retry-budget-slack": 50, "budget-window-s": 10},
+		"bounds":   bounds,
 		"platform": map[string]any{"address": s.Store, "form": "objects"},
 	}, "", "  ")
 }
@@ -43,6 +50,14 @@
 	Timeout     time.Duration
 	Objective   time.Duration
 	Attempts    int
+	Public      bool
+}
+
+// OperatorAccount is a client account of a configuration.
+type OperatorAccount struct {
+	Name ident.Account
+	Keys []string
+	Rank int
 }
 
 var routeKinds = [...]string{platform.RunAtMostOnce: "unsafe", platform.RunIdempotent: "safe", platform.RunStream: "streaming"}
@@ -60,13 +75,13 @@
 
 // EncodeConfiguration returns a configuration in the JSON form that operators
 // write.
-func EncodeConfiguration(version uint64, routes []OperatorRoute, services []OperatorService) (json.RawMessage, error) {
-	var encodedRoutes, encodedServices []map[string]any
+func EncodeConfiguration(version uint64, routes []OperatorRoute, services []OperatorService, accounts ...OperatorAccount) (json.RawMessage, error) {
+	var encodedRoutes, encodedServices, encodedAccounts []map[string]any
 	for _, r := range routes {
 		encodedRoutes = append(encodedRoutes, map[string]any{
 			"name": r.Prefix, "host": OperatorHost, "path-prefix": r.Prefix, "kind": routeKinds[r.RetryPolicy], "can-resume": r.Resume,
 			"service": r.Service, "timeout-ms": r.Timeout.Milliseconds(), "slo-ms": r.Objective.Milliseconds(), "gap-slo-ms": 300,
-			"max-attempts": r.Attempts, "priority": 1,
+			"max-attempts": r.Attempts, "priority": 1, "public": r.Public,
 		})
 	}
 	for _, s := range services {
@@ -79,7 +94,10 @@
 		}
 		encodedServices = append(encodedServices, encoded)
 	}
-	return json.Marshal(map[string]any{"version": version, "routes": encodedRoutes, "services": encodedServices})
+	for _, a := range accounts {
+		encodedAccounts = append(encodedAccounts, map[string]any{"name": a.Name, "api-keys": a.Keys, "priority": a.Rank})
+	}
+	return json.Marshal(map[string]any{"version": version, "routes": encodedRoutes, "services": encodedServices, "tenants": encodedAccounts})
 }
 
 // EncodeVersion returns the object that announces an adapter version: its name in
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -80,6 +80,8 @@
 	Adapter          ident.AdapterVersion // that the request ran on or that the order names
 	RequestedAdapter ident.Adapter        // that the request names
 	Resumed          bool                 // the request resumes a stream after an event
+	Account          string               // that the request names; several with commas
+	HasKey           bool                 // the request carries a caller's key
 	Holder           ident.VM             // that sent the order
 	// Limit is the rate limit that the worker states, and LimitedSince since when; zero
 	// without one.
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -140,7 +140,8 @@
 		w.release(a, req)
 		a = admission{status: http.StatusServiceUnavailable, reason: "shed"}
 	}
-	event := WorkerEvent{Kind: WorkerRejected, Instance: w.Instance(), Attempt: req.attempt, RequestedAdapter: req.adapter, Resumed: req.lastEvent > 0}
+	event := WorkerEvent{Kind: WorkerRejected, Instance: w.Instance(), Attempt: req.attempt, RequestedAdapter: req.adapter, Resumed: req.lastEvent > 0,
+		Account: strings.Join(r.Header.Values(platform.HeaderAccount), ","), HasKey: len(r.Header.Values(platform.HeaderAPIKey)) > 0}
 	if a.status != 0 {
 		w.notify(event)
 		out.Header().Set(platform.HeaderNotExecuted, a.reason)
