The test of a restarted gateway waits longer than the follower's longest pause

go test ./... failed once in TestRestartedGatewayUsesNoKeyThatItHasNotReadSince: the request waited 0.4 of its deadline of 1 s, and the follower pauses up to 0.6 s after failed calls, so that the request was refused as before any configuration. It now has a deadline of 9 s.

--- a/pkg/gateway/revoke_test.go
+++ b/pkg/gateway/revoke_test.go
@@ -151,7 +151,9 @@
 		require.Empty(t, h.receivedRequests())
 		served := make(chan int)
 		h.script(respond(200, "yes"))
-		go func() { served <- h.send(rawRequest("GET", "/safe/x", "Api-Key: k-a\r\n")).StatusCode }()
+		// It may wait for longer than the follower pauses between two calls that fail.
+		patient := strings.Replace(rawRequest("GET", "/safe/x", "Api-Key: k-a\r\n"), "1000", "9000", 1)
+		go func() { served <- h.send(patient).StatusCode }()
 		time.Sleep(10 * time.Millisecond)
 		h.store.set(func(s *keyStore) { s.cut = false })
 		require.Equal(t, 200, <-served, "one that waited for the first list")
