--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -72,6 +72,13 @@
 	Idempotent bool             // it may run more than once or be resumed
 	DeadlyPart ident.PromptPart // part of its prompt that ends engines, if any
 	At         time.Time
+	// NeedsKey says that its route is not public. Key is the key that it carries, and
+	// Account the client account that holds or held it; empty if none ever did.
+	NeedsKey bool
+	Key      string
+	Account  ident.Account
+	// Invalid says that the key is not held, so that the request is not to be served.
+	Invalid bool
 }
 
 // Answer is the response that the caller received.
@@ -108,6 +115,7 @@
 	limited    map[statedLimit][]time.Time      // requests that reached targets with a limit, in order
 	draining   map[ident.Target]time.Time
 	quotas     quotaLedger
+	keys       keyHistory
 	faults     []*faultInterval
 	violations []Violation
 	cutUnread  int // responses that engines cut off because they stayed unread
@@ -130,7 +138,7 @@
 	return &Oracle{
 		requests: make(map[ident.Attempt]Request), answers: make(map[ident.Attempt]Answer), runs: make(map[ident.Attempt][]*run),
 		holders: make(map[ident.Target]ident.VM), versions: make(map[ident.Adapter][]announcement), draining: make(map[ident.Target]time.Time), crashes: make(map[ident.PromptPart][]time.Time),
-		limited: make(map[statedLimit][]time.Time),
+		limited: make(map[statedLimit][]time.Time), keys: newKeyHistory(),
 	}
 }
 
@@ -240,6 +248,7 @@
 			continue
 		}
 		out = append(out, o.checkRuns(request, runs)...)
+		out = append(out, o.keys.checkRuns(request, runs)...)
 	}
 	for part, crashes := range o.crashes {
 		out = append(out, checkCrashes(part, crashes)...)
@@ -250,6 +259,7 @@
 	}
 	for attempt, a := range o.answers {
 		out = append(out, o.checkAnswer(o.requests[attempt], a, planned)...)
+		out = append(out, o.checkRefusedKey(o.requests[attempt], a)...)
 	}
 	return out
 }
@@ -389,7 +399,7 @@
 	defer o.mu.Unlock()
 	for attempt, r := range o.requests {
 		a, answered := o.answers[attempt]
-		if r.At.Before(from) || !r.At.Before(to) || answered && a.Disconnected {
+		if r.Invalid || r.At.Before(from) || !r.At.Before(to) || answered && a.Disconnected {
 			continue
 		}
 		if o.floods(attempt) {
--- a/pkg/soak/quota.go
+++ b/pkg/soak/quota.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/standin"
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 // quotaAccounts are the client accounts that have a quota, each with clients of its own.
@@ -72,6 +73,7 @@
 			// Requests that run longer would bound the flood.
 			r.Service, r.Adapter, r.Idempotent, r.DeadlyPart = deskService, "", true, ""
 			r.method, r.path, r.stream, r.timeout = http.MethodGet, lookPrefix, false, plainTimeout
+			r.NeedsKey = true
 		}
 		c.dialNumber.Add(int64(c.sent % 2)) // the account's traffic changes gateways
 		c.send(r)
@@ -89,6 +91,12 @@
 	if r.stream {
 		tokens = r.promptTokens + r.statedTokens
 	}
+	// The client sends with the key of its quota's account alone.
+	req.Header.Del(platform.HeaderAccount)
+	r.Account, r.Key, r.Invalid, r.namedAccount = c.quota.Name, c.quota.Key, false, ""
+	if !r.NeedsKey {
+		return
+	}
 	req.Header.Set(headerKey, c.quota.Key)
 	c.d.oracle.recordPayment(c.quota.Name, r.Attempt, payment{at: time.Now(), cost: c.quota.Cost(tokens)})
 }
