--- a/pkg/soak/quota.go
+++ b/pkg/soak/quota.go
@@ -40,9 +40,6 @@
 // there are no faults.
 const usualShare = 0.55
 
-// headerKey is the header in which callers send the key of their account.
-const headerKey = "Api-Key"
-
 func quotaAccountList() []standin.QuotaAccount {
 	var out []standin.QuotaAccount
 	for _, a := range quotaAccounts {
@@ -97,7 +94,7 @@
 	if !r.NeedsKey {
 		return
 	}
-	req.Header.Set(headerKey, c.quota.Key)
+	req.Header.Set(platform.HeaderAPIKey, c.quota.Key)
 	c.d.oracle.recordPayment(c.quota.Name, r.Attempt, payment{at: time.Now(), cost: c.quota.Cost(tokens)})
 }
 
