Soak: clients with a quota have numbers of their own

Cause: slow clients and those of accounts with a quota had the same numbers after the merge, and so the same attempts.

--- a/pkg/soak/quota.go
+++ b/pkg/soak/quota.go
@@ -50,7 +50,7 @@
 
 // startQuotaLoad starts the clients of the accounts with a quota.
 func (d *deployment) startQuotaLoad(ctx context.Context, group *sync.WaitGroup) {
-	number := d.Clients
+	number := d.Clients + d.SlowClients
 	for i := range quotaAccounts {
 		for range quotaAccounts[i].clients {
 			c := newClient(d, number, false)
