--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -200,22 +200,6 @@
 	}
 }
 
-// handleProgress records what an entry reports of a granted request while it runs.
-func (o *Orderer) handleProgress(id grant.RequestID, f link.Frame) error {
-	if f.Kind == link.KindPaceReport {
-		return o.handlePaceReport(id, f)
-	}
-	var event wire.GrantFirstEvent
-	if _, err := event.UnmarshalMsg(f.Body); err != nil {
-		return errors.Trace(err)
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.scheduler.Started(id, time.Duration(event.FirstEventMS)*time.Millisecond, time.Now())
-	o.replyLocked()
-	return nil
-}
-
 func (o *Orderer) handlePauseReport(_ context.Context, _ *link.Stream, f link.Frame) error {
 	var r wire.PauseReport
 	if _, err := r.UnmarshalMsg(f.Body); err != nil {
--- a/pkg/orderer/pace.go
+++ b/pkg/orderer/pace.go
@@ -11,6 +11,22 @@
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
+// handleProgress records what an entry reports of a granted request while it runs.
+func (o *Orderer) handleProgress(id grant.RequestID, f link.Frame) error {
+	if f.Kind == link.KindPaceReport {
+		return o.handlePaceReport(id, f)
+	}
+	var event wire.GrantFirstEvent
+	if _, err := event.UnmarshalMsg(f.Body); err != nil {
+		return errors.Trace(err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.scheduler.Started(id, time.Duration(event.FirstEventMS)*time.Millisecond, time.Now())
+	o.replyLocked()
+	return nil
+}
+
 // handlePaceReport records what the response to a granted request states.
 func (o *Orderer) handlePaceReport(id grant.RequestID, f link.Frame) error {
 	var r wire.PaceReport
