--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -330,18 +329,6 @@
 	return x.handleResponse(a, res, sent)
 }
 
-// countReuseFailed counts a connection that was closed before a byte of the response, if it
-// was reused: its target may have dropped it while it was idle.
-func (x *exchange) countReuseFailed(conn *forward.Conn, err error) {
-	idle, reused := conn.Reused()
-	closed := conn.PeerClosed() || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	if !reused || !closed || x.expired() {
-		return
-	}
-	x.g.metrics.countConn(forward.ConnReuseFailed)
-	x.g.Info("msg", "reused connection failed", "request", x.q.attempt, "idle", idle, "idempotent", x.retryable())
-}
-
 // writeRequest writes the request to a target. A large body is not copied.
 func (x *exchange) writeRequest(a *assignment, conn *forward.Conn) error {
 	buffer := bytebufferpool.Get()
