Explain tells what is known of the account's quota

Cause: the explanation said unknown for every account. Change: it shows whether all holders of the account's quota are known to deny the cost, without asking them.

--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -109,9 +109,6 @@
 	return out, "", nil
 }
 
-// unknownQuota is what is known of the quota left at a gateway that keeps none.
-func unknownQuota(platform.Account, float64) (string, time.Duration) { return "unknown", 0 }
-
 // explain fills in what would happen to the request.
 func (x *exchange) explain(out *explain.Answer) {
 	now := time.Now()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -116,7 +116,7 @@
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
 		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
-		loads: newLoadTracker(), placing: newPlacing(), quotaLeft: unknownQuota, notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
+		loads: newLoadTracker(), placing: newPlacing(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(),
 	}
@@ -125,6 +125,7 @@
 	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.tellKnown,
 		link.Handlers{link.KindCrashReport: g.handleCrashReport, link.KindTargetNotice: g.handleTargetNotice})
 	g.quotas, g.pace = newQuotas(g), g.loads.paceOf
+	g.quotaLeft = g.quotas.left
 	return g
 }
 
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -116,6 +116,27 @@
 	return c, quotaPaid, 0
 }
 
+// left returns what is known of the quota that an account has left for a request, and how
+// long it will be denied.
+func (q *quotas) left(a platform.Account, cost float64) (state string, wait time.Duration) {
+	q.mu.RLock()
+	known := q.accounts[a.Name]
+	q.mu.RUnlock()
+	if known == nil {
+		return "unknown", 0
+	}
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	now := q.now()
+	switch wait, denied := known.quota.Denied(cost, now); {
+	case known.quota.AllSilent(now):
+		return "no holder answers", wait
+	case denied:
+		return "used up", wait
+	}
+	return "some", 0
+}
+
 // settle ends a request that has paid. Its cost is put back if no target ran it.
 func (q *quotas) settle(c quotaCharge) {
 	if c.account == nil {
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -261,6 +261,18 @@
 	return max(wait, minDenial)
 }
 
+// Denied reports whether all holders are known to deny a request or to give no answer, and
+// for how long. It changes nothing.
+func (a *Account) Denied(cost float64, now time.Time) (time.Duration, bool) {
+	for i := range a.holders {
+		h := &a.holders[i]
+		if a.denial(h, cost, now) <= 0 && !now.Before(h.SilentUntil) {
+			return 0, false
+		}
+	}
+	return a.Wait(cost, now), len(a.holders) > 0
+}
+
 // AllSilent reports whether no holder answers.
 func (a *Account) AllSilent(now time.Time) bool {
 	return !slices.ContainsFunc(a.holders, func(h Holder) bool { return !now.Before(h.SilentUntil) })
