--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -186,7 +186,7 @@
 		return explain.Excluded
 	case g.notices.Leaving(p):
 		return explain.Leaving
-	case g.notices.Pause(p, now) > 0:
+	case g.paused(p, now):
 		return explain.Paused
 	}
 	if d, known := g.knownDetector(t.Service); known && d.Ejected(t.Instance, now) {
--- a/pkg/gateway/notice.go
+++ b/pkg/gateway/notice.go
@@ -72,11 +72,16 @@
 	return g.fleet.Usable(t) && g.wantsRequests(t)
 }
 
+// paused reports whether a target's process wants no requests for now.
+func (g *Gateway) paused(p notice.Process, now time.Time) bool {
+	return g.notices.Pause(p, now) > 0
+}
+
 // wantsRequests reports whether a target says neither that it is leaving nor that it wants
 // no requests from this gateway for now.
 func (g *Gateway) wantsRequests(t fleet.Target) bool {
 	p := processOf(t)
-	return !g.notices.Leaving(p) && g.notices.Pause(p, time.Now()) == 0
+	return !g.notices.Leaving(p) && !g.paused(p, time.Now())
 }
 
 // pause returns how long all of the service's targets want no requests from this gateway,
