Test of slow callers checks the share that is left to others

Cause: without the share that slow callers may use, the buffers end up within some KB of the limit, and one more body of 20,000 bytes may still fit by the order in which they grew. Change: the test also checks the sum itself: at most 3/4 of the limit.

--- a/pkg/gateway/slow_caller_test.go
+++ b/pkg/gateway/slow_caller_test.go
@@ -193,7 +193,8 @@
 		time.Sleep(500 * time.Millisecond)
 		used := h.bodies.used.Load()
 		require.Greater(t, used, h.bodies.limit/4)
-		require.LessOrEqual(t, used, h.bodies.limit)
+		// Half of the limit, and one buffer of each stream that grew at the same moment.
+		require.Less(t, used, h.bodies.limit*3/4, "the rest is left to others")
 		require.Less(t, liveBytes()-before, h.bodies.limit+(streams+bodies)*(64<<10))
 
 		h.script(func(w net.Conn, _ receivedRequest) bool {
