Shares of quotas count what was granted in the last window

Cause: shares were token buckets, and the rule is one of windows: rate x window + burst in any of them. An account that sends somewhat more than its rate all the time is within the rule and was refused for good. A request that waited longer than 0.8 s paid twice. Retry-After didn't count those who had been told to come back before. Change: a share counts what it granted in a window and fills faster once it knows a whole one; its bucket bounds what a holder that starts again would grant a second time. A request that waits returns its old charge when it pays again, and charges last a quarter as long. Gateways tell holders with each question that they are new. Retry-After counts those before. Gateways without holders use half of the excess.

--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -101,13 +101,13 @@
 	return quotaCharge{Charge: paid, account: account}, quotaPaid, 0
 }
 
-// renew pays a request anew whose charge has expired before it ran. The old charge stays
-// spent: paid back, it would let requests that wait together exceed the burst.
+// renew pays a request anew whose charge has expired before it ran, and returns the old
+// charge to its holder.
 func (q *quotas) renew(ctx context.Context, c quotaCharge) (quotaCharge, quotaOutcome, time.Duration) {
 	if c.account == nil || c.spent || !c.Expired(q.now()) {
 		return c, quotaPaid, 0
 	}
-	paid, o, wait := q.pay(ctx, c.account, c.Amount)
+	paid, o, wait := q.ask(ctx, c.account, c.Amount, &c.Charge)
 	if o != quotaPaid {
 		c.account.refused(o)
 		return quotaCharge{}, o, wait
@@ -149,10 +149,15 @@
 	if c, ok := a.spend(cost, q.now()); ok {
 		return c, quotaPaid, 0
 	}
+	return q.ask(ctx, a, cost, nil)
+}
+
+// ask asks the holders for a cost. A charge that has expired is returned to them.
+func (q *quotas) ask(ctx context.Context, a *accountQuota, cost float64, expired *quota.Charge) (quota.Charge, quotaOutcome, time.Duration) {
 	var room [quota.HolderCount]string
 	tried := room[:0]
-	for {
-		holder, ask, request, ok := a.next(cost, tried, q.now())
+	for ; ; expired = nil {
+		holder, ask, request, ok := a.next(cost, tried, expired, q.now())
 		if !ok {
 			return q.payAlone(a, cost)
 		}
@@ -236,25 +241,37 @@
 	return a.quota.Spend(cost, now)
 }
 
-// next returns the holder to ask, and what for.
-func (a *accountQuota) next(cost float64, tried []string, now time.Time) (string, quota.Ask, wire.QuotaRequest, bool) {
+// next returns the holder to ask, and what for. A charge that has expired is returned to it.
+func (a *accountQuota) next(cost float64, tried []string, expired *quota.Charge, now time.Time) (string, quota.Ask, wire.QuotaRequest, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if expired != nil {
+		a.quota.Renew(*expired, now)
+	}
 	h, ok := a.quota.Next(cost, tried, now)
 	if !ok {
 		return "", quota.Ask{}, wire.QuotaRequest{}, false
 	}
 	ask, share := a.quota.Ask(cost, now), a.quota.Share()
-	return h.Address, ask, wire.QuotaRequest{
+	r := wire.QuotaRequest{
 		Account: a.name, Configuration: a.version, Need: ask.Need, Wish: ask.Wish, Returned: ask.Returned,
-		PerSecond: share.PerSecond, Burst: share.Burst,
-	}, true
+		PerSecond: share.PerSecond, Burst: share.Burst, Sum: share.Sum, WindowMS: share.Window.Milliseconds(), Settled: h.Settled(now),
+	}
+	if ask.Returned > 0 {
+		r.ReturnedAgeMS = now.Sub(ask.ReturnedFrom).Milliseconds() + 1
+	}
+	if !r.Settled {
+		r.JoinDelayMS = h.JoinDelay.Milliseconds()
+	}
+	return h.Address, ask, r, true
 }
 
 func (a *accountQuota) answered(holder string, ask quota.Ask, r wire.QuotaReply, now time.Time) (quota.Charge, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c, ok := a.quota.Answered(holder, ask, r.Granted, time.Duration(r.WaitMS)*time.Millisecond, now)
+	c, ok := a.quota.Answered(holder, ask, quota.Answer{
+		Granted: r.Granted, Wait: time.Duration(r.WaitMS) * time.Millisecond, Retry: time.Duration(r.RetryMS) * time.Millisecond,
+	}, now)
 	if ok {
 		a.counts.granted += r.Granted
 		a.metrics.granted.Inc(int64(r.Granted))
--- a/pkg/gateway/quota_holders.go
+++ b/pkg/gateway/quota_holders.go
@@ -145,9 +145,8 @@
 			a = q.add(name)
 		}
 		a.setLimits(limits, c.Version)
-		joining, share := a.setHolders(q.ring.Holders(name), int(hash(string(q.vm))%quota.HolderCount), q.linked)
-		for _, h := range a.holders() {
-			told[h] = append(told[h], wire.QuotaLimit{Account: name, PerSecond: share.PerSecond, Burst: share.Burst, Joins: slices.Contains(joining, h)})
+		for _, h := range a.setHolders(q.ring.Holders(name), int(hash(string(q.vm))%quota.HolderCount), q.linked, q.now()) {
+			told[h.address] = append(told[h.address], h.limit)
 		}
 	}
 	for name := range q.accounts {
@@ -176,37 +175,30 @@
 	return a
 }
 
-// setHolders sets the account's holders. It returns those that take the place of others
-// which still answer, and the limits of each share.
-func (a *accountQuota) setHolders(engines []quota.Engine, first int, answers func(address string) bool) (joining []string, share quota.Limits) {
+// toldLimit is what one holder is told of an account.
+type toldLimit struct {
+	address string
+	limit   wire.QuotaLimit
+}
+
+// setHolders sets the account's holders, and returns what they are to be told. The function
+// answers reports whether a former holder still answers.
+func (a *accountQuota) setHolders(engines []quota.Engine, first int, answers func(address string) bool, now time.Time) []toldLimit {
 	addresses := make([]string, len(engines))
 	for i, e := range engines {
 		addresses[i] = e.Address
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	before := a.quota.Holders()
-	replaced := slices.ContainsFunc(before, func(h quota.Holder) bool {
-		return !slices.Contains(addresses, h.Address) && answers(h.Address)
-	})
-	if replaced {
-		for _, address := range addresses {
-			if !slices.ContainsFunc(before, func(h quota.Holder) bool { return h.Address == address }) {
-				joining = append(joining, address)
-			}
-		}
-	}
-	a.quota.SetHolders(addresses, first)
-	return joining, a.quota.Share()
-}
-
-// holders returns the addresses of the engines beside the account's holders.
-func (a *accountQuota) holders() []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var out []string
+	a.quota.SetHolders(addresses, first, answers, now)
+	share := a.quota.Share()
+	var out []toldLimit
 	for _, h := range a.quota.Holders() {
-		out = append(out, h.Address)
+		l := wire.QuotaLimit{Account: a.name, PerSecond: share.PerSecond, Burst: share.Burst, Sum: share.Sum, WindowMS: share.Window.Milliseconds()}
+		if !h.Settled(now) {
+			l.JoinDelayMS = h.JoinDelay.Milliseconds()
+		}
+		out = append(out, toldLimit{h.Address, l})
 	}
 	return out
 }
@@ -222,7 +214,7 @@
 		}
 		if now.Sub(a.began) > joinTime {
 			for i := range a.limits {
-				a.limits[i].Joins = false
+				a.limits[i].JoinDelayMS = 0
 			}
 		}
 		if err := a.send(conn); err != nil {
--- a/pkg/orderer/quota.go
+++ b/pkg/orderer/quota.go
@@ -16,7 +16,7 @@
 
 const (
 	// maxQuotaAccounts bounds the accounts of which shares are held here. A share takes
-	// less than 300 bytes.
+	// less than 600 bytes.
 	maxQuotaAccounts = 20_000
 	// quotaKeep is how long shares that a new configuration does not name are kept:
 	// gateways announce it within seconds.
@@ -36,7 +36,7 @@
 
 // share returns the share of an account's quota with the limits of the newest version, or
 // nil if there are too many accounts. The caller holds mu.
-func (t *quotaTable) share(a ident.Account, version uint64, l quota.Limits, now time.Time) *quota.Share {
+func (t *quotaTable) share(a ident.Account, version uint64, l quota.ShareLimits, now time.Time) *quota.Share {
 	t.observe(version, now)
 	s := t.byAccount[a]
 	if s == nil {
@@ -70,23 +70,36 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, a := range l.Limits {
-		s := t.share(a.Account, l.Configuration, quota.Limits{PerSecond: a.PerSecond, Burst: a.Burst}, now)
-		if s != nil && a.Joins {
-			s.Join(now)
+		s := t.share(a.Account, l.Configuration, shareLimits(a.PerSecond, a.Burst, a.Sum, a.WindowMS), now)
+		if s != nil && a.JoinDelayMS > 0 {
+			s.Join(millis(a.JoinDelayMS), now)
 		}
 	}
 }
 
+func shareLimits(perSecond, burst, sum float64, windowMS int64) quota.ShareLimits {
+	return quota.ShareLimits{PerSecond: perSecond, Burst: burst, Sum: sum, Window: millis(windowMS)}
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // take takes an amount of an account's quota.
-func (t *quotaTable) take(r wire.QuotaRequest, now time.Time) (granted float64, wait time.Duration) {
+func (t *quotaTable) take(r wire.QuotaRequest, now time.Time) wire.QuotaReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.share(r.Account, r.Configuration, quota.Limits{PerSecond: r.PerSecond, Burst: r.Burst}, now)
+	s := t.share(r.Account, r.Configuration, shareLimits(r.PerSecond, r.Burst, r.Sum, r.WindowMS), now)
 	if s == nil {
-		return 0, quotaFullWait
+		return wire.QuotaReply{WaitMS: quotaFullWait.Milliseconds(), RetryMS: quotaFullWait.Milliseconds()}
+	}
+	if r.JoinDelayMS > 0 {
+		s.Join(millis(r.JoinDelayMS), now)
+	}
+	if r.Settled {
+		s.Use(now)
 	}
-	s.Return(r.Returned, now)
-	return s.Take(r.Need, r.Wish, now)
+	s.Return(r.Returned, now.Add(-millis(r.ReturnedAgeMS)), now)
+	granted, wait, retry := s.Take(r.Need, r.Wish, now)
+	return wire.QuotaReply{Granted: granted, WaitMS: ceilMS(wait), RetryMS: ceilMS(retry)}
 }
 
 // handleQuotaLimits records shares of quotas that are held here.
@@ -106,12 +119,11 @@
 	if _, err := r.UnmarshalMsg(f.Body); err != nil {
 		return errors.Trace(err)
 	}
-	granted, wait := o.quotas.take(r, time.Now())
-	if granted > 0 {
+	reply := o.quotas.take(r, time.Now())
+	if reply.Granted > 0 {
 		o.metrics.quotaGranted.Inc(1)
 	} else {
 		o.metrics.quotaDenied.Inc(1)
 	}
-	reply := wire.QuotaReply{Granted: granted, WaitMS: ceilMS(wait)}
 	return errors.Trace(s.Send(link.KindQuotaReply, &reply))
 }
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -32,9 +32,11 @@
 	preferred int
 	lease     lease
 	usage     usage
-	// returned is what was granted and not used, and not yet returned to a holder.
-	returned float64
-	alone    alone
+	// returned is what was granted from returnedFrom on and not used, and not yet returned
+	// to a holder.
+	returned     float64
+	returnedFrom time.Time
+	alone        alone
 	// probed is when a holder was last asked although none answers.
 	probed time.Time
 }
@@ -48,11 +50,19 @@
 	Wait       time.Duration
 	// SilentUntil is until when it is not asked, since it gave no answer.
 	SilentUntil time.Time
-	// deniedUntil is until when it denies the amount deniedNeed.
-	deniedUntil time.Time
-	deniedNeed  float64
+	// Listed is when it became a holder here, and JoinDelay for how long the holder that it
+	// replaces may still be asked by others. It is 0 if the account had no holders before.
+	Listed    time.Time
+	JoinDelay time.Duration
+	// deniedUntil is until when it denies the amount deniedNeed, and retryAt when callers
+	// of denied requests are to come back.
+	deniedUntil, retryAt time.Time
+	deniedNeed           float64
 }
 
+// Settled reports whether it has been a holder for longer than lists of engines differ.
+func (h Holder) Settled(now time.Time) bool { return now.Sub(h.Listed) >= listDelay }
+
 // State returns what the holder last did, as in reports.
 func (h Holder) State(now time.Time) string {
 	switch {
@@ -84,7 +94,7 @@
 }
 
 // Share returns the limits of each holder's share.
-func (a *Account) Share() Limits { return a.rules.ShareOf(a.limits, len(a.holders)) }
+func (a *Account) Share() ShareLimits { return a.rules.ShareOf(a.limits, len(a.holders)) }
 
 // Holders returns the holders. The caller must not change them.
 func (a *Account) Holders() []Holder { return a.holders }
@@ -97,18 +107,29 @@
 	return a.lease.amount
 }
 
+// minJoinDelay is the delay of a holder that replaces one which no longer answers.
+const minJoinDelay = time.Millisecond
+
 // SetHolders sets the addresses of the holders, and the one to ask first if none of those
-// that remain has granted.
-func (a *Account) SetHolders(addresses []string, first int) {
-	last := ""
-	if a.preferred < len(a.holders) {
-		last = a.holders[a.preferred].Address
+// that remain has granted. The function answers reports whether one that is no longer a
+// holder still answers.
+func (a *Account) SetHolders(addresses []string, first int, answers func(address string) bool, now time.Time) {
+	before, last := a.holders, ""
+	if a.preferred < len(before) {
+		last = before[a.preferred].Address
+	}
+	delay := time.Duration(0)
+	if len(before) > 0 {
+		delay = minJoinDelay
+	}
+	if slices.ContainsFunc(before, func(h Holder) bool { return !slices.Contains(addresses, h.Address) && answers(h.Address) }) {
+		delay = listDelay
 	}
 	next := make([]Holder, len(addresses))
 	for i, address := range addresses {
-		next[i].Address = address
-		if at := slices.IndexFunc(a.holders, func(h Holder) bool { return h.Address == address }); at >= 0 {
-			next[i] = a.holders[at]
+		next[i] = Holder{Address: address, Listed: now, JoinDelay: delay}
+		if at := slices.IndexFunc(before, func(h Holder) bool { return h.Address == address }); at >= 0 {
+			next[i] = before[at]
 		}
 	}
 	a.holders, a.preferred = next, 0
@@ -127,7 +148,7 @@
 	}
 	a.lease.amount -= cost
 	a.usage.add(cost, now)
-	return Charge{cost, a.lease.expires}, true
+	return Charge{cost, a.lease.holder, a.lease.granted, a.lease.expires}, true
 }
 
 // Next returns the holder to ask for a cost, other than those tried, or false if all
@@ -167,12 +188,15 @@
 	if difference < 0 {
 		return max(left-timeFor(-difference, share.PerSecond), 0)
 	}
-	return left + timeFor(difference, share.PerSecond)
+	return left + timeFor(difference, share.refillRate())
 }
 
 // Ask is what a holder is asked for.
 type Ask struct {
-	Need, Wish, Returned float64
+	Need, Wish float64
+	// Returned is what was granted from ReturnedFrom on and not used.
+	Returned     float64
+	ReturnedFrom time.Time
 	// Sent is when it was asked, from which on the grant's lifetime counts.
 	Sent time.Time
 }
@@ -182,27 +206,57 @@
 	if !now.Before(a.lease.useBy) {
 		a.dropLease()
 	}
-	ask := Ask{Need: cost, Wish: a.usage.last(now), Returned: a.returned, Sent: now}
+	ask := Ask{Need: cost, Wish: a.usage.last(now), Returned: a.returned, ReturnedFrom: a.returnedFrom, Sent: now}
 	a.returned = 0
 	return ask
 }
 
+// Renew prepares to pay a request anew whose charge has expired: that is returned with the
+// next question, which goes to its holder if that answers.
+func (a *Account) Renew(c Charge, now time.Time) {
+	a.putBack(c.Amount, c.Granted)
+	at := slices.IndexFunc(a.holders, func(h Holder) bool { return h.Address == c.Holder })
+	if at >= 0 && !now.Before(a.holders[at].SilentUntil) {
+		a.preferred = at
+		a.holders[at].deniedUntil = time.Time{}
+	}
+}
+
+// putBack records an amount to return that was granted at a time.
+func (a *Account) putBack(amount float64, granted time.Time) {
+	if amount <= 0 {
+		return
+	}
+	if a.returned <= 0 || granted.Before(a.returnedFrom) {
+		a.returnedFrom = granted
+	}
+	a.returned += amount
+}
+
 func (a *Account) dropLease() {
-	a.returned += a.lease.amount
+	a.putBack(a.lease.amount, a.lease.granted)
 	a.lease = lease{}
 }
 
+// Answer is what a holder answers: what it granted, or the times until the amount may be
+// had and until callers are to come back.
+type Answer struct {
+	Granted     float64
+	Wait, Retry time.Duration
+}
+
 // Answered records a holder's answer. It returns the request's charge if that was
 // granted.
-func (a *Account) Answered(address string, ask Ask, granted float64, wait time.Duration, now time.Time) (Charge, bool) {
+func (a *Account) Answered(address string, ask Ask, r Answer, now time.Time) (Charge, bool) {
 	h := a.holder(address)
 	if h != nil {
-		h.LastAnswer, h.Granted, h.Wait, h.SilentUntil = now, granted, wait, time.Time{}
+		h.LastAnswer, h.Granted, h.Wait, h.SilentUntil = now, r.Granted, r.Wait, time.Time{}
 	}
 	a.alone = alone{}
-	if granted < ask.Need {
+	if r.Granted < ask.Need {
 		if h != nil {
-			h.deniedUntil, h.deniedNeed = now.Add(max(wait, minDenial)), ask.Need
+			h.deniedUntil, h.deniedNeed = now.Add(max(r.Wait, minDenial)), ask.Need
+			h.retryAt = now.Add(r.Retry)
 		}
 		return Charge{}, false
 	}
@@ -212,12 +266,12 @@
 	}
 	lifetime := a.rules.Lifetime()
 	expires := ask.Sent.Add(lifetime)
-	if extra := granted - ask.Need; extra > 0 {
+	if extra := r.Granted - ask.Need; extra > 0 {
 		a.dropLease() // one of an earlier grant
-		a.lease = lease{extra, ask.Sent.Add(time.Duration(usePart * float64(lifetime))), expires}
+		a.lease = lease{extra, address, ask.Sent, ask.Sent.Add(time.Duration(usePart * float64(lifetime))), expires}
 	}
 	a.usage.add(ask.Need, now)
-	return Charge{ask.Need, expires}, true
+	return Charge{ask.Need, address, ask.Sent, expires}, true
 }
 
 func (a *Account) holder(address string) *Holder {
@@ -245,15 +299,15 @@
 		a.lease.amount += c.Amount
 		return
 	}
-	a.returned += c.Amount
+	a.putBack(c.Amount, c.Granted)
 }
 
-// Wait returns how long it takes until the cost may be had, given that it may not now.
+// Wait returns after how long a caller is to come back whose request may not be paid now.
 func (a *Account) Wait(cost float64, now time.Time) time.Duration {
 	wait := time.Duration(0)
 	for i := range a.holders {
 		h := &a.holders[i]
-		w := max(a.denial(h, cost, now), h.SilentUntil.Sub(now))
+		w := max(a.denial(h, cost, now), h.retryAt.Sub(now), h.SilentUntil.Sub(now))
 		if w > 0 && (wait == 0 || w < wait) {
 			wait = w
 		}
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -5,9 +5,11 @@
 // Charge is what a request has paid. The zero value is that of a free request.
 type Charge struct {
 	Amount float64
-	// Expires is when a request that has not begun to run by then has to pay anew: its
-	// run would count in a later window. It is zero if no holder granted the charge.
-	Expires time.Time
+	// Granted is when the holder at an address was asked for it, and Expires when a request
+	// that has not begun to run has to pay anew: its run would count in a later window. They
+	// are zero if no holder granted the charge.
+	Holder           string
+	Granted, Expires time.Time
 }
 
 // Expired reports whether the charge no longer pays for a run.
@@ -15,7 +17,9 @@
 
 // lease is the extra amount of the newest grant.
 type lease struct {
-	amount float64
+	amount  float64
+	holder  string
+	granted time.Time
 	// useBy is until when requests may be paid from it, and expires until when they
 	// have to run. The time between is for their wait.
 	useBy, expires time.Time
--- a/pkg/quota/limits.go
+++ b/pkg/quota/limits.go
@@ -28,35 +28,51 @@
 const (
 	// maxLifetime bounds the time from a grant to the run that it pays for.
 	maxLifetime = time.Second
+	// lifetimeShare is the share of the excess that grants before a window may use in it.
+	lifetimeShare = 0.25
 	// minLifetime allows for a few round trips in a deployment that tolerates no excess.
 	minLifetime = 200 * time.Millisecond
-	// burstSlackShare is the share of the slack that is added to the burst. An account
+	// burstSlackShare is the share of the slack that is added to the limits. An account
 	// that has quota left in total has little left in each share, and the burst of a small
 	// account split over three holders is less than one large request.
 	burstSlackShare = 0.5
+	// extraBurstTime is the time whose rate may be used at once beside the burst. The
+	// window rule allows its whole sum at once, of which a holder that starts again would
+	// grant too much a second time.
+	extraBurstTime = time.Second
 	// maxBurstIncrease bounds that addition, as a share of the burst: the slack may be
 	// far above the quota of an account that counts requests.
 	maxBurstIncrease = 0.5
 	// minAloneShare and maxAloneShare bound the share of an account's rate that gateways
 	// use in all while they reach no holder.
 	minAloneShare, maxAloneShare = 0.05, 0.5
+	// aloneExcessShare is the share of the excess that they use in all.
+	aloneExcessShare = 0.5
 )
 
 // Lifetime returns the time from a grant to the last moment at which the request that it
 // pays for may run. What was granted before a window runs in it, beside the whole limit of
 // the window, so that this must stay within the excess.
 func (r Rules) Lifetime() time.Duration {
-	return min(max(time.Duration(r.Excess*float64(r.Window)), minLifetime), maxLifetime)
+	return min(max(time.Duration(lifetimeShare*r.Excess*float64(r.Window)), minLifetime), maxLifetime)
 }
 
 // AloneShare returns the share of an account's rate that is used by gateways which reach
 // no holder. The holders may hand out the whole limit to others meanwhile.
-func (r Rules) AloneShare() float64 { return min(max(r.Excess, minAloneShare), maxAloneShare) }
+func (r Rules) AloneShare() float64 {
+	return min(max(aloneExcessShare*r.Excess, minAloneShare), maxAloneShare)
+}
 
 // ShareOf returns the limits of each of n shares of an account's limits.
-func (r Rules) ShareOf(l Limits, n int) Limits {
-	burst := l.Burst + min(burstSlackShare*r.Slack, maxBurstIncrease*l.Burst)
-	return Limits{l.PerSecond / float64(max(n, 1)), burst / float64(max(n, 1))}
+func (r Rules) ShareOf(l Limits, n int) ShareLimits {
+	slack := min(burstSlackShare*r.Slack, maxBurstIncrease*l.Burst)
+	each := 1 / float64(max(n, 1))
+	return ShareLimits{
+		PerSecond: l.PerSecond * each,
+		Burst:     (l.Burst + l.PerSecond*extraBurstTime.Seconds() + slack) * each,
+		Sum:       (l.PerSecond*r.Window.Seconds() + l.Burst + slack) * each,
+		Window:    r.Window,
+	}
 }
 
 // LimitsOf returns the limits of an account, and whether it has any.
--- a/pkg/wire/quota_schema.go
+++ b/pkg/wire/quota_schema.go
@@ -16,10 +16,13 @@
 // QuotaLimit is a share of an account's quota.
 type QuotaLimit struct {
 	Account ident.Account
-	// PerSecond and Burst are those of the share, in the account's units.
-	PerSecond, Burst float64
-	// Joins reports that the agent takes the place of another that still answers.
-	Joins bool
+	// PerSecond, Burst and Sum are those of the share, in the account's units: Sum is what
+	// may be granted in a window.
+	PerSecond, Burst, Sum float64
+	WindowMS              int64
+	// JoinDelayMS is set if the agent takes the place of another: for how long, in ms, that
+	// one may still be asked.
+	JoinDelayMS int64
 }
 
 // QuotaRequest asks an agent for an amount of an account's quota.
@@ -29,15 +32,25 @@
 	// Need is granted as a whole or not at all. Wish is an amount beyond it for the
 	// requests to come.
 	Need, Wish float64
-	// Returned is an amount that was granted before, by any agent, and not used.
-	Returned float64
-	// PerSecond and Burst are those of the agent's share, for one that does not know them.
-	PerSecond, Burst float64
+	// Returned is an amount that was granted before, by any agent, and not used, and
+	// ReturnedAgeMS for how long, in ms, a part of it has been granted at most.
+	Returned      float64
+	ReturnedAgeMS int64
+	// PerSecond, Burst, Sum and WindowMS are as in QuotaLimit, for an agent that does not
+	// know them.
+	PerSecond, Burst, Sum float64
+	WindowMS              int64
+	// JoinDelayMS is as in QuotaLimit, and Settled reports that the gateway has known the
+	// agent as a holder for longer than the lists of two gateways differ.
+	JoinDelayMS int64
+	Settled     bool
 }
 
 // QuotaReply answers a QuotaRequest.
 type QuotaReply struct {
 	// Granted is at least the needed amount, or 0.
 	Granted float64
-	WaitMS  int64 // until the needed amount may be had, in ms, if nothing was granted
+	// WaitMS is the time in ms until the needed amount may be had, if nothing was granted,
+	// and RetryMS the time until there is room beside those that were denied before.
+	WaitMS, RetryMS int64
 }
--- a/pkg/wire/quota_schema_gen.go
+++ b/pkg/wire/quota_schema_gen.go
@@ -9,8 +9,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *QuotaLimit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 6
+	o = append(o, 0x96)
 	o, err = z.Account.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Account")
@@ -18,7 +18,9 @@
 	}
 	o = msgp.AppendFloat64(o, z.PerSecond)
 	o = msgp.AppendFloat64(o, z.Burst)
-	o = msgp.AppendBool(o, z.Joins)
+	o = msgp.AppendFloat64(o, z.Sum)
+	o = msgp.AppendInt64(o, z.WindowMS)
+	o = msgp.AppendInt64(o, z.JoinDelayMS)
 	return
 }
 
@@ -30,8 +32,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	bts, err = z.Account.UnmarshalMsg(bts)
@@ -49,9 +51,19 @@
 		err = msgp.WrapError(err, "Burst")
 		return
 	}
-	z.Joins, bts, err = msgp.ReadBoolBytes(bts)
+	z.Sum, bts, err = msgp.ReadFloat64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Joins")
+		err = msgp.WrapError(err, "Sum")
+		return
+	}
+	z.WindowMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WindowMS")
+		return
+	}
+	z.JoinDelayMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "JoinDelayMS")
 		return
 	}
 	o = bts
@@ -60,7 +72,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuotaLimit) Msgsize() (s int) {
-	s = 1 + z.Account.Msgsize() + msgp.Float64Size + msgp.Float64Size + msgp.BoolSize
+	s = 1 + z.Account.Msgsize() + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
@@ -132,10 +144,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z QuotaReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendFloat64(o, z.Granted)
 	o = msgp.AppendInt64(o, z.WaitMS)
+	o = msgp.AppendInt64(o, z.RetryMS)
 	return
 }
 
@@ -147,8 +160,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Granted, bts, err = msgp.ReadFloat64Bytes(bts)
@@ -161,21 +174,26 @@
 		err = msgp.WrapError(err, "WaitMS")
 		return
 	}
+	z.RetryMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RetryMS")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z QuotaReply) Msgsize() (s int) {
-	s = 1 + msgp.Float64Size + msgp.Int64Size
+	s = 1 + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *QuotaRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o, err = z.Account.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Account")
@@ -185,8 +203,13 @@
 	o = msgp.AppendFloat64(o, z.Need)
 	o = msgp.AppendFloat64(o, z.Wish)
 	o = msgp.AppendFloat64(o, z.Returned)
+	o = msgp.AppendInt64(o, z.ReturnedAgeMS)
 	o = msgp.AppendFloat64(o, z.PerSecond)
 	o = msgp.AppendFloat64(o, z.Burst)
+	o = msgp.AppendFloat64(o, z.Sum)
+	o = msgp.AppendInt64(o, z.WindowMS)
+	o = msgp.AppendInt64(o, z.JoinDelayMS)
+	o = msgp.AppendBool(o, z.Settled)
 	return
 }
 
@@ -198,8 +221,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	bts, err = z.Account.UnmarshalMsg(bts)
@@ -227,6 +250,11 @@
 		err = msgp.WrapError(err, "Returned")
 		return
 	}
+	z.ReturnedAgeMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ReturnedAgeMS")
+		return
+	}
 	z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "PerSecond")
@@ -237,12 +265,32 @@
 		err = msgp.WrapError(err, "Burst")
 		return
 	}
+	z.Sum, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sum")
+		return
+	}
+	z.WindowMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WindowMS")
+		return
+	}
+	z.JoinDelayMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "JoinDelayMS")
+		return
+	}
+	z.Settled, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Settled")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuotaRequest) Msgsize() (s int) {
-	s = 1 + z.Account.Msgsize() + msgp.Uint64Size + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size
+	s = 1 + z.Account.Msgsize() + msgp.Uint64Size + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize
 	return
 }
