Retry-After of accounts above their quota is the time until there is quota

Change: the queue of callers is taken back. A test requires that a request that pays again returns its old charge.

--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -269,9 +269,7 @@
 func (a *accountQuota) answered(holder string, ask quota.Ask, r wire.QuotaReply, now time.Time) (quota.Charge, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c, ok := a.quota.Answered(holder, ask, quota.Answer{
-		Granted: r.Granted, Wait: time.Duration(r.WaitMS) * time.Millisecond, Retry: time.Duration(r.RetryMS) * time.Millisecond,
-	}, now)
+	c, ok := a.quota.Answered(holder, ask, r.Granted, time.Duration(r.WaitMS)*time.Millisecond, now)
 	if ok {
 		a.counts.granted += r.Granted
 		a.metrics.granted.Inc(int64(r.Granted))
--- a/pkg/gateway/quota_test.go
+++ b/pkg/gateway/quota_test.go
@@ -240,7 +240,9 @@
 		}
 		h.quotas.rules = testQuotaRules
 		answers := []wire.QuotaReply{{Granted: 1}, {WaitMS: 3000}}
-		h.quotas.call = func(context.Context, fleet.Target, *wire.QuotaRequest) (wire.QuotaReply, error) {
+		var asked []wire.QuotaRequest
+		h.quotas.call = func(_ context.Context, _ fleet.Target, r *wire.QuotaRequest) (wire.QuotaReply, error) {
+			asked = append(asked, *r)
 			next := answers[0]
 			answers = answers[min(1, len(answers)-1):]
 			return next, nil
@@ -257,6 +259,9 @@
 		require.NoError(t, err)
 		require.GreaterOrEqual(t, after, 3.0)
 		require.Empty(t, h.receivedRequests())
+		require.GreaterOrEqual(t, len(asked), 2)
+		require.Equal(t, 1.0, asked[1].Returned, "the old charge is returned, so that it pays once in all")
+		require.InDelta(t, 1500, asked[1].ReturnedAgeMS, 20)
 	})
 }
 
--- a/pkg/orderer/quota.go
+++ b/pkg/orderer/quota.go
@@ -89,7 +89,7 @@
 	defer t.mu.Unlock()
 	s := t.share(r.Account, r.Configuration, shareLimits(r.PerSecond, r.Burst, r.Sum, r.WindowMS), now)
 	if s == nil {
-		return wire.QuotaReply{WaitMS: quotaFullWait.Milliseconds(), RetryMS: quotaFullWait.Milliseconds()}
+		return wire.QuotaReply{WaitMS: quotaFullWait.Milliseconds()}
 	}
 	if r.JoinDelayMS > 0 {
 		s.Join(millis(r.JoinDelayMS), now)
@@ -98,8 +98,8 @@
 		s.Use(now)
 	}
 	s.Return(r.Returned, now.Add(-millis(r.ReturnedAgeMS)), now)
-	granted, wait, retry := s.Take(r.Need, r.Wish, now)
-	return wire.QuotaReply{Granted: granted, WaitMS: ceilMS(wait), RetryMS: ceilMS(retry)}
+	granted, wait := s.Take(r.Need, r.Wish, now)
+	return wire.QuotaReply{Granted: granted, WaitMS: ceilMS(wait)}
 }
 
 // handleQuotaLimits records shares of quotas that are held here.
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -54,10 +54,9 @@
 	// replaces may still be asked by others. It is 0 if the account had no holders before.
 	Listed    time.Time
 	JoinDelay time.Duration
-	// deniedUntil is until when it denies the amount deniedNeed, and retryAt when callers
-	// of denied requests are to come back.
-	deniedUntil, retryAt time.Time
-	deniedNeed           float64
+	// deniedUntil is until when it denies the amount deniedNeed.
+	deniedUntil time.Time
+	deniedNeed  float64
 }
 
 // Settled reports whether it has been a holder for longer than lists of engines differ.
@@ -238,25 +237,17 @@
 	a.lease = lease{}
 }
 
-// Answer is what a holder answers: what it granted, or the times until the amount may be
-// had and until callers are to come back.
-type Answer struct {
-	Granted     float64
-	Wait, Retry time.Duration
-}
-
 // Answered records a holder's answer. It returns the request's charge if that was
 // granted.
-func (a *Account) Answered(address string, ask Ask, r Answer, now time.Time) (Charge, bool) {
+func (a *Account) Answered(address string, ask Ask, granted float64, wait time.Duration, now time.Time) (Charge, bool) {
 	h := a.holder(address)
 	if h != nil {
-		h.LastAnswer, h.Granted, h.Wait, h.SilentUntil = now, r.Granted, r.Wait, time.Time{}
+		h.LastAnswer, h.Granted, h.Wait, h.SilentUntil = now, granted, wait, time.Time{}
 	}
 	a.alone = alone{}
-	if r.Granted < ask.Need {
+	if granted < ask.Need {
 		if h != nil {
-			h.deniedUntil, h.deniedNeed = now.Add(max(r.Wait, minDenial)), ask.Need
-			h.retryAt = now.Add(r.Retry)
+			h.deniedUntil, h.deniedNeed = now.Add(max(wait, minDenial)), ask.Need
 		}
 		return Charge{}, false
 	}
@@ -266,7 +257,7 @@
 	}
 	lifetime := a.rules.Lifetime()
 	expires := ask.Sent.Add(lifetime)
-	if extra := r.Granted - ask.Need; extra > 0 {
+	if extra := granted - ask.Need; extra > 0 {
 		a.dropLease() // one of an earlier grant
 		a.lease = lease{extra, address, ask.Sent, ask.Sent.Add(time.Duration(usePart * float64(lifetime))), expires}
 	}
@@ -302,12 +293,12 @@
 	a.putBack(c.Amount, c.Granted)
 }
 
-// Wait returns after how long a caller is to come back whose request may not be paid now.
+// Wait returns how long it takes until the cost may be had, given that it may not now.
 func (a *Account) Wait(cost float64, now time.Time) time.Duration {
 	wait := time.Duration(0)
 	for i := range a.holders {
 		h := &a.holders[i]
-		w := max(a.denial(h, cost, now), h.retryAt.Sub(now), h.SilentUntil.Sub(now))
+		w := max(a.denial(h, cost, now), h.SilentUntil.Sub(now))
 		if w > 0 && (wait == 0 || w < wait) {
 			wait = w
 		}
--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -276,14 +276,14 @@
 				holder.share.Use(f.time())
 			}
 			holder.share.Return(ask.Returned, ask.ReturnedFrom, f.time())
-			granted, wait, retry := holder.share.Take(ask.Need, ask.Wish, f.time())
+			granted, wait := holder.share.Take(ask.Need, ask.Wish, f.time())
 			f.deliver(g, func() {
 				f.atGateway(g, func() {
 					if done {
 						return // the stream has ended
 					}
 					done = true
-					if c, ok := account.Answered(h.Address, ask, Answer{granted, wait, retry}, f.time()); ok {
+					if c, ok := account.Answered(h.Address, ask, granted, wait, f.time()); ok {
 						paid(c)
 						return
 					}
--- a/pkg/quota/share.go
+++ b/pkg/quota/share.go
@@ -47,16 +47,13 @@
 // granted in the last window. The bucket bounds what is granted a second time if the holder
 // starts again: it starts empty, and in the first window it fills at the account's rate.
 type Share struct {
-	limits  ShareLimits
-	version uint64
-	balance float64
-	updated time.Time // when the balance was as recorded
-	full    time.Time // when the bucket was last full
-	created time.Time
-	granted windowCount
-	// expected is the amount that was denied and whose callers were told to come back.
-	expected float64
-
+	limits    ShareLimits
+	version   uint64
+	balance   float64
+	updated   time.Time // when the balance was as recorded
+	full      time.Time // when the bucket was last full
+	created   time.Time
+	granted   windowCount
 	asked     time.Time // when a gateway last asked that has known the holder for long
 	joined    time.Time // when the holder last took the place of another
 	joinDelay time.Duration
@@ -82,7 +79,6 @@
 func (s *Share) refill(now time.Time) {
 	if d := now.Sub(s.updated); d > 0 {
 		s.balance += s.rate(now) * d.Seconds()
-		s.expected = max(s.expected-s.rate(now)*d.Seconds(), 0)
 		s.updated = now
 	}
 	s.limitBalance(now)
@@ -154,10 +150,12 @@
 func (s *Share) Use(now time.Time) { s.asked = now }
 
 // Take takes the needed amount, and as much of the wished extra as leaves burst and window
-// more than half full. It returns what it granted, or 0 and the times until the needed
-// amount may be had (wait), and until there is room for it after all those that were told
-// to come back (retry). An amount above the limits is granted once the share is full.
-func (s *Share) Take(need, wish float64, now time.Time) (granted float64, wait, retry time.Duration) {
+// more than half full. It returns what it granted, or 0 and the time until the needed
+// amount may be had. An amount above the limits is granted once the share is full.
+//
+// The time does not allow for callers that were told to come back before: a trial that
+// did served fewer in time on poca-outlets-grown (quiet-1: 10,213 instead of 10,274).
+func (s *Share) Take(need, wish float64, now time.Time) (granted float64, wait time.Duration) {
 	s.refill(now)
 	left := s.left()
 	if missing := min(need, s.limits.Burst) - s.balance; missing > 0 {
@@ -167,15 +165,13 @@
 		wait = max(wait, s.granted.timeUntilFree(missing, s.limits.Window, now))
 	}
 	if wait > 0 {
-		retry = min(wait+timeFor(s.expected, s.rate(now)), max(wait, s.limits.Window))
-		s.expected += need / HolderCount // the other holders are told the same
-		return 0, wait, retry
+		return 0, wait
 	}
 	extra := min(wish, s.balance-need-extraAbove*s.limits.Burst, (left-need)*extraAbove)
 	granted = need + max(extra, 0)
 	s.balance -= granted
 	s.granted.add(granted)
-	return granted, 0, 0
+	return granted, 0
 }
 
 // Return puts back what was granted at a time, here or by another holder, and not used. If
--- a/pkg/quota/share_test.go
+++ b/pkg/quota/share_test.go
@@ -29,22 +29,22 @@
 // A holder that starts again hands out no burst a second time.
 func TestShareStartsEmpty(t *testing.T) {
 	s := NewShare(1, ShareLimits{PerSecond: 100, Burst: 200}, start)
-	granted, wait, _ := s.Take(50, 0, start)
+	granted, wait := s.Take(50, 0, start)
 	require.Zero(t, granted)
 	require.Equal(t, startDelay+500*time.Millisecond, wait)
-	granted, _, _ = s.Take(50, 0, at(wait))
+	granted, _ = s.Take(50, 0, at(wait))
 	require.Equal(t, 50.0, granted)
 }
 
 // A request that costs more than the burst is served, and paid for by those after it.
 func TestRequestAboveTheBurstIsGrantedWhenTheBucketIsFull(t *testing.T) {
 	s := fullShare()
-	granted, _, _ := s.Take(500, 0, start)
+	granted, _ := s.Take(500, 0, start)
 	require.Equal(t, 500.0, granted)
 	require.Equal(t, -300.0, s.Balance(start))
-	_, wait, _ := s.Take(500, 0, start)
+	_, wait := s.Take(500, 0, start)
 	require.Equal(t, 5*time.Second, wait, "until the bucket is full again")
-	_, wait, _ = s.Take(10, 0, start)
+	_, wait = s.Take(10, 0, start)
 	require.Equal(t, 3100*time.Millisecond, wait)
 }
 
@@ -52,10 +52,10 @@
 func TestRequestAboveTheSumIsGrantedWhenTheWindowIsEmpty(t *testing.T) {
 	s := windowShare()
 	s.Take(10, 0, start)
-	granted, wait, _ := s.Take(1000, 0, at(time.Second))
+	granted, wait := s.Take(1000, 0, at(time.Second))
 	require.Zero(t, granted)
 	require.InDelta(t, 7.125, wait.Seconds(), 0.126)
-	granted, _, _ = s.Take(1000, 0, at(time.Second+wait))
+	granted, _ = s.Take(1000, 0, at(time.Second+wait))
 	require.Equal(t, 1000.0, granted)
 }
 
@@ -65,7 +65,7 @@
 func TestAccountThatUsesItsWindowsIsNotRefused(t *testing.T) {
 	s := windowShare()
 	for i := range 60 * 50 {
-		granted, _, _ := s.Take(2.2, 0, at(time.Duration(i)*20*time.Millisecond)) // 110 a second
+		granted, _ := s.Take(2.2, 0, at(time.Duration(i)*20*time.Millisecond)) // 110 a second
 		require.Equal(t, 2.2, granted, "after %d", i)
 	}
 }
@@ -75,20 +75,20 @@
 func TestWindowBoundsWhatABucketWouldGrant(t *testing.T) {
 	s, used := windowShare(), 0.0
 	for i := range 8 * 50 {
-		granted, _, _ := s.Take(10, 0, at(time.Duration(i)*20*time.Millisecond))
+		granted, _ := s.Take(10, 0, at(time.Duration(i)*20*time.Millisecond))
 		used += granted
 	}
 	require.InDelta(t, 900, used, 10)
-	_, wait, _ := s.Take(10, 0, at(8*time.Second))
+	_, wait := s.Take(10, 0, at(8*time.Second))
 	require.InDelta(t, 0.125, wait.Seconds(), 0.126, "what was granted first leaves the window")
 }
 
 // What gateways take in advance leaves half of the burst for requests at hand.
 func TestExtraAmountIsTakenOnlyWhileMoreThanHalfFull(t *testing.T) {
 	s := fullShare()
-	granted, _, _ := s.Take(20, 1000, start)
+	granted, _ := s.Take(20, 1000, start)
 	require.Equal(t, 100.0, granted)
-	granted, _, _ = s.Take(20, 1000, start)
+	granted, _ = s.Take(20, 1000, start)
 	require.Equal(t, 20.0, granted)
 }
 
@@ -111,7 +111,7 @@
 	}
 	lower := ShareLimits{PerSecond: 25, Burst: 50, Sum: 225, Window: 8 * time.Second}
 	s.Update(2, lower, at(7*time.Second))
-	granted, _, _ := s.Take(20, 0, at(8*time.Second))
+	granted, _ := s.Take(20, 0, at(8*time.Second))
 	require.Equal(t, 20.0, granted)
 }
 
@@ -137,14 +137,14 @@
 	s.Balance(start)
 	paid := at(time.Millisecond)
 	for range 10 {
-		granted, _, _ := s.Take(20, 0, paid)
+		granted, _ := s.Take(20, 0, paid)
 		require.Equal(t, 20.0, granted)
 	}
 	later := at(3 * time.Second)
 	require.Equal(t, 200.0, s.Balance(later))
 	for range 10 {
 		s.Return(20, paid, later)
-		granted, _, _ := s.Take(20, 0, later)
+		granted, _ := s.Take(20, 0, later)
 		require.Equal(t, 20.0, granted)
 	}
 	require.Zero(t, s.Balance(later))
@@ -156,36 +156,18 @@
 	s := windowShare()
 	paid := at(time.Millisecond)
 	for range 2 {
-		granted, _, _ := s.Take(100, 0, paid)
+		granted, _ := s.Take(100, 0, paid)
 		require.Equal(t, 100.0, granted)
 	}
 	later := at(500 * time.Millisecond)
 	before := s.Balance(later)
 	s.Return(100, paid, later)
-	granted, _, _ := s.Take(100, 0, later)
+	granted, _ := s.Take(100, 0, later)
 	require.Equal(t, 100.0, granted)
 	require.InDelta(t, before, s.Balance(later), 0.01)
 	require.InDelta(t, 200, s.granted.sum(), 0.01, "each counts once")
 }
 
-// Callers that are refused together come back one after the other, when there is room.
-func TestRefusedCallersAreToldToComeBackInTurn(t *testing.T) {
-	s := windowShare()
-	s.Take(200, 0, start)
-	var last time.Duration
-	for i := range 5 {
-		_, wait, retry := s.Take(60, 0, start)
-		require.InDelta(t, 60/112.5, wait.Seconds(), 0.01)
-		// A holder's share of 60 is 20, since the others have room too.
-		require.InDelta(t, (60+20*float64(i))/112.5, retry.Seconds(), 0.01)
-		require.Greater(t, retry, last)
-		last = retry
-	}
-	_, wait, retry := s.Take(60, 0, at(500*time.Millisecond))
-	require.InDelta(t, (60-56.25)/112.5, wait.Seconds(), 0.01)
-	require.InDelta(t, (60-56.25+100-56.25)/112.5, retry.Seconds(), 0.01, "those before have come back")
-}
-
 // Gateways that learn late of a change tell a holder again that it joins; a gateway with an
 // old list asks it all the time.
 func TestHolderJoinsOnce(t *testing.T) {
@@ -217,7 +199,7 @@
 		h, ok := a.Next(100, nil, start)
 		require.True(t, ok)
 		require.Equal(t, want, h.Address)
-		a.Answered(h.Address, a.Ask(100, start), Answer{Wait: time.Second}, start)
+		a.Answered(h.Address, a.Ask(100, start), 0, time.Second, start)
 	}
 	_, ok := a.Next(100, nil, at(999*time.Millisecond))
 	require.False(t, ok)
@@ -255,7 +237,7 @@
 	a := newTestAccount()
 	ask := a.Ask(10, start)
 	require.Zero(t, ask.Wish)
-	c, ok := a.Answered("b", ask, Answer{Granted: 35}, start)
+	c, ok := a.Answered("b", ask, 35, 0, start)
 	require.True(t, ok)
 	require.Equal(t, Charge{10, "b", start, at(200 * time.Millisecond)}, c)
 	c, ok = a.Spend(10, at(50*time.Millisecond))
@@ -278,7 +260,7 @@
 	a := newTestAccount()
 	for i := range 20 {
 		now := at(time.Duration(i) * 20 * time.Millisecond)
-		a.Answered("b", a.Ask(5, now), Answer{Granted: 5}, now)
+		a.Answered("b", a.Ask(5, now), 5, 0, now)
 	}
 	require.InDelta(t, 50, a.Ask(5, at(400*time.Millisecond)).Wish, 10)
 	require.Zero(t, a.Ask(5, at(time.Second)).Wish)
@@ -353,7 +335,7 @@
 // BenchmarkSpend measures a request that is paid from the lease, without a message.
 func BenchmarkSpend(b *testing.B) {
 	a := newTestAccount()
-	a.Answered("b", a.Ask(1, start), Answer{Granted: 1e12}, start)
+	a.Answered("b", a.Ask(1, start), 1e12, 0, start)
 	b.ReportAllocs()
 	for b.Loop() {
 		a.Spend(1, start)
--- a/pkg/wire/quota_schema.go
+++ b/pkg/wire/quota_schema.go
@@ -50,7 +50,5 @@
 type QuotaReply struct {
 	// Granted is at least the needed amount, or 0.
 	Granted float64
-	// WaitMS is the time in ms until the needed amount may be had, if nothing was granted,
-	// and RetryMS the time until there is room beside those that were denied before.
-	WaitMS, RetryMS int64
+	WaitMS  int64 // until the needed amount may be had, in ms, if nothing was granted
 }
--- a/pkg/wire/quota_schema_gen.go
+++ b/pkg/wire/quota_schema_gen.go
@@ -144,11 +144,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z QuotaReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendFloat64(o, z.Granted)
 	o = msgp.AppendInt64(o, z.WaitMS)
-	o = msgp.AppendInt64(o, z.RetryMS)
 	return
 }
 
@@ -160,8 +159,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	z.Granted, bts, err = msgp.ReadFloat64Bytes(bts)
@@ -174,18 +173,13 @@
 		err = msgp.WrapError(err, "WaitMS")
 		return
 	}
-	z.RetryMS, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "RetryMS")
-		return
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z QuotaReply) Msgsize() (s int) {
-	s = 1 + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size
+	s = 1 + msgp.Float64Size + msgp.Int64Size
 	return
 }
 
