Buckets of quotas hold the burst, and start empty

Ruled out: a bucket alone at 1.06 times the rate, with charges returned by requests that wait: 1.3 times the limit in TestRequestsThatWaitedLongDoNotRunAtOnce. Change: the bucket holds the burst, as before shares counted windows, and starts empty.

--- a/pkg/quota/limits.go
+++ b/pkg/quota/limits.go
@@ -36,10 +36,6 @@
 	// that has quota left in total has little left in each share, and the burst of a small
 	// account split over three holders is less than one large request.
 	burstSlackShare = 0.5
-	// extraBurstTime is the time whose rate may be used at once beside the burst. The
-	// window rule allows its whole sum at once, of which a holder that starts again would
-	// grant too much a second time.
-	extraBurstTime = time.Second
 	// maxBurstIncrease bounds that addition, as a share of the burst: the slack may be
 	// far above the quota of an account that counts requests.
 	maxBurstIncrease = 0.5
@@ -69,7 +65,7 @@
 	each := 1 / float64(max(n, 1))
 	return ShareLimits{
 		PerSecond: l.PerSecond * each,
-		Burst:     (l.Burst + l.PerSecond*extraBurstTime.Seconds() + slack) * each,
+		Burst:     (l.Burst + slack) * each,
 		Sum:       (l.PerSecond*r.Window.Seconds() + l.Burst + slack) * each,
 		Window:    r.Window,
 	}
--- a/pkg/quota/share.go
+++ b/pkg/quota/share.go
@@ -12,9 +12,6 @@
 	// joinOnce is how long after a holder has joined it takes no notice of gateways
 	// that tell it later: these learn of it within listDelay, and tell it for as long.
 	joinOnce = 3 * listDelay
-	// startDelay is the time whose rate a holder does not hand out when it starts. The
-	// holder before may have granted more than the rate, for which there is the burst.
-	startDelay = time.Second
 	// inUseTime is how long after it was last asked for a share counts as in use. Most
 	// accounts ask several times a second; one that asks less has little to lose.
 	inUseTime = 500 * time.Millisecond
@@ -61,7 +58,7 @@
 
 // NewShare returns a share that starts to fill.
 func NewShare(version uint64, l ShareLimits, now time.Time) *Share {
-	return &Share{limits: l, version: version, updated: now, created: now, balance: -l.PerSecond * startDelay.Seconds()}
+	return &Share{limits: l, version: version, updated: now, created: now}
 }
 
 // Version returns the version of the configuration that set the limits.
@@ -143,7 +140,7 @@
 		return
 	}
 	s.joined, s.joinDelay = now, delay
-	s.balance = min(s.balance, 0) - s.limits.PerSecond*(delay+startDelay).Seconds()
+	s.balance = min(s.balance, 0) - s.limits.PerSecond*delay.Seconds()
 }
 
 // Use records that a gateway asks which has known the holder for longer than lists differ.
