Windows of quotas do not depend on the wall clock

Cause: the parts of a window were numbered by the wall clock. A VM whose clock jumps ahead by some seconds would forget what it had granted. Found by reading. Change: they are numbered from the share's first use, by the monotonic clock.

--- a/pkg/quota/share_test.go
+++ b/pkg/quota/share_test.go
@@ -354,3 +354,14 @@
 		r.Holders("account")
 	}
 }
+
+// Charges may be returned late, and from before the holder's first window.
+func TestReturnsOfAnyAgeAreCounted(t *testing.T) {
+	for _, age := range []time.Duration{-time.Second, 0, time.Second, 9 * time.Second, time.Hour} {
+		s := NewShare(1, windowShare().Limits(), start)
+		s.Take(50, 0, at(2*time.Second))
+		s.Return(20, at(2*time.Second-age), at(2*time.Second))
+		require.GreaterOrEqual(t, s.granted.sum(), 30.0, age)
+		require.LessOrEqual(t, s.granted.sum(), 50.0, age)
+	}
+}
--- a/pkg/quota/window.go
+++ b/pkg/quota/window.go
@@ -9,13 +9,19 @@
 // windowCount is what a share granted in the last window. The zero value counts nothing.
 type windowCount struct {
 	slots [windowSlots + 1]float32
-	// newest is the number of the newest slot since the start of the epoch.
+	// newest is the number of the newest slot since the origin. That is two windows before
+	// the first use: a time before it has a number as well, and numbers do not depend on
+	// the wall clock, which may jump.
 	newest int64
+	origin time.Time
 }
 
 // advance drops the slots that left a window of so long.
 func (w *windowCount) advance(window time.Duration, now time.Time) {
-	at := slotOf(window, now)
+	if w.origin.IsZero() {
+		w.origin = now.Add(-2 * window)
+	}
+	at := w.number(window, now)
 	if at-w.newest > windowSlots {
 		w.slots = [windowSlots + 1]float32{}
 		w.newest = at
@@ -26,8 +32,9 @@
 	}
 }
 
-func slotOf(window time.Duration, t time.Time) int64 {
-	return t.UnixNano() / int64(window/windowSlots)
+// number returns the number of the slot of a time.
+func (w *windowCount) number(window time.Duration, t time.Time) int64 {
+	return int64(t.Sub(w.origin) / (window / windowSlots))
 }
 
 func (w *windowCount) slot(number int64) *float32 { return &w.slots[number%(windowSlots+1)] }
@@ -38,7 +45,7 @@
 // if it was granted by another holder, earlier.
 func (w *windowCount) remove(amount float64, window time.Duration, at time.Time) {
 	oldest := w.newest - windowSlots
-	for n := min(slotOf(window, at), w.newest); n >= oldest && amount > 0; n-- {
+	for n := min(w.number(window, at), w.newest); n >= oldest && amount > 0; n-- {
 		s := w.slot(n)
 		part := min(float64(*s), amount)
 		*s -= float32(part)
@@ -66,8 +73,8 @@
 	for n := w.newest - windowSlots; n <= w.newest; n++ {
 		amount -= float64(*w.slot(n))
 		if amount <= 0 {
-			leaves := time.Duration((n + windowSlots + 1) * int64(slot))
-			return max(leaves-time.Duration(now.UnixNano()), 1)
+			leaves := time.Duration(n+windowSlots+1) * slot
+			return max(leaves-now.Sub(w.origin), 1)
 		}
 	}
 	return window
