One limit of log rows in place of four

Cause: rows about refused keys, refusals of accounts, late streams and long pauses were each bounded by a counter of their own with the same logic. Change: common.RowLimit serves all four. A long pause of a request that is no longer known does not count as a left-out row any more, since it would not have been logged either.

--- a/pkg/gateway/authenticate.go
+++ b/pkg/gateway/authenticate.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -128,29 +127,10 @@
 // keys. Callers send any number of them.
 const denialLogInterval = time.Second
 
-// denialLog limits the rows about requests refused for their keys.
-type denialLog struct {
-	mu      sync.Mutex
-	last    time.Time
-	skipped int
-}
-
-// next reports whether a row is due, and how many were left out before it.
-func (l *denialLog) next(now time.Time) (skipped int, due bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.last.IsZero() && now.Sub(l.last) < denialLogInterval {
-		l.skipped++
-		return 0, false
-	}
-	skipped, l.last, l.skipped = l.skipped, now, 0
-	return skipped, true
-}
-
 // logDenial counts and logs that the request may not be served for its key.
 func (x *exchange) logDenial(d denial) {
 	x.g.metrics.denials[d].Inc(1)
-	skipped, due := x.g.denials.next(time.Now())
+	skipped, due := x.g.denialRows.Take(time.Now())
 	if !due {
 		return
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -70,7 +70,7 @@
 	// the configuration is.
 	targetList, configurationCopy *follow.Freshness
 	trust                         trustState
-	denials                       denialLog
+	denialRows                    *common.RowLimit // about requests refused for their keys
 
 	budgetMu   sync.Mutex
 	budgets    map[ident.Service]*budget
@@ -81,7 +81,7 @@
 	stop          stopState
 	eventInterval eventInterval
 	stepTime      stepTime
-	lateRows      rowLimit // rows about late streams
+	lateRows      *common.RowLimit // about late streams
 	// lengths, firstEvents and plainTimes are of streams, until their first event and of
 	// other requests, from their send on.
 	lengths                 forecast.Lengths
@@ -119,6 +119,7 @@
 		loads: newLoadTracker(), placing: newPlacing(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(),
+		denialRows: common.NewRowLimit(1, denialLogInterval), lateRows: common.NewRowLimit(maxLateRows, lateRowsPeriod),
 	}
 	g.configurationCopy = &follow.Freshness{Suspended: func() time.Duration { return g.suspended() }}
 	g.pool.Observe = g.metrics.countConn
--- a/pkg/gateway/lateness.go
+++ b/pkg/gateway/lateness.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -81,30 +80,6 @@
 	lateRowsPeriod = time.Second
 )
 
-// rowLimit bounds the number of rows that are logged about one thing.
-type rowLimit struct {
-	mu      sync.Mutex
-	began   time.Time
-	rows    int
-	skipped int
-}
-
-// take reports whether another row may be logged now, and how many were skipped before.
-func (l *rowLimit) take(now time.Time) (skipped int, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.began) >= lateRowsPeriod {
-		l.began, l.rows = now, 0
-	}
-	if l.rows >= maxLateRows {
-		l.skipped++
-		return 0, false
-	}
-	l.rows++
-	skipped, l.skipped = l.skipped, 0
-	return skipped, true
-}
-
 // recordLateness counts a stream that was served to its end. If it is late, it logs what is
 // known of its engine, and tells the engine's agent, which knows what was read there.
 func (x *exchange) recordLateness(a *assignment, t streamTiming) {
@@ -119,7 +94,7 @@
 		r.PauseMS = t.maxGap.Milliseconds()
 		a.reportPace(r)
 	}
-	if skipped, ok := x.g.lateRows.take(time.Now()); ok {
+	if skipped, ok := x.g.lateRows.Take(time.Now()); ok {
 		x.g.Info("msg", "late stream", "cause", cause, "request", x.q.attempt, "route", x.route.Name, "target", a.target.Instance, "weights", x.q.weights, "prompt", x.q.promptTokens,
 			"waited", t.grantWait, "first", t.firstEvent, "objective", x.route.Objective, "pause", max(t.maxGap, t.resumedGap), "resumed", t.resumedGap > 0, "pause-objective", x.route.GapObjective, "events", t.events,
 			"pace", x.load.Pace, "running", x.load.Running, "waiting", x.load.Waiting, "skipped", skipped)
--- a/pkg/gateway/lateness_test.go
+++ b/pkg/gateway/lateness_test.go
@@ -63,15 +63,15 @@
 // An engine fails and nearly all streams are late: the rows are bounded, and the next one
 // tells how many were left out.
 func TestRowsAboutLateStreamsAreBounded(t *testing.T) {
-	var l rowLimit
+	l := testGateway().lateRows
 	logged := 0
 	for i := range 1000 {
-		if _, ok := l.take(loadStart.Add(time.Duration(i) * time.Millisecond / 2)); ok {
+		if _, ok := l.Take(loadStart.Add(time.Duration(i) * time.Millisecond / 2)); ok {
 			logged++
 		}
 	}
 	require.Equal(t, maxLateRows, logged)
-	skipped, ok := l.take(loadStart.Add(lateRowsPeriod))
+	skipped, ok := l.Take(loadStart.Add(lateRowsPeriod))
 	require.True(t, ok)
 	require.Equal(t, 1000-maxLateRows, skipped)
 }
--- a/pkg/gateway/over_quota.go
+++ b/pkg/gateway/over_quota.go
@@ -55,7 +55,7 @@
 	if a == nil {
 		return
 	}
-	unlogged, log := a.logsRefusal(q.now())
+	unlogged, log := a.rows.Take(q.now())
 	if !log {
 		return
 	}
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -52,9 +52,7 @@
 	version uint64 // of the configuration that set the limits
 	counts  accountCounts
 	metrics *accountMetrics
-	// loggedAt is when a refusal was last logged, and unlogged the number since then.
-	loggedAt time.Time
-	unlogged int
+	rows    *common.RowLimit // about refusals
 }
 
 // quotaCharge is what a request has paid. The zero value is that of a request without a
--- a/pkg/gateway/quota_holders.go
+++ b/pkg/gateway/quota_holders.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
@@ -170,7 +171,7 @@
 
 // add adds an account without limits and holders. The caller holds mu.
 func (q *quotas) add(name ident.Account) *accountQuota {
-	a := &accountQuota{name: name, quota: quota.NewAccount(q.rules, quota.Limits{}), metrics: q.metrics.get(name)}
+	a := &accountQuota{name: name, quota: quota.NewAccount(q.rules, quota.Limits{}), metrics: q.metrics.get(name), rows: common.NewRowLimit(1, refusalLogInterval)}
 	q.accounts[name] = a
 	return a
 }
--- a/pkg/gateway/quota_metrics.go
+++ b/pkg/gateway/quota_metrics.go
@@ -92,19 +92,6 @@
 	}
 }
 
-// logsRefusal reports whether a refusal is to be logged, and how many were not since the
-// last one that was.
-func (a *accountQuota) logsRefusal(now time.Time) (unlogged int, log bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.loggedAt.IsZero() && now.Sub(a.loggedAt) < refusalLogInterval {
-		a.unlogged++
-		return 0, false
-	}
-	unlogged, a.unlogged, a.loggedAt = a.unlogged, 0, now
-	return unlogged, true
-}
-
 // describeHolders returns the last answer of each holder, for the log.
 func (a *accountQuota) describeHolders(now time.Time) string {
 	a.mu.Lock()
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -79,12 +79,9 @@
 	reported   platform.TargetNotice // what the head of the newest report says that is valid
 	// runsUnreadable says that the running requests of the newest report can't be decoded.
 	runsUnreadable bool
-	// latePauseLogged is when a stream that had paused for too long was last logged, and
-	// latePausesSkipped the number of those since then.
-	latePauseLogged   time.Time
-	latePausesSkipped int
-	nextIdentify      time.Time // earliest time of the next health check
-	listener          net.Listener
+	latePauseRows  *common.RowLimit // about streams that paused for too long
+	nextIdentify   time.Time        // earliest time of the next health check
+	listener       net.Listener
 }
 
 // New returns the orderer of the engine on this VM.
@@ -94,7 +91,7 @@
 	return &Orderer{
 		Common: c, metrics: newMetrics(c.Metrics), node: node, Engine: Engine{Report: client.Report, Send: client.Send, Identity: client.Identity},
 		scheduler: grant.New(), pending: make(map[grant.RequestID]chan wire.GrantReply), wake: make(chan struct{}, 1),
-		notices: notice.New(),
+		notices: notice.New(), latePauseRows: common.NewRowLimit(1, latePauseRowInterval),
 	}
 }
 
--- a/pkg/orderer/pace.go
+++ b/pkg/orderer/pace.go
@@ -66,19 +66,17 @@
 // read on the engine while it ran. The caller holds mu.
 func (o *Orderer) recordLatePauseLocked(id grant.RequestID, r wire.PaceReport) {
 	o.metrics.latePauses.Inc(1)
-	now := time.Now()
-	if now.Sub(o.latePauseLogged) < latePauseRowInterval {
-		o.latePausesSkipped++
+	load, ok := o.scheduler.StreamLoad(id)
+	if !ok {
 		return
 	}
-	load, ok := o.scheduler.StreamLoad(id)
+	skipped, ok := o.latePauseRows.Take(time.Now())
 	if !ok {
 		return
 	}
 	o.Info("msg", "stream paused for too long", "request", load.Attempt, "pause-ms", r.PauseMS, "objective-ms", r.GapObjectiveMS, "pace-at-head", r.Pace,
 		"peak-pace", int(math.Round(100*load.PeakPace)), "peak-running", load.PeakRunning, "peak-prefill", load.PeakPrefill, "largest-prompt", load.LargestPrompt,
-		"tokens-per-ms", load.TokensPerMS, "event-time", load.EventTime, "window", load.Window, "skipped", o.latePausesSkipped)
-	o.latePauseLogged, o.latePausesSkipped = now, 0
+		"tokens-per-ms", load.TokensPerMS, "event-time", load.EventTime, "window", load.Window, "skipped", skipped)
 }
 
 // latePauseRowInterval is the time between two rows about streams that have paused for too
