Explain and accounts share what they computed twice

Cause: explain computed the cost of a request and the names of units itself, beside quota.Cost and the accounts' report; explain request and accounts each split the list of gateways and read their pages, the former one after the other (4 s for each that is silent) and without a check of the addresses. Change: one function each. explain request asks all gateways at once, and names an address that is none.

--- a/pkg/control/accounts.go
+++ b/pkg/control/accounts.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"sort"
 	"strings"
-	"sync"
 	"text/tabwriter"
 
 	"github.com/juju/errors"
@@ -69,37 +67,13 @@
 	}
 }
 
-// gatewayAddresses splits a list of addresses and adds the default port to those without.
-func gatewayAddresses(list string) ([]string, error) {
-	var out []string
-	for _, a := range strings.Split(list, ",") {
-		if a = strings.TrimSpace(a); a == "" {
-			continue
-		}
-		a = withMetricsPort(a)
-		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || port == "" || strings.ContainsAny(a, "/ ") {
-			return nil, errors.NotValidf("-gateway: address %q", a)
-		}
-		out = append(out, a)
-	}
-	if len(out) == 0 {
-		return nil, errors.NotValidf("-gateway: no address")
-	}
-	return out, nil
-}
-
 // readAccounts reads the reports of all gateways at once.
 func readAccounts(addresses []string) accountsReport {
-	reports, errs := make([]quota.Report, len(addresses)), make([]error, len(addresses))
-	var wait sync.WaitGroup
-	for i, a := range addresses {
-		wait.Go(func() { reports[i], errs[i] = readReport(a) })
-	}
-	wait.Wait()
+	reports, errs := readGatewayPages[quota.Report](addresses, quota.ReportPath)
 	r := accountsReport{Gateways: []quota.Report{}, Unanswered: []unanswered{}}
 	for i, a := range addresses {
 		if errs[i] != nil {
-			r.Unanswered = append(r.Unanswered, unanswered{a, errs[i].Error()})
+			r.Unanswered = append(r.Unanswered, unanswered{a, errors.Annotate(errs[i], quota.ReportPath).Error()})
 			continue
 		}
 		r.Gateways = append(r.Gateways, reports[i])
@@ -108,11 +82,6 @@
 	return r
 }
 
-func readReport(address string) (r quota.Report, err error) {
-	err = readGatewayPage(address, quota.ReportPath, &r)
-	return r, errors.Annotate(err, quota.ReportPath)
-}
-
 // sumAccounts adds up the accounts of all gateways, by name.
 func sumAccounts(reports []quota.Report) []accountSum {
 	byName := make(map[ident.Account]*accountSum)
--- a/pkg/control/explain.go
+++ b/pkg/control/explain.go
@@ -76,14 +76,20 @@
 	if r.query.Attempt == "" {
 		r.query.Attempt = uuid.NewString()
 	}
+	addresses, err := gatewayAddresses(r.gateways)
+	if err != nil {
+		return errors.WithType(err, errBadQuestion)
+	}
+	given, errs := readGatewayPages[*explain.Answer](addresses, explain.Path+"?"+r.query.Values().Encode())
 	var answers []gatewayAnswer
 	var failed []string
-	for address := range strings.SplitSeq(r.gateways, ",") {
-		a := gatewayAnswer{Address: withMetricsPort(strings.TrimSpace(address))}
-		answer, err := askGateway(a.Address, r.query)
-		if a.Answer = answer; err != nil {
-			a.Error = err.Error()
-			failed = append(failed, fmt.Sprintf("%s: %v", a.Address, err))
+	for i, address := range addresses {
+		a := gatewayAnswer{Address: address}
+		if errs[i] != nil {
+			a.Error = errs[i].Error()
+			failed = append(failed, fmt.Sprintf("%s: %v", address, errs[i]))
+		} else {
+			a.Answer = given[i]
 		}
 		answers = append(answers, a)
 	}
@@ -96,15 +102,6 @@
 	return nil
 }
 
-// askGateway asks one gateway.
-func askGateway(address string, q explain.Query) (*explain.Answer, error) {
-	var answer explain.Answer
-	if err := readGatewayPage(address, explain.Path+"?"+q.Values().Encode(), &answer); err != nil {
-		return nil, errors.Trace(err)
-	}
-	return &answer, nil
-}
-
 func writeAnswers(out io.Writer, answers []gatewayAnswer, asJSON bool) error {
 	if asJSON {
 		encoder := json.NewEncoder(out)
--- a/pkg/control/gateway_page.go
+++ b/pkg/control/gateway_page.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +26,36 @@
 	return net.JoinHostPort(address, metricsPort)
 }
 
+// gatewayAddresses splits a list of addresses and adds the default port to those without.
+func gatewayAddresses(list string) ([]string, error) {
+	var out []string
+	for _, a := range strings.Split(list, ",") {
+		if a = strings.TrimSpace(a); a == "" {
+			continue
+		}
+		a = withMetricsPort(a)
+		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || port == "" || strings.ContainsAny(a, "/ ") {
+			return nil, errors.NotValidf("-gateway: address %q", a)
+		}
+		out = append(out, a)
+	}
+	if len(out) == 0 {
+		return nil, errors.NotValidf("-gateway: no address")
+	}
+	return out, nil
+}
+
+// readGatewayPages reads a page of all gateways at once. Those that gave none have an error.
+func readGatewayPages[T any](addresses []string, page string) ([]T, []error) {
+	pages, errs := make([]T, len(addresses)), make([]error, len(addresses))
+	var wait sync.WaitGroup
+	for i, a := range addresses {
+		wait.Go(func() { errs[i] = readGatewayPage(a, page, &pages[i]) })
+	}
+	wait.Wait()
+	return pages, errs
+}
+
 // readGatewayPage decodes a page of a gateway's metrics listener.
 func readGatewayPage(address, page string, into any) error {
 	client := &fasthttp.Client{
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -16,6 +16,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
+	"github.com/hyssoproad/hyssoproad/pkg/quota"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -94,12 +95,9 @@
 		return nil, "", errors.NotValidf("account %q, which configuration %d does not have,", q.Account, c.Version)
 	}
 	account := c.Accounts[i]
-	out := &explain.Account{Name: account.Name, Unit: "requests", PerSecond: account.PerSecond, Burst: account.Burst, Cost: 1, Quota: "no limit"}
-	if account.Unit == platform.QuotaTokens {
-		out.Unit, out.Cost = "tokens", float64(q.PromptTokens+q.OutputTokens)
-		if out.Cost == 0 {
-			out.Cost = account.PlainTokens
-		}
+	out := &explain.Account{
+		Name: account.Name, Unit: quotaUnits[account.Unit], PerSecond: account.PerSecond, Burst: account.Burst,
+		Cost: quota.Cost(&account, q.PromptTokens, q.OutputTokens), Quota: "no limit",
 	}
 	if account.PerSecond > 0 {
 		var wait time.Duration
