Shares of quotas are one type on the wire

Cause: two messages had the same five fields, filled and read in two places each; the usual pace was a constant of two packages; holders were looked up by address in four places. Change: wire.QuotaShare in both messages, placement.UsualPace, one look-up.

--- a/pkg/gateway/event_interval.go
+++ b/pkg/gateway/event_interval.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/placement"
 )
 
 // eventInterval is the time between two events of a stream, as a moving average
@@ -71,7 +73,7 @@
 // has delayed.
 func (t *stepTime) record(s *stepSample, pace float64) {
 	slices.Sort(s.gaps[:])
-	quartile := float64(s.gaps[stepSamples/4]) * usualPace / pace
+	quartile := float64(s.gaps[stepSamples/4]) * placement.UsualPace / pace
 	old := float64(t.average.Load())
 	if old == 0 {
 		old = quartile
--- a/pkg/gateway/load_test.go
+++ b/pkg/gateway/load_test.go
@@ -105,7 +105,7 @@
 // gateway gets: one report changes the average little, and one that is old does not count.
 func TestPaceIsSmoothedAndAges(t *testing.T) {
 	var p smoothedPace
-	require.Equal(t, usualPace, p.at(loadStart))
+	require.Equal(t, placement.UsualPace, p.at(loadStart))
 	now := loadStart
 	for range 20 {
 		now = now.Add(time.Second)
@@ -120,7 +120,7 @@
 		p.record(400, now)
 	}
 	require.Less(t, p.at(now), 190.0)
-	require.Equal(t, usualPace, p.at(now.Add(paceTTL)))
+	require.Equal(t, placement.UsualPace, p.at(now.Add(paceTTL)))
 	p.record(60, now.Add(paceTTL))
 	require.Equal(t, 60.0, p.at(now.Add(paceTTL)))
 }
@@ -145,7 +145,7 @@
 	if m.free[target][slot].After(begin) {
 		begin = m.free[target][slot]
 	}
-	end := begin.Add(time.Duration(m.pace[target] / usualPace * float64(plainModelWork)))
+	end := begin.Add(time.Duration(m.pace[target] / placement.UsualPace * float64(plainModelWork)))
 	m.free[target][slot] = end
 	return end
 }
--- a/pkg/gateway/pace.go
+++ b/pkg/gateway/pace.go
@@ -3,10 +3,9 @@
 import (
 	"math"
 	"time"
-)
 
-// usualPace is the pace of a target that states none, in percent.
-const usualPace = 100.0
+	"github.com/hyssoproad/hyssoproad/pkg/placement"
+)
 
 const (
 	// paceMemory is the time constant over which the paces that a target states are
@@ -40,10 +39,10 @@
 	return !p.statedAt.IsZero() && now.Sub(p.statedAt) < paceTTL
 }
 
-// at returns the average, or usualPace if it is unknown.
+// at returns the average, or placement.UsualPace if it is unknown.
 func (p *smoothedPace) at(now time.Time) float64 {
 	if !p.known(now) {
-		return usualPace
+		return placement.UsualPace
 	}
 	return p.average
 }
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -250,17 +250,14 @@
 	if !ok {
 		return "", quota.Ask{}, wire.QuotaRequest{}, false
 	}
-	ask, share := a.quota.Ask(cost, now), a.quota.Share()
+	ask := a.quota.Ask(cost, now)
 	r := wire.QuotaRequest{
 		Account: a.name, Configuration: a.version, Need: ask.Need, Wish: ask.Wish, Returned: ask.Returned,
-		PerSecond: share.PerSecond, Burst: share.Burst, Sum: share.Sum, WindowMS: share.Window.Milliseconds(), Settled: h.Settled(now),
+		Share: a.shareOf(h, now), Settled: h.Settled(now),
 	}
 	if ask.Returned > 0 {
 		r.ReturnedAgeMS = now.Sub(ask.ReturnedFrom).Milliseconds() + 1
 	}
-	if !r.Settled {
-		r.JoinDelayMS = h.JoinDelay.Milliseconds()
-	}
 	return h.Address, ask, r, true
 }
 
--- a/pkg/gateway/quota_holders.go
+++ b/pkg/gateway/quota_holders.go
@@ -192,14 +192,19 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.quota.SetHolders(addresses, first, answers, now)
-	share := a.quota.Share()
 	var out []toldLimit
 	for _, h := range a.quota.Holders() {
-		l := wire.QuotaLimit{Account: a.name, PerSecond: share.PerSecond, Burst: share.Burst, Sum: share.Sum, WindowMS: share.Window.Milliseconds()}
-		if !h.Settled(now) {
-			l.JoinDelayMS = h.JoinDelay.Milliseconds()
-		}
-		out = append(out, toldLimit{h.Address, l})
+		out = append(out, toldLimit{h.Address, wire.QuotaLimit{Account: a.name, Share: a.shareOf(h, now)}})
+	}
+	return out
+}
+
+// shareOf returns what a holder is told of its share. The caller holds mu.
+func (a *accountQuota) shareOf(h quota.Holder, now time.Time) wire.QuotaShare {
+	l := a.quota.Share()
+	out := wire.QuotaShare{PerSecond: l.PerSecond, Burst: l.Burst, Sum: l.Sum, WindowMS: l.Window.Milliseconds()}
+	if !h.Settled(now) {
+		out.JoinDelayMS = h.JoinDelay.Milliseconds()
 	}
 	return out
 }
@@ -215,7 +220,7 @@
 		}
 		if now.Sub(a.began) > joinTime {
 			for i := range a.limits {
-				a.limits[i].JoinDelayMS = 0
+				a.limits[i].Share.JoinDelayMS = 0
 			}
 		}
 		if err := a.send(conn); err != nil {
--- a/pkg/gateway/quota_test.go
+++ b/pkg/gateway/quota_test.go
@@ -333,7 +333,7 @@
 			}
 			out := make(map[string]int64)
 			for _, told := range a.setHolders(engines, 0, answers, now) {
-				out[told.address] = told.limit.JoinDelayMS
+				out[told.address] = told.limit.Share.JoinDelayMS
 			}
 			return out
 		}
--- a/pkg/orderer/quota.go
+++ b/pkg/orderer/quota.go
@@ -34,10 +34,11 @@
 	pruned    bool      // since then
 }
 
-// share returns the share of an account's quota with the limits of the newest version, or
-// nil if there are too many accounts. The caller holds mu.
-func (t *quotaTable) share(a ident.Account, version uint64, l quota.ShareLimits, now time.Time) *quota.Share {
+// share returns the share of an account's quota with the limits of the newest version, told
+// by a gateway, or nil if there are too many accounts. The caller holds mu.
+func (t *quotaTable) share(a ident.Account, version uint64, told wire.QuotaShare, now time.Time) *quota.Share {
 	t.observe(version, now)
+	l := quota.ShareLimits{PerSecond: told.PerSecond, Burst: told.Burst, Sum: told.Sum, Window: millis(told.WindowMS)}
 	s := t.byAccount[a]
 	if s == nil {
 		if len(t.byAccount) >= maxQuotaAccounts {
@@ -50,6 +51,9 @@
 		t.byAccount[a] = s
 	}
 	s.Update(version, l, now)
+	if told.JoinDelayMS > 0 {
+		s.Join(millis(told.JoinDelayMS), now)
+	}
 	return s
 }
 
@@ -70,30 +74,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, a := range l.Limits {
-		s := t.share(a.Account, l.Configuration, shareLimits(a.PerSecond, a.Burst, a.Sum, a.WindowMS), now)
-		if s != nil && a.JoinDelayMS > 0 {
-			s.Join(millis(a.JoinDelayMS), now)
-		}
+		t.share(a.Account, l.Configuration, a.Share, now)
 	}
 }
 
-func shareLimits(perSecond, burst, sum float64, windowMS int64) quota.ShareLimits {
-	return quota.ShareLimits{PerSecond: perSecond, Burst: burst, Sum: sum, Window: millis(windowMS)}
-}
-
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // take takes an amount of an account's quota.
 func (t *quotaTable) take(r wire.QuotaRequest, now time.Time) wire.QuotaReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.share(r.Account, r.Configuration, shareLimits(r.PerSecond, r.Burst, r.Sum, r.WindowMS), now)
+	s := t.share(r.Account, r.Configuration, r.Share, now)
 	if s == nil {
 		return wire.QuotaReply{WaitMS: quotaFullWait.Milliseconds()}
 	}
-	if r.JoinDelayMS > 0 {
-		s.Join(millis(r.JoinDelayMS), now)
-	}
 	if r.Settled {
 		s.Use(now)
 	}
--- a/pkg/orderer/quota_test.go
+++ b/pkg/orderer/quota_test.go
@@ -14,7 +14,7 @@
 func quotaLimits(version uint64, accounts ...ident.Account) wire.QuotaLimits {
 	l := wire.QuotaLimits{Configuration: version}
 	for _, a := range accounts {
-		l.Limits = append(l.Limits, wire.QuotaLimit{Account: a, PerSecond: 100, Burst: 100})
+		l.Limits = append(l.Limits, wire.QuotaLimit{Account: a, Share: wire.QuotaShare{PerSecond: 100, Burst: 100}})
 	}
 	return l
 }
@@ -28,9 +28,9 @@
 	now = now.Add(500 * time.Millisecond)
 	table.adopt(quotaLimits(2, "a"), now)
 	older := quotaLimits(1, "a")
-	older.Limits[0].Burst = 1
+	older.Limits[0].Share.Burst = 1
 	table.adopt(older, now)
-	r := wire.QuotaRequest{Account: "a", Configuration: 2, Need: 50, PerSecond: 100, Burst: 100}
+	r := wire.QuotaRequest{Account: "a", Configuration: 2, Need: 50, Share: wire.QuotaShare{PerSecond: 100, Burst: 100}}
 	require.Equal(t, 50.0, table.take(r, now).Granted)
 	require.Equal(t, int64(500), table.take(r, now).WaitMS)
 	r.Returned = 50
@@ -41,7 +41,7 @@
 func TestRequestBringsTheLimitsToAnAgentThatStartedAgain(t *testing.T) {
 	var table quotaTable
 	now := time.Unix(1000, 0)
-	r := wire.QuotaRequest{Account: "a", Configuration: 2, Need: 50, PerSecond: 100, Burst: 100}
+	r := wire.QuotaRequest{Account: "a", Configuration: 2, Need: 50, Share: wire.QuotaShare{PerSecond: 100, Burst: 100}}
 	reply := table.take(r, now)
 	require.Zero(t, reply.Granted)
 	reply = table.take(r, now.Add(millis(reply.WaitMS)))
@@ -64,7 +64,7 @@
 		table.adopt(quotaLimits(30, ident.Account(fmt.Sprint("n", i))), now)
 	}
 	require.Len(t, table.byAccount, maxQuotaAccounts)
-	reply := table.take(wire.QuotaRequest{Account: "another", Configuration: 30, Need: 1, PerSecond: 1, Burst: 1}, now)
+	reply := table.take(wire.QuotaRequest{Account: "another", Configuration: 30, Need: 1, Share: wire.QuotaShare{PerSecond: 1, Burst: 1}}, now)
 	require.Equal(t, quotaFullWait, millis(reply.WaitMS))
 }
 
@@ -72,7 +72,7 @@
 func BenchmarkQuotaTake(b *testing.B) {
 	var table quotaTable
 	now := time.Unix(1000, 0)
-	r := wire.QuotaRequest{Account: "a", Configuration: 1, Need: 1, Wish: 10, PerSecond: 1e9, Burst: 1e9, Sum: 1e10, WindowMS: 8000}
+	r := wire.QuotaRequest{Account: "a", Configuration: 1, Need: 1, Wish: 10, Share: wire.QuotaShare{PerSecond: 1e9, Burst: 1e9, Sum: 1e10, WindowMS: 8000}}
 	table.take(r, now)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/pkg/placement/cost.go
+++ b/pkg/placement/cost.go
@@ -18,8 +18,8 @@
 	// tieRange is the difference of costs that counts as none: what is known of engines
 	// is not more accurate, and many entries know the same.
 	tieRange = 10 * time.Millisecond
-	// usualPace is the pace of an engine that states none, in percent.
-	usualPace = 100
+	// UsualPace is the pace of a target that states none, in percent.
+	UsualPace = 100.0
 	// fullWait is the wait for the running requests at an engine with all slots in use
 	// that has one left, in the steps that it takes for all of them. It prefers engines
 	// with fewer requests where nothing else differs.
@@ -68,7 +68,7 @@
 
 // CostOf returns the cost of a request at an engine.
 func CostOf(c *Candidate, d Demand, s Speed) Cost {
-	pace := c.Pace / usualPace
+	pace := c.Pace / UsualPace
 	if c.Pace <= 0 {
 		pace = 1
 	}
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -91,7 +91,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.prefill.add(float64(tokens)*pace/usualPace, float64(took)/float64(time.Millisecond))
+	s.prefill.add(float64(tokens)*pace/UsualPace, float64(took)/float64(time.Millisecond))
 }
 
 // regression estimates the ms that one more token takes, by least squares. Waits for other
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -127,7 +127,7 @@
 	next := make([]Holder, len(addresses))
 	for i, address := range addresses {
 		next[i] = Holder{Address: address, Listed: now, JoinDelay: delay}
-		if at := slices.IndexFunc(before, func(h Holder) bool { return h.Address == address }); at >= 0 {
+		if at := indexOf(before, address); at >= 0 {
 			next[i] = before[at]
 		}
 	}
@@ -214,8 +214,7 @@
 // next question, which goes to its holder if that answers.
 func (a *Account) Renew(c Charge, now time.Time) {
 	a.putBack(c.Amount, c.Granted)
-	at := slices.IndexFunc(a.holders, func(h Holder) bool { return h.Address == c.Holder })
-	if at >= 0 && !now.Before(a.holders[at].SilentUntil) {
+	if at := indexOf(a.holders, c.Holder); at >= 0 && !now.Before(a.holders[at].SilentUntil) {
 		a.preferred = at
 		a.holders[at].deniedUntil = time.Time{}
 	}
@@ -253,7 +252,7 @@
 	}
 	if h != nil {
 		h.deniedUntil = time.Time{}
-		a.preferred = slices.IndexFunc(a.holders, func(o Holder) bool { return o.Address == address })
+		a.preferred = indexOf(a.holders, address)
 	}
 	lifetime := a.rules.Lifetime()
 	expires := ask.Sent.Add(lifetime)
@@ -266,12 +265,17 @@
 }
 
 func (a *Account) holder(address string) *Holder {
-	if at := slices.IndexFunc(a.holders, func(h Holder) bool { return h.Address == address }); at >= 0 {
+	if at := indexOf(a.holders, address); at >= 0 {
 		return &a.holders[at]
 	}
 	return nil
 }
 
+// indexOf returns the index of the holder at an address, or -1.
+func indexOf(holders []Holder, address string) int {
+	return slices.IndexFunc(holders, func(h Holder) bool { return h.Address == address })
+}
+
 // Silent records that a holder gave no answer. What was to be returned to it is lost: it
 // may have received it.
 func (a *Account) Silent(address string, now time.Time) {
--- a/pkg/wire/quota_schema.go
+++ b/pkg/wire/quota_schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -o quota_schema_gen.go -tests=false -io=false
 
-//msgp:tuple QuotaLimits QuotaLimit QuotaRequest QuotaReply
+//msgp:tuple QuotaLimits QuotaLimit QuotaShare QuotaRequest QuotaReply
 
 // QuotaLimits tells an agent of which accounts it holds a share of the quota. A gateway
 // sends it after a change of configuration, engines or link, before there are requests.
@@ -16,8 +16,13 @@
 // QuotaLimit is a share of an account's quota.
 type QuotaLimit struct {
 	Account ident.Account
-	// PerSecond, Burst and Sum are those of the share, in the account's units: Sum is what
-	// may be granted in a window.
+	Share   QuotaShare
+}
+
+// QuotaShare is an agent's share of an account's quota.
+type QuotaShare struct {
+	// PerSecond, Burst and Sum are in the account's units: Sum is what may be granted in a
+	// window.
 	PerSecond, Burst, Sum float64
 	WindowMS              int64
 	// JoinDelayMS is set if the agent takes the place of another: for how long, in ms, that
@@ -36,14 +41,11 @@
 	// ReturnedAgeMS for how long, in ms, a part of it has been granted at most.
 	Returned      float64
 	ReturnedAgeMS int64
-	// PerSecond, Burst, Sum and WindowMS are as in QuotaLimit, for an agent that does not
-	// know them.
-	PerSecond, Burst, Sum float64
-	WindowMS              int64
-	// JoinDelayMS is as in QuotaLimit, and Settled reports that the gateway has known the
-	// agent as a holder for longer than the lists of two gateways differ.
-	JoinDelayMS int64
-	Settled     bool
+	// Share is the agent's share, which it may not know.
+	Share QuotaShare
+	// Settled reports that the gateway has known the agent as a holder for longer than the
+	// lists of two gateways differ.
+	Settled bool
 }
 
 // QuotaReply answers a QuotaRequest.
--- a/pkg/wire/quota_schema_gen.go
+++ b/pkg/wire/quota_schema_gen.go
@@ -9,18 +9,18 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *QuotaLimit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 2
+	o = append(o, 0x92)
 	o, err = z.Account.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Account")
 		return
 	}
-	o = msgp.AppendFloat64(o, z.PerSecond)
-	o = msgp.AppendFloat64(o, z.Burst)
-	o = msgp.AppendFloat64(o, z.Sum)
-	o = msgp.AppendInt64(o, z.WindowMS)
-	o = msgp.AppendInt64(o, z.JoinDelayMS)
+	o, err = z.Share.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
 	return
 }
 
@@ -32,8 +32,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	bts, err = z.Account.UnmarshalMsg(bts)
@@ -41,29 +41,9 @@
 		err = msgp.WrapError(err, "Account")
 		return
 	}
-	z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "PerSecond")
-		return
-	}
-	z.Burst, bts, err = msgp.ReadFloat64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Burst")
-		return
-	}
-	z.Sum, bts, err = msgp.ReadFloat64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Sum")
-		return
-	}
-	z.WindowMS, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "WindowMS")
-		return
-	}
-	z.JoinDelayMS, bts, err = msgp.ReadInt64Bytes(bts)
+	bts, err = z.Share.UnmarshalMsg(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "JoinDelayMS")
+		err = msgp.WrapError(err, "Share")
 		return
 	}
 	o = bts
@@ -72,7 +52,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuotaLimit) Msgsize() (s int) {
-	s = 1 + z.Account.Msgsize() + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size
+	s = 1 + z.Account.Msgsize() + z.Share.Msgsize()
 	return
 }
 
@@ -84,9 +64,16 @@
 	o = msgp.AppendUint64(o, z.Configuration)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
 	for za0001 := range z.Limits {
-		o, err = z.Limits[za0001].MarshalMsg(o)
+		// array header, size 2
+		o = append(o, 0x92)
+		o, err = z.Limits[za0001].Account.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Limits", za0001)
+			err = msgp.WrapError(err, "Limits", za0001, "Account")
+			return
+		}
+		o, err = z.Limits[za0001].Share.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001, "Share")
 			return
 		}
 	}
@@ -122,11 +109,26 @@
 		z.Limits = make([]QuotaLimit, zb0002)
 	}
 	for za0001 := range z.Limits {
-		bts, err = z.Limits[za0001].UnmarshalMsg(bts)
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Limits", za0001)
 			return
 		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		bts, err = z.Limits[za0001].Account.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001, "Account")
+			return
+		}
+		bts, err = z.Limits[za0001].Share.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0001, "Share")
+			return
+		}
 	}
 	o = bts
 	return
@@ -136,7 +138,7 @@
 func (z *QuotaLimits) Msgsize() (s int) {
 	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Limits {
-		s += z.Limits[za0001].Msgsize()
+		s += 1 + z.Limits[za0001].Account.Msgsize() + z.Limits[za0001].Share.Msgsize()
 	}
 	return
 }
@@ -186,8 +188,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *QuotaRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 12
-	o = append(o, 0x9c)
+	// array header, size 8
+	o = append(o, 0x98)
 	o, err = z.Account.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Account")
@@ -198,11 +200,11 @@
 	o = msgp.AppendFloat64(o, z.Wish)
 	o = msgp.AppendFloat64(o, z.Returned)
 	o = msgp.AppendInt64(o, z.ReturnedAgeMS)
-	o = msgp.AppendFloat64(o, z.PerSecond)
-	o = msgp.AppendFloat64(o, z.Burst)
-	o = msgp.AppendFloat64(o, z.Sum)
-	o = msgp.AppendInt64(o, z.WindowMS)
-	o = msgp.AppendInt64(o, z.JoinDelayMS)
+	o, err = z.Share.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
 	o = msgp.AppendBool(o, z.Settled)
 	return
 }
@@ -215,8 +217,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 12 {
-		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	bts, err = z.Account.UnmarshalMsg(bts)
@@ -249,6 +251,51 @@
 		err = msgp.WrapError(err, "ReturnedAgeMS")
 		return
 	}
+	bts, err = z.Share.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	z.Settled, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Settled")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *QuotaRequest) Msgsize() (s int) {
+	s = 1 + z.Account.Msgsize() + msgp.Uint64Size + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + z.Share.Msgsize() + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *QuotaShare) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendFloat64(o, z.PerSecond)
+	o = msgp.AppendFloat64(o, z.Burst)
+	o = msgp.AppendFloat64(o, z.Sum)
+	o = msgp.AppendInt64(o, z.WindowMS)
+	o = msgp.AppendInt64(o, z.JoinDelayMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QuotaShare) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
 	z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "PerSecond")
@@ -274,17 +321,12 @@
 		err = msgp.WrapError(err, "JoinDelayMS")
 		return
 	}
-	z.Settled, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Settled")
-		return
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *QuotaRequest) Msgsize() (s int) {
-	s = 1 + z.Account.Msgsize() + msgp.Uint64Size + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize
+func (z *QuotaShare) Msgsize() (s int) {
+	s = 1 + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
