Least-squares lines are computed in one place

Change: forecast.Line holds the sums; what is assumed before there are samples stays with each of the two.

--- a/pkg/grant/decide.go
+++ b/pkg/grant/decide.go
@@ -135,16 +135,16 @@
 	return wire.GrantReply{}, false
 }
 
-// forecast is the estimated wait of a request, its reason, and whether the request
+// waitForecast is the estimated wait of a request, its reason, and whether the request
 // should be redirected to another engine.
-type forecast struct {
+type waitForecast struct {
 	wait     time.Duration
 	reason   wire.GrantReason
 	redirect bool
 }
 
-func (s *Scheduler) forecast(req *Request, ahead queueAhead, now time.Time) forecast {
-	var f forecast
+func (s *Scheduler) forecast(req *Request, ahead queueAhead, now time.Time) waitForecast {
+	var f waitForecast
 	f.wait, f.reason = s.queueWait(req, ahead, now)
 	turn := s.limit.Wait(ahead.requests+1, now)
 	if turn > f.wait {
--- a/pkg/grant/pace.go
+++ b/pkg/grant/pace.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/forecast"
 )
 
 const (
@@ -76,10 +78,8 @@
 }
 
 // prefillModel is the time from a grant to its first event as a linear function of the
-// prompt tokens to read, at the usual pace. The older a sample is the less it counts.
-type prefillModel struct {
-	n, x, y, xx, xy float64 // sums over the samples, in tokens and ms
-}
+// prompt tokens to read, in ms at the usual pace. The older a sample is the less it counts.
+type prefillModel struct{ forecast.Line }
 
 const (
 	// prefillMemory is the weight of the earlier samples at each further one: about the
@@ -99,31 +99,28 @@
 func newPrefillModel() prefillModel {
 	var m prefillModel
 	for _, x := range []float64{0, 2 * priorTokens} {
-		m.add(x, initialFirstEventMS+x/initialTokensPerMS, priorSamples/2)
+		m.Add(x, initialFirstEventMS+x/initialTokensPerMS, priorSamples/2)
 	}
 	return m
 }
 
-func (m *prefillModel) add(x, y, weight float64) {
-	m.n, m.x, m.y, m.xx, m.xy = m.n+weight, m.x+weight*x, m.y+weight*y, m.xx+weight*x*x, m.xy+weight*x*y
-}
-
 // record adds the time that the first event after a number of prompt tokens took, at the
 // usual pace.
 func (m *prefillModel) record(tokens int, took time.Duration) {
-	m.n, m.x, m.y, m.xx, m.xy = prefillMemory*m.n, prefillMemory*m.x, prefillMemory*m.y, prefillMemory*m.xx, prefillMemory*m.xy
-	m.add(float64(tokens), float64(took)/float64(time.Millisecond), 1)
+	m.Forget(prefillMemory)
+	m.Add(float64(tokens), float64(took)/float64(time.Millisecond), 1)
 }
 
 // tokensPerMS returns the speed of prefill alone.
 func (m *prefillModel) tokensPerMS() float64 {
-	spread := m.xx - m.x*m.x/m.n
-	msPerToken := (m.xy - m.x*m.y/m.n) / math.Max(spread, 1)
+	variance, covariance := m.Spread()
+	msPerToken := covariance / math.Max(variance, 1)
 	return min(max(1/math.Max(msPerToken, 1/maxPrefillSpeed), minPrefillSpeed), maxPrefillSpeed)
 }
 
 // firstEvent returns the time of a first event besides prefill.
 func (m *prefillModel) firstEvent() time.Duration {
-	ms := m.y/m.n - m.x/m.n/m.tokensPerMS()
+	tokens, ms := m.Mean()
+	ms -= tokens / m.tokensPerMS()
 	return time.Duration(math.Max(ms, 0) * float64(time.Millisecond))
 }
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/forecast"
 )
 
 const (
@@ -42,7 +44,7 @@
 	mu            sync.Mutex
 	load, run     time.Duration
 	requestTokens float64 // mean of prompt and answer
-	prefill       regression
+	prefill       prefillLine
 }
 
 // NewSpeeds returns the speeds of engines of which nothing is known.
@@ -91,31 +93,27 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.prefill.add(float64(tokens)*pace/UsualPace, float64(took)/float64(time.Millisecond))
+	s.prefill.record(float64(tokens)*pace/UsualPace, float64(took)/float64(time.Millisecond))
 }
 
-// regression estimates the ms that one more token takes, by least squares. Waits for other
-// requests do not depend on the length of a prompt, so they do not distort the slope.
-type regression struct {
-	n                    int
-	weight, x, y, xx, xy float64
+// prefillLine estimates the ms that one more token takes. Waits for other requests do not
+// depend on the length of a prompt, so they do not distort the slope.
+type prefillLine struct {
+	forecast.Line
+	samples int
 }
 
-func (r *regression) add(x, y float64) {
-	r.n++
-	r.weight = r.weight*prefillMemory + 1
-	r.x = r.x*prefillMemory + x
-	r.y = r.y*prefillMemory + y
-	r.xx = r.xx*prefillMemory + x*x
-	r.xy = r.xy*prefillMemory + x*y
+func (l *prefillLine) record(tokens, ms float64) {
+	l.samples++
+	l.Forget(prefillMemory)
+	l.Add(tokens, ms, 1)
 }
 
-func (r *regression) tokensPerMS() float64 {
-	if r.n < minPrefills {
+func (l *prefillLine) tokensPerMS() float64 {
+	if l.samples < minPrefills {
 		return initialPrefill
 	}
-	variance := r.xx - r.x*r.x/r.weight
-	covariance := r.xy - r.x*r.y/r.weight
+	variance, covariance := l.Spread()
 	if variance <= 0 || covariance <= 0 {
 		return initialPrefill
 	}
