--- a/pkg/gateway/quota_test.go
+++ b/pkg/gateway/quota_test.go
@@ -138,8 +138,7 @@
 				require.Less(t, time.Since(began), 20*time.Millisecond)
 				after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
 				require.NoError(t, err)
-				require.GreaterOrEqual(t, after, minRetryAfter.Seconds())
-				require.LessOrEqual(t, after, 1.5*testQuotaRules.Window.Seconds(), "once a window there is room, and jitter")
+				require.InDelta(t, minRetryAfter.Seconds(), after, 0.3)
 				time.Sleep(5 * time.Second)
 				h.requireWithinQuota(t)
 				require.Greater(t, len(h.arrivals("lx")), 16*20, "the quota is used")
@@ -218,7 +217,7 @@
 		}
 		h.load("/safe/l", 60, 20*time.Second)
 		time.Sleep(20 * time.Second)
-		require.InDelta(t, testQuotaRules.AloneShare()*100*20, len(h.arrivals("lx")), 60)
+		require.InDelta(t, 0.05*100*20, len(h.arrivals("lx")), 30)
 		for _, e := range h.engines {
 			h.startAgent(e)
 		}
