Responses to other requests are logged and counted

Cause: a target's extra response was skipped without a trace, and the row of a refusal did not tell whether its connection had carried other requests, so that a copy that is believed could not be told from a refusal. Change: log row and counter for each skipped response; reused= and idle= in the row of a refusal. No logic changes.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -76,6 +76,9 @@
 			return nil, errors.Annotate(ErrInvalidResponse, "success without an attempt ID")
 		}
 		res.stray = true
+		if c.onStray != nil {
+			c.onStray(res.Status, echoed)
+		}
 		if err := res.Discard(); err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -53,6 +53,8 @@
 	unbind func() bool
 	// onStall is called when a read's deadline has passed.
 	onStall func() (next time.Time, wait bool)
+	// onStray is called for each response to another request.
+	onStray func(status int, attempt string)
 }
 
 // Reused returns how long the connection was idle before its request, if it has carried
@@ -64,6 +66,10 @@
 // one the read fails.
 func (c *Conn) OnStall(f func() (next time.Time, wait bool)) { c.onStall = f }
 
+// OnStray sets the function that is called for each response to another request that
+// precedes the one that Receive returns. The attempt ID is empty if it names none.
+func (c *Conn) OnStray(f func(status int, attempt string)) { c.onStray = f }
+
 // stallReader reads from a Conn's connection, and lets onStall extend the deadline. It
 // lies below the readers of a body, which cannot be used after an error.
 type stallReader struct{ c *Conn }
@@ -181,7 +187,7 @@
 		return
 	}
 	c.unbind = nil
-	c.idleSince, c.reused, c.onStall = time.Now(), true, nil
+	c.idleSince, c.reused, c.onStall, c.onStray = time.Now(), true, nil, nil
 	if err := c.nc.SetDeadline(time.Time{}); err != nil {
 		c.Close()
 		return
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -325,6 +325,7 @@
 	}
 	x.begin(a, stepAnswer)
 	conn.OnStall(x.stallHandler(a))
+	conn.OnStray(x.strayHandler(a))
 	res, err := conn.Receive(x.q.method, x.q.attempt, x.firstByteDeadline(sent))
 	if err != nil {
 		x.countReuseFailed(conn, err)
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -105,9 +105,22 @@
 	return false
 }
 
+// strayHandler returns the function that is called when the target sends a response to
+// another request before the one to this one.
+func (x *exchange) strayHandler(a *assignment) func(status int, attempt string) {
+	return func(status int, attempt string) {
+		x.g.metrics.strayResponses.Inc(1)
+		x.g.Info("msg", "response to another request", "request", x.q.attempt, "target", a.target.Instance, "status", status, "named", strconv.QuoteToASCII(attempt[:min(len(attempt), maxLoggedAttemptBytes)]))
+	}
+}
+
+// maxLoggedAttemptBytes bounds how much of an unknown attempt ID is logged.
+const maxLoggedAttemptBytes = 64
+
 // logNotRun logs that a target did not run the request.
 func (x *exchange) logNotRun(a *assignment, res *forward.Response) {
-	x.g.Info("msg", "target did not run the request", "request", x.q.attempt, "target", a.target.Instance, "status", res.Status, "version", a.version)
+	idle, reused := res.Conn().Reused()
+	x.g.Info("msg", "target did not run the request", "request", x.q.attempt, "target", a.target.Instance, "status", res.Status, "version", a.version, "reused", reused, "idle", idle)
 	if res.Status == fasthttp.StatusMisdirectedRequest && x.g.fleet.Contradict(a.target) {
 		x.g.Info("msg", "another target has this address", "target", a.target.Instance, "address", a.target.Address)
 	}
