A connection carries a request that it left unserved only once

Callers got 503, which promises that the request has not run, for requests that ran, or these ran at a second target as well (REFUSED, TWICE). Cause: the ID in a response tells whose it is only as long as the connection carries the request once. A refused request could take the same connection again: its caller sent it again under its ID, or the refusal said that another target has the address, and the gateway sent it to that one. A second copy of the refusal, sent when the target had begun to run the request, was believed. Ruled out: copies that arrive before the next send or name another request (tests that exist). Change: the pool gives a connection to no attempt that was answered without success there, and closes it after 64 such answers.

--- a/pkg/forward/abandon_test.go
+++ b/pkg/forward/abandon_test.go
@@ -67,7 +67,7 @@
 				ended <- test.target(c.(*net.TCPConn))
 			}()
 			p := forward.NewPool()
-			c, err := p.Get(context.Background(), l.Addr().String(), 0)
+			c, err := p.Get(context.Background(), l.Addr().String(), "a-1", 0)
 			require.NoError(t, err)
 			require.NoError(t, c.Send([]byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(time.Minute)))
 			c.Abandon()
@@ -130,7 +130,7 @@
 		}},
 	} {
 		p := forward.NewPool()
-		c, err := p.Get(context.Background(), l.Addr().String(), 0)
+		c, err := p.Get(context.Background(), l.Addr().String(), "a-1", 0)
 		require.NoError(t, err)
 		ctx, cancel := context.WithCancel(context.Background())
 		c.Bind(ctx)
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -52,7 +52,8 @@
 }
 
 // Receive reads the head of the response to the request with the given method and
-// attempt ID. An error response that names no request counts as the response only on a new
+// attempt ID. A response that names it is believed, since the pool gives no connection that
+// has carried the attempt without success, on which it may be a second copy. An error response that names no request counts as the response only on a new
 // connection, which has carried no other request. Receive returns ErrInvalidResponse if
 // the connection carries only responses to other requests, or a success that names none.
 func (c *Conn) Receive(method, attempt string, deadline time.Time) (*Response, error) {
@@ -183,6 +184,10 @@
 		p.Observe(ConnClosedByResponse)
 		res.c.Close()
 		return
+	case res.Status >= 300 && !res.c.recordUnserved():
+		p.Observe(ConnUnserved)
+		res.c.Close()
+		return
 	}
 	res.c.maxIdle = MaxIdle
 	if seconds, ok := keepAlive(res.Value("Keep-Alive")); ok {
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -6,9 +6,11 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +32,8 @@
 	maxIdlePerTarget = 64
 	// readBufferBytes is also the largest head of a response.
 	readBufferBytes = 4 << 10
+	// maxUnserved is the number of attempts without success that a connection carries.
+	maxUnserved = 64
 	// unackedTimeout is how long sent bytes may stay unacknowledged before TCP
 	// closes the connection.
 	unackedTimeout = 2500 * time.Millisecond
@@ -44,6 +48,10 @@
 	idle      time.Duration // for how long, before its present request
 	reused    bool          // it has carried another request
 	maxIdle   time.Duration
+	attempt   string // of the request in progress
+	// unserved holds the hashes of the attempts that were answered without success. A
+	// second copy of such a response names its attempt.
+	unserved []uint64
 	// peerClosed says that the target has closed the connection. A reset or a time-out may
 	// be of this side alone.
 	peerClosed atomic.Bool
@@ -123,13 +131,15 @@
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
-// Get returns a pooled connection to address that was idle for at most idleLimit,
-// or else a new one. With a limit of 0 the connection is always new.
-func (p *Pool) Get(ctx context.Context, address string, idleLimit time.Duration) (*Conn, error) {
-	c, why := p.takeIdle(address, idleLimit)
-	for ; c != nil; c, why = p.takeIdle(address, idleLimit) {
+// Get returns a connection to address for an attempt: a pooled one that was idle for at
+// most idleLimit and has not carried the attempt without success before, or else a new one.
+// With a limit of 0 the connection is always new.
+func (p *Pool) Get(ctx context.Context, address, attempt string, idleLimit time.Duration) (*Conn, error) {
+	c, why := p.takeIdle(address, attempt, idleLimit)
+	for ; c != nil; c, why = p.takeIdle(address, attempt, idleLimit) {
 		if c.alive() {
 			p.Observe(ConnReused)
+			c.attempt = attempt
 			return c, nil
 		}
 		p.Observe(ConnClosedByTarget)
@@ -141,30 +151,32 @@
 		return nil, errors.Annotatef(err, "dialing %s", address)
 	}
 	p.Observe(why)
-	c = &Conn{nc: nc, address: address, maxIdle: MaxIdle}
+	c = &Conn{nc: nc, address: address, attempt: attempt, maxIdle: MaxIdle}
 	c.r = bufio.NewReaderSize(stallReader{c}, readBufferBytes)
 	return c, nil
 }
 
-// takeIdle takes the connection that was used last out of the pool, or returns why a new
-// one is needed. One that was idle for too long only for this request stays for others.
-func (p *Pool) takeIdle(address string, idleLimit time.Duration) (*Conn, ConnEvent) {
+// takeIdle takes the connection that was used last, of those that may carry the attempt, out
+// of the pool, or returns why a new one is needed. One that was idle for too long only for
+// this request stays for others.
+func (p *Pool) takeIdle(address, attempt string, idleLimit time.Duration) (*Conn, ConnEvent) {
 	if idleLimit <= 0 {
 		return nil, ConnNewRequired
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		list := p.idle[address]
-		if len(list) == 0 {
-			return nil, ConnNew
-		}
-		c := list[len(list)-1]
+	why := ConnNew
+	for i := len(p.idle[address]) - 1; i >= 0; i-- {
+		c := p.idle[address][i]
 		idle := time.Since(c.idleSince)
 		if idle <= c.maxIdle && idle > idleLimit {
 			return nil, ConnNewForOld
 		}
-		p.idle[address] = list[:len(list)-1]
+		if idle <= c.maxIdle && c.leftUnserved(attempt) {
+			why = ConnNewForRepeat
+			continue
+		}
+		p.idle[address] = slices.Delete(p.idle[address], i, i+1)
 		if idle <= c.maxIdle {
 			c.idle = idle
 			return c, ConnReused
@@ -172,6 +184,23 @@
 		p.Observe(ConnExpired)
 		c.Close()
 	}
+	return nil, why
+}
+
+// attemptSeed is the seed of the hashes of attempts.
+var attemptSeed = maphash.MakeSeed()
+
+// recordUnserved records that the attempt in progress was answered without success. It
+// reports whether the connection can carry another one.
+func (c *Conn) recordUnserved() bool {
+	c.unserved = append(c.unserved, maphash.String(attemptSeed, c.attempt))
+	return len(c.unserved) < maxUnserved
+}
+
+// leftUnserved reports whether the attempt was answered without success on this connection.
+// Then a response that names it may be a second copy of that answer.
+func (c *Conn) leftUnserved(attempt string) bool {
+	return len(c.unserved) > 0 && slices.Contains(c.unserved, maphash.String(attemptSeed, attempt))
 }
 
 // alive reports whether the target has neither closed the connection nor sent bytes
--- a/pkg/forward/pool_test.go
+++ b/pkg/forward/pool_test.go
@@ -21,6 +21,7 @@
 	*Pool
 	t      *testing.T
 	answer string // header lines
+	status int    // of the answers; 0 for 200
 	mu     sync.Mutex
 	events [ConnEvents]int
 	far    []net.Conn
@@ -58,18 +59,22 @@
 		if err != nil {
 			return
 		}
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sContent-Length: 0\r\n\r\n", q.Header.Get("X-Attempt-Id"), h.answer)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\n%sContent-Length: 0\r\n\r\n", max(h.status, 200), q.Header.Get("X-Attempt-Id"), h.answer)
 	}
 }
 
 // send sends a request that takes some time, over a connection idle for at most idleLimit.
 func (h *poolHarness) send(idleLimit, takes time.Duration) {
-	c, err := h.Get(h.t.Context(), "a:1", idleLimit)
+	h.sendAttempt("a", idleLimit, takes)
+}
+
+func (h *poolHarness) sendAttempt(attempt string, idleLimit, takes time.Duration) {
+	c, err := h.Get(h.t.Context(), "a:1", attempt, idleLimit)
 	require.NoError(h.t, err)
 	deadline := time.Now().Add(time.Minute)
-	require.NoError(h.t, c.Send([]byte("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n"), deadline))
+	require.NoError(h.t, c.Send(fmt.Appendf(nil, "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", attempt), deadline))
 	time.Sleep(takes)
-	res, err := c.Receive("POST", "a", deadline)
+	res, err := c.Receive("POST", attempt, deadline)
 	require.NoError(h.t, err)
 	_, err = io.Copy(io.Discard, res)
 	require.NoError(h.t, err)
@@ -87,9 +92,9 @@
 		time.Sleep(500 * time.Millisecond)
 		h.send(time.Second, 0)
 		require.Equal(t, 1, h.events[ConnReused], "the one that was used last")
-		first, err := h.Get(t.Context(), "a:1", MaxIdle)
+		first, err := h.Get(t.Context(), "a:1", "a", MaxIdle)
 		require.NoError(t, err)
-		second, err := h.Get(t.Context(), "a:1", MaxIdle)
+		second, err := h.Get(t.Context(), "a:1", "a", MaxIdle)
 		require.NoError(t, err)
 		require.Equal(t, 3, h.events[ConnReused])
 		idle, reused := second.Reused()
@@ -128,6 +133,36 @@
 	}
 }
 
+// A connection carries an attempt that was answered without success only once, and others as
+// before: what refusals cost in connections is the one that has carried many of them.
+func TestConnectionCarriesAnUnservedAttemptOnce(t *testing.T) {
+	testPool(t, func(t *testing.T, h *poolHarness) {
+		h.status = 503
+		h.send(MaxIdle, 0)
+		h.sendAttempt("b", MaxIdle, 0)
+		require.Equal(t, 1, h.events[ConnReused])
+		h.send(MaxIdle, 0)
+		require.Equal(t, 1, h.events[ConnNewForRepeat])
+		h.sendAttempt("c", MaxIdle, 0)
+		require.Equal(t, 2, h.events[ConnReused], "the others stay for other attempts")
+	})
+	const refusals = 1000
+	testPool(t, func(t *testing.T, h *poolHarness) {
+		h.status = 503
+		for i := range refusals {
+			h.sendAttempt(fmt.Sprintf("a-%d", i), MaxIdle, 0)
+		}
+		require.Equal(t, refusals/maxUnserved, h.events[ConnUnserved])
+		require.Equal(t, refusals/maxUnserved+1, h.events[ConnNew])
+	})
+	testPool(t, func(t *testing.T, h *poolHarness) {
+		for range refusals {
+			h.send(MaxIdle, 0)
+		}
+		require.Equal(t, 1, h.events[ConnNew], "successes cost nothing")
+	})
+}
+
 // The rates of the largest deployment: a gateway sends each engine a request every few
 // seconds, half of which may not be repeated.
 func TestShareOfReusedConnections(t *testing.T) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -278,7 +278,7 @@
 	}
 	x.eventSeen, x.unread = false, unreadTime{}
 	x.begin(a, stepDial)
-	conn, err := x.g.pool.Get(x.ctx, a.target.Address, maxIdle)
+	conn, err := x.g.pool.Get(x.ctx, a.target.Address, x.q.attempt, maxIdle)
 	if err != nil {
 		x.fail(a, stepDial, err)
 		return outcomeNotRun
