--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -48,6 +48,7 @@
 		return errors.Trace(err)
 	}
 	_, err := c.nc.Write(request)
+	c.observeEnd(err)
 	return errors.Trace(err)
 }
 
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -55,8 +56,10 @@
 	// peerClosed says that the target has closed the connection. A reset or a time-out may
 	// be of this side alone.
 	peerClosed atomic.Bool
-	mu         sync.Mutex // guards abandoned, and the read deadline from then on
-	abandoned  bool       // the request in progress was abandoned
+	// ended says that a read or write failed because the connection was closed or reset.
+	ended     atomic.Bool
+	mu        sync.Mutex // guards abandoned, and the read deadline from then on
+	abandoned bool       // the request in progress was abandoned
 	// unbind ends the binding to the request in progress.
 	unbind func() bool
 	// onStall is called when a read's deadline has passed.
@@ -89,6 +92,7 @@
 		if err == io.EOF {
 			s.c.peerClosed.Store(true)
 		}
+		s.c.observeEnd(err)
 		if n > 0 || s.c.onStall == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -102,6 +106,17 @@
 	}
 }
 
+// observeEnd records whether an error says that the connection has ended.
+func (c *Conn) observeEnd(err error) {
+	if err == io.EOF || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		c.ended.Store(true)
+	}
+}
+
+// Ended reports whether the connection was closed or reset while the request was in progress,
+// as it is when the target's process ends.
+func (c *Conn) Ended() bool { return c.ended.Load() }
+
 // Bind abandons the request in progress when ctx ends, until the connection is returned to
 // the pool.
 func (c *Conn) Bind(ctx context.Context) { c.unbind = context.AfterFunc(ctx, c.Abandon) }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/forward"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -63,6 +64,8 @@
 	// abandoned is the send that was abandoned last, until its target is known to have
 	// ended it.
 	abandoned *abandonedSend
+	// identity is the request's fingerprint; nil until it is computed.
+	identity *quarantine.Fingerprint
 	// last is the last step taken at a target.
 	last attemptStep
 	// suspendedBefore is how long the VM had been suspended when the request arrived.
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -151,5 +151,9 @@
 	x.reportLost(a, step, err)
 	x.g.placing.known.Drop(a.target.Address) // the engine may have ended
 	ejected := x.g.detector(a.target.Service).Record(a.target.Instance, true, time.Now())
-	x.g.Info("msg", "target failed", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", step, "err", err, "passed-over", ejected, "first-event", x.eventSeen, "parts", fmt.Sprint(x.q.parts))
+	row := []any{"msg", "target failed", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", step, "err", err, "passed-over", ejected, "first-event", x.eventSeen, "parts", fmt.Sprint(x.q.parts)}
+	if x.connectionEnded() {
+		row = append(row, "fingerprint", x.fingerprint())
+	}
+	x.g.Info(row...)
 }
