Requests under which targets end again and again are refused

Cause: nothing connected the ends: each gateway saw a connection that ended, retried the request at the next target and took the next repeat like any other. The quarantine of parts of prompts needs agents and parts, which plain services and their requests lack. Change: a gateway that loses requests with their connection finds out whether the process has ended (a refused dial, or the list); what ended under which requests goes to its record in the store, which all gateways read. Three ends at different times, without an answer between, ban the request by caller, method, host, path and body.

--- a/pkg/gateway/crash_harness_test.go
+++ b/pkg/gateway/crash_harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -37,6 +38,7 @@
 
 	mu       sync.Mutex
 	process  int // number of the process
+	startMS  int64
 	down     bool
 	conns    []net.Conn
 	arrivals []arrival
@@ -57,6 +59,7 @@
 const (
 	crashRunTime = 60 * time.Millisecond
 	crashRestart = 4 * time.Second
+	crashExpiry  = 3600 * time.Millisecond // of the record
 )
 
 func testCrashFleet(t *testing.T, gateways, targets int, f func(t *testing.T, h *crashFleet)) {
@@ -103,18 +106,65 @@
 	for _, follower := range g.followers(follow.Source{List: h.store.ListKind, Watch: h.store.WatchKind}) {
 		go follower.Run(h.ctx)
 	}
+	h.useStore(g)
 	h.gateways[i] = g
 }
 
+// useStore makes the gateway's evidence last in the stand-in of the store.
+func (h *crashFleet) useStore(g *Gateway) {
+	name := string(g.node.VM)
+	find := func() (platform.Object, error) {
+		list, _, err := h.store.ListKind(kindEvidence)
+		for _, o := range list {
+			if o.Name == name {
+				return o, nil
+			}
+		}
+		if err == nil {
+			err = platform.ErrNotFound
+		}
+		return platform.Object{}, err
+	}
+	g.evidence.get = find
+	g.evidence.put = func(spec json.RawMessage, at platform.Position) (platform.Position, error) {
+		o, err := find()
+		if errors.Is(err, platform.ErrUnavailable) {
+			return platform.Position{}, err
+		}
+		if o.Position.Revision != at.Revision {
+			return platform.Position{}, platform.ErrConflict
+		}
+		if err := h.store.Publish(kindEvidence, name, spec); err != nil {
+			return platform.Position{}, err
+		}
+		o, err = find()
+		return o.Position, err
+	}
+	g.evidence.remove = func(name string, _ platform.Position) error {
+		h.store.Withdraw(kindEvidence, name)
+		return nil
+	}
+}
+
 // start starts a process of a target, which writes its record.
 func (h *crashFleet) start(t *mortalTarget) {
 	t.mu.Lock()
-	t.process, t.down = t.process+1, false
-	name, spec := fmt.Sprintf("t-%s-%d", t.address, t.process), fmt.Sprintf(`{"service":"plain","address":%q,"state":"ready","born":%d}`, t.address, time.Now().UnixMilli())
+	t.process, t.startMS, t.down = t.process+1, time.Now().UnixMilli(), false
+	name, spec := t.name(), fmt.Sprintf(`{"service":"plain","address":%q,"state":"ready","born":%d}`, t.address, t.startMS)
 	t.mu.Unlock()
 	require.NoError(h.t, h.store.Publish(platform.KindTargets, name, []byte(spec)))
 }
 
+// leave lists the target's process as one that drains. It goes on.
+func (h *crashFleet) leave(t *mortalTarget) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	require.NoError(h.t, h.store.Publish(platform.KindTargets, t.name(), fmt.Appendf(nil, `{"service":"plain","address":%q,"state":"draining","born":%d}`, t.address, t.startMS)))
+}
+
+// name returns the name of the running process, or of the last one. The caller holds mu.
+func (t *mortalTarget) name() string { return fmt.Sprintf("t-%s-%d", t.address, t.process) }
+
 // end ends the target's process, with all of its connections.
 func (t *mortalTarget) end() {
 	t.mu.Lock()
@@ -131,9 +181,14 @@
 	h.mu.Lock()
 	h.ends = append(h.ends, time.Now())
 	h.mu.Unlock()
+	t.mu.Lock()
+	name := t.name()
+	t.mu.Unlock()
 	t.end()
 	go func() {
-		time.Sleep(crashRestart)
+		time.Sleep(crashExpiry)
+		h.store.Withdraw(platform.KindTargets, name)
+		time.Sleep(crashRestart - crashExpiry)
 		if h.ctx.Err() == nil {
 			h.start(t)
 		}
@@ -167,9 +222,18 @@
 			return
 		}
 		t.mu.Lock()
-		t.arrivals = append(t.arrivals, arrival{time.Now(), gateway, q.URL.Path})
-		process := t.process
+		process, name := t.process, t.name()
+		expected := q.Header.Get(platform.HeaderExpectInstance)
+		if expected == name {
+			t.arrivals = append(t.arrivals, arrival{time.Now(), gateway, q.URL.Path})
+		}
 		t.mu.Unlock()
+		if expected != name {
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 421 X\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", q.Header.Get("X-Attempt-Id")); err != nil {
+				return
+			}
+			continue
+		}
 		time.Sleep(crashRunTime)
 		t.mu.Lock()
 		same := process == t.process && !t.down
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
+	"github.com/hyssoproad/hyssoproad/pkg/standin"
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 // settled is the time within which all gateways have to know that three targets ended under a
@@ -36,3 +42,163 @@
 		}
 	}
 }
+
+// crashThree makes three targets end under a request, the last one at once after the others.
+func (h *crashFleet) crashThree(path string) {
+	for i := 0; len(h.ended()) < 3; i++ {
+		require.Less(h.t, i, 20, "targets end")
+		h.send(0, "GET", path)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+const deadlyPath = "/safe/" + deadly
+
+// Gateways that start, come back into touch with the store, or meet an older copy of it refuse
+// what others have banned, and a gateway that starts again knows what it has seen.
+func TestBansOfRequestsReachAllGateways(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		do   func(h *crashFleet)
+	}{
+		{"a gateway that starts", func(h *crashFleet) { h.crashThree(deadlyPath); time.Sleep(settled); h.startGateway(1) }},
+		{"the gateway that has seen it starts again", func(h *crashFleet) {
+			h.crashThree(deadlyPath)
+			time.Sleep(settled)
+			h.startGateway(0)
+			h.startGateway(1)
+		}},
+		{"the store was away", func(h *crashFleet) {
+			h.store.SetFaults(standin.ObjectFaults{Outage: true})
+			h.crashThree(deadlyPath)
+			time.Sleep(10 * time.Second)
+			h.store.SetFaults(standin.ObjectFaults{})
+		}},
+		{"the store returns from an older copy", func(h *crashFleet) {
+			h.crashThree(deadlyPath)
+			time.Sleep(settled)
+			h.store.Restore(10 * time.Second)
+			time.Sleep(settled)
+			h.startGateway(1)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testCrashFleet(t, 2, 3, func(t *testing.T, h *crashFleet) {
+				test.do(h)
+				time.Sleep(settled + 2*time.Second)
+				before := len(h.arrivals(deadlyPath))
+				for gateway := range h.gateways {
+					require.Equal(t, 503, h.send(gateway, "GET", deadlyPath).StatusCode, "gateway %d", gateway)
+				}
+				require.Len(t, h.arrivals(deadlyPath), before)
+				require.Equal(t, 200, h.send(1, "GET", "/safe/sound").StatusCode)
+			})
+		})
+	}
+}
+
+// A ban ends when an operator deletes the records, and nothing is banned for connections that
+// targets close while they go on, or for targets that leave.
+func TestRequestsAreNotBannedForOtherReasons(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		do         func(h *crashFleet)
+	}{
+		{"the records were deleted", "/safe/" + deadly, func(h *crashFleet) {
+			h.crashThree(deadlyPath)
+			time.Sleep(settled)
+			h.store.WithdrawExcept(kindEvidence, nil)
+		}},
+		{"targets close connections and go on", "/unsafe/" + closing, func(h *crashFleet) {
+			for i := range 20 {
+				h.send(i%2, "GET", "/unsafe/"+closing)
+				time.Sleep(500 * time.Millisecond)
+			}
+		}},
+		{"targets that leave close connections", "/unsafe/" + closing, func(h *crashFleet) {
+			for range 4 {
+				h.send(0, "GET", "/unsafe/"+closing)
+				for _, target := range h.targets {
+					h.leave(target)
+				}
+				time.Sleep(settled)
+				for _, target := range h.targets {
+					target.end()
+					h.start(target)
+				}
+				time.Sleep(settled)
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testCrashFleet(t, 2, 3, func(t *testing.T, h *crashFleet) {
+				test.do(h)
+				time.Sleep(endListWait + settled)
+				for _, g := range h.gateways {
+					require.True(t, g.requests.Own().Empty())
+				}
+				before := len(h.arrivals(test.path))
+				h.send(1, "GET", test.path)
+				require.Greater(t, len(h.arrivals(test.path)), before, "it reaches a target")
+			})
+		})
+	}
+}
+
+// A request under which two targets ended for other reasons is answered by the third one: it
+// starts from nothing.
+func TestAnsweredRequestIsSuspectedNoLonger(t *testing.T) {
+	testCrashFleet(t, 2, 3, func(t *testing.T, h *crashFleet) {
+		f := quarantine.RequestContent{Caller: "address:pipe", Method: "GET", Host: "host.example", URI: "/safe/sound"}.Fingerprint()
+		for i := range 2 {
+			h.gateways[0].requests.Record(quarantine.End{Target: "t", StartMS: int64(i), AtMS: time.Now().UnixMilli()}, []quarantine.Fingerprint{f})
+			h.gateways[0].evidence.schedule()
+			time.Sleep(time.Second)
+		}
+		require.True(t, h.gateways[1].requests.Suspected(f, time.Now()), "it hears of it")
+		require.Equal(t, 200, h.send(1, "GET", "/safe/sound").StatusCode)
+		time.Sleep(settled)
+		for _, g := range h.gateways {
+			require.False(t, g.requests.Suspected(f, time.Now()))
+		}
+	})
+}
+
+// While its first target ends, a request is sent on; one under which a target has ended before
+// is not.
+func TestLostRequestUnderWhichATargetEndedIsNotSentOn(t *testing.T) {
+	testCrashFleet(t, 1, 3, func(t *testing.T, h *crashFleet) {
+		require.Equal(t, 502, h.send(0, "GET", deadlyPath).StatusCode)
+		require.Len(t, h.arrivals(deadlyPath), 2)
+		time.Sleep(crashRestart + settled)
+		require.Equal(t, 502, h.send(0, "GET", deadlyPath).StatusCode)
+		require.Len(t, h.arrivals(deadlyPath), 3)
+		require.Equal(t, 503, h.send(0, "GET", deadlyPath).StatusCode)
+	})
+}
+
+// What a caller does with a request bans nothing for other callers, and a client account is one
+// caller wherever it comes from.
+func TestCallersAreToldApart(t *testing.T) {
+	at := func(address string, account *platform.Account) quarantine.Fingerprint {
+		x := &exchange{q: &request{method: "GET", uri: "/x"}, account: account, c: &callerConn{nc: addressedConn{address: address}}}
+		return x.fingerprint()
+	}
+	require.Equal(t, at("10.0.0.1:5", nil), at("10.0.0.1:6", nil))
+	require.NotEqual(t, at("10.0.0.1:5", nil), at("10.0.0.2:5", nil))
+	a, b := &platform.Account{Name: "a"}, &platform.Account{Name: "b"}
+	require.Equal(t, at("10.0.0.1:5", a), at("10.0.0.2:5", a))
+	require.NotEqual(t, at("10.0.0.1:5", a), at("10.0.0.1:5", b))
+	require.NotEqual(t, at("10.0.0.1:5", &platform.Account{Name: "10.0.0.1"}), at("10.0.0.1:5", nil))
+}
+
+// addressedConn is a connection from an address.
+type addressedConn struct {
+	net.Conn
+	address string
+}
+
+// RemoteAddr returns the address.
+func (c addressedConn) RemoteAddr() net.Addr {
+	return net.TCPAddrFromAddrPort(netip.MustParseAddrPort(c.address))
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -240,6 +240,9 @@
 	if o == outcomeUnknown && !x.eventSeen && x.g.quarantine.Suspected(x.q.parts) {
 		return false // it may have ended its engine, as others with the part did
 	}
+	if o == outcomeUnknown && x.isSuspected() {
+		return false // it may have ended this target too
+	}
 	if o != outcomeNotRun && (!x.retryable() || x.runs >= x.route.MaxTargets) {
 		return false
 	}
@@ -286,7 +289,7 @@
 		x.fail(a, stepDial, err)
 		return outcomeNotRun
 	}
-	if _, banned := x.g.quarantine.Banned(x.q.parts, time.Now()); banned {
+	if _, banned := x.banned(); banned {
 		conn.Close()
 		return outcomeUnsent
 	}
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -149,6 +149,7 @@
 		return
 	}
 	x.reportLost(a, step, err)
+	x.recordLost(a)
 	x.g.placing.known.Drop(a.target.Address) // the engine may have ended
 	ejected := x.g.detector(a.target.Service).Record(a.target.Instance, true, time.Now())
 	row := []any{"msg", "target failed", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", step, "err", err, "passed-over", ejected, "first-event", x.eventSeen, "parts", fmt.Sprint(x.q.parts)}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -64,6 +64,11 @@
 	// the store.
 	quarantine *quarantine.Table
 	bans       *banStore
+	// requests holds the evidence against whole requests under which targets have ended,
+	// evidence its record in the store, and lost the processes that may have ended.
+	requests *quarantine.Requests
+	evidence *evidenceStore
+	lost     *lostProcesses
 	// suspended returns how long the VM was suspended since it started. Tests replace it.
 	suspended func() time.Duration
 	// targetList is how current the list of targets is, and configurationCopy how current
@@ -118,10 +123,11 @@
 		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
 		loads: newLoadTracker(), placing: newPlacing(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
-		quarantine: quarantine.New(), bans: newBanStore(),
+		quarantine: quarantine.New(), bans: newBanStore(), requests: quarantine.NewRequests(), lost: newLostProcesses(),
 		denialRows: common.NewRowLimit(1, denialLogInterval), lateRows: common.NewRowLimit(maxLateRows, lateRowsPeriod),
 	}
 	g.configurationCopy = &follow.Freshness{Suspended: func() time.Duration { return g.suspended() }}
+	g.evidence = newEvidenceStore(g)
 	g.pool.Observe = g.metrics.countConn
 	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.tellKnown,
 		link.Handlers{link.KindCrashReport: g.handleCrashReport, link.KindTargetNotice: g.handleTargetNotice})
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -29,11 +29,12 @@
 	trust          tally.Gauge                     // 1 if the configuration is used for requests that need a key
 	// unreadableLoads counts the responses whose load has a field that cannot be read.
 	unreadableLoads tally.Counter
-	strayResponses  tally.Counter                     // of targets, to other requests than the one that was waiting
-	heldWrites      tally.Counter                     // writes of events that a caller did not read at once
-	unreadCuts      tally.Counter                     // streams that a target cut while a slow caller kept them unread
-	connections     [forward.ConnEvents]tally.Counter // to targets, by event
-	unread          tally.Counter                     // responses that a caller did not read in time
+	strayResponses  tally.Counter                        // of targets, to other requests than the one that was waiting
+	heldWrites      tally.Counter                        // writes of events that a caller did not read at once
+	unreadCuts      tally.Counter                        // streams that a target cut while a slow caller kept them unread
+	connections     [forward.ConnEvents]tally.Counter    // to targets, by event
+	targetEnds      [len(endEvidenceNames)]tally.Counter // processes that lost requests, by what shows their end
+	unread          tally.Counter                        // responses that a caller did not read in time
 }
 
 // latencyBuckets double from the time of a round trip to a caller's longest wait.
@@ -64,6 +65,9 @@
 	for i, name := range runEndNames {
 		m.abandonedRuns[i] = scope.Tagged(map[string]string{"end": name}).Counter("abandoned_runs")
 	}
+	for i, name := range endEvidenceNames {
+		m.targetEnds[i] = scope.Tagged(map[string]string{"by": name}).Counter("target_ends")
+	}
 	for i, name := range denialNames {
 		m.denials[i] = scope.Tagged(map[string]string{"reason": name}).Counter("refused_for_key")
 	}
--- a/pkg/gateway/plugin.go
+++ b/pkg/gateway/plugin.go
@@ -30,6 +30,7 @@
 				Name: "followers",
 				Start: func(context.Context) error {
 					g.bans.use(store)
+					g.evidence.use(store)
 					for _, f := range g.followers(follow.StoreSource(store)) {
 						go f.Run(ctx)
 					}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -20,7 +20,7 @@
 
 // kindBans is the kind of the store's records of banned parts of prompts, which are named
 // after the parts. An operator lifts a ban by deleting its record.
-const kindBans platform.Kind = "prompt-bans"
+const kindBans platform.Kind = quarantine.BansKind
 
 const (
 	// banPause and banWait are the timing of the watch of bans. Agents tell of crashes
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -58,6 +58,7 @@
 	}
 	x.g.recordSuccess(a.target)
 	x.g.clearParts(x.q.parts)
+	x.recordAnswer()
 	x.g.plainTimes.Record(x.route.Name, time.Since(sent))
 	if x.streamStarted {
 		return outcomeUnknown // the target did not resume the stream
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -159,6 +159,7 @@
 		"granted", t.grantWait, "first", t.firstEvent, "pause", t.maxGap, "whole", t.total, "objective", x.route.Objective)
 	x.g.pool.Release(res)
 	x.g.recordSuccess(a.target)
+	x.recordAnswer()
 	x.g.eventInterval.record(t.events, t.total-t.grantWait-t.firstEvent)
 	if t.events > 1 {
 		x.reportPause(a, t.maxGap)
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -71,6 +71,7 @@
 			OnChanges: changeHandler(g.recordVersion, nil),
 		},
 		g.banFollower(source, outage),
+		g.evidenceFollower(source, outage),
 	}
 }
 
--- a/pkg/gateway/unplaceable.go
+++ b/pkg/gateway/unplaceable.go
@@ -7,11 +7,12 @@
 
 // banned reports whether a part of the prompt is banned, with the refusal.
 func (x *exchange) banned() (refusal, bool) {
-	ban, banned := x.g.quarantine.Banned(x.q.parts, time.Now())
+	now := time.Now()
+	ban, banned := x.g.quarantine.Banned(x.q.parts, now)
 	if !banned {
-		return refusal{}, false
+		return x.requestBan(now)
 	}
-	return refusal{reason: "part of the prompt crashes engines", wait: time.Until(ban.Until), detail: fmt.Sprintf("part %s, crashes %v", ban.Part, ban.Crashes)}, true
+	return refusal{reason: "part of the prompt crashes engines", wait: ban.Until.Sub(now), detail: fmt.Sprintf("part %s, crashes %v", ban.Part, ban.Crashes)}, true
 }
 
 // noTarget returns the refusal of a request without an eligible target.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -16,6 +16,9 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 )
 
+// BansKind is the kind of the records of banned parts.
+const BansKind = "prompt-bans"
+
 const (
 	// banAfter is the number of crashes at different times that ban a part.
 	banAfter = 3
--- a/pkg/standin/objects_http.go
+++ b/pkg/standin/objects_http.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/objects"
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -73,10 +74,14 @@
 	return out
 }
 
-// isJSONKind reports whether the platform itself writes objects of the kind. Their
-// values are JSON; those of hyssoproad's own kinds are opaque bytes.
+// isJSONKind reports whether the platform itself or gateways write objects of the kind. Their
+// values are JSON; those of the product's other kinds are opaque bytes.
 func isJSONKind(k platform.Kind) bool {
-	return k == platform.KindConfiguration || k == platform.KindTargets || k == platform.KindVersions
+	switch k {
+	case platform.KindConfiguration, platform.KindTargets, platform.KindVersions, quarantine.BansKind, quarantine.EvidenceKind:
+		return true
+	}
+	return false
 }
 
 // Publish writes an object of a kind that the platform itself writes. Faults
