A caller of repeated requests is not told by its address

Cause: the fingerprint held the caller's address. Change: the caller is the client account, or the Authorization header where no key is needed.

--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -38,6 +38,7 @@
 	key                                    string
 	hasKey, severalKeys, hasAccountHeaders bool
 
+	authorization   string // the caller's credentials for the target, if it sent any
 	weights         ident.Weights
 	parts           []ident.PromptPart // that other requests may share
 	prompt          platform.Prompt    // all its parts, in order
@@ -179,8 +180,8 @@
 	return nil
 }
 
-// readRoutingHeader reads the headers used for routing, whose names are defined in
-// package platform. All of them begin with x, l or a.
+// readRoutingHeader reads the headers that the gateway uses, most of whose names are defined
+// in package platform. All of them begin with x, l or a.
 func (q *request) readRoutingHeader(name string, value []byte) {
 	if name[0] != 'x' && name[0] != 'l' && name[0] != 'a' {
 		return
@@ -191,6 +192,8 @@
 		q.key, q.hasKey, q.hasAccountHeaders = string(value), true, true
 	case strings.EqualFold(name, platform.HeaderAccount):
 		q.hasAccountHeaders = true
+	case strings.EqualFold(name, fasthttp.HeaderAuthorization):
+		q.authorization = string(value)
 	case strings.EqualFold(name, platform.HeaderAttempt):
 		q.attempt = string(value)
 	case strings.EqualFold(name, platform.HeaderDeadline):
