Whether a lost request was suspected is decided before its own loss counts

Cause: the goroutine that finds out whether the target has ended could record the end before the request's own retry was decided; then the first loss of a sound request was not sent on. Found by reading; no run showed it. Change: the decision is taken from the evidence before the loss. The tests of losses pass as before.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -66,6 +66,8 @@
 	abandoned *abandonedSend
 	// identity is the request's fingerprint; nil until it is computed.
 	identity *quarantine.Fingerprint
+	// suspected says that a target had ended under the request before the last loss.
+	suspected bool
 	// last is the last step taken at a target.
 	last attemptStep
 	// suspendedBefore is how long the VM had been suspended when the request arrived.
@@ -240,7 +242,7 @@
 	if o == outcomeUnknown && !x.eventSeen && x.g.quarantine.Suspected(x.q.parts) {
 		return false // it may have ended its engine, as others with the part did
 	}
-	if o == outcomeUnknown && x.isSuspected() {
+	if o == outcomeUnknown && x.suspected {
 		return false // it may have ended this target too
 	}
 	if o != outcomeNotRun && (!x.retryable() || x.runs >= x.route.MaxTargets) {
--- a/pkg/gateway/target_end.go
+++ b/pkg/gateway/target_end.go
@@ -94,6 +94,7 @@
 // counts against the request if the target's process has ended.
 func (x *exchange) recordLost(a *assignment) {
 	p := processOf(a.target)
+	x.suspected = x.isSuspected() // before this loss
 	if !x.connectionEnded() || !x.g.fleet.Usable(a.target) || x.g.notices.Leaving(p) {
 		return // a target that leaves closes its connections
 	}
