A list that is older than a gateway's record does not delete its evidence

Cause: a list that was on its way while the gateway wrote its first record lacks it, and was taken for an operator's deletion; and a write that met the record of the process before was repeated only after a second. Change: a list counts as a deletion only 5 s after the last write; deletions that a watch reports count at once. After a conflict the write is repeated after half a second.

--- a/pkg/gateway/evidence_store.go
+++ b/pkg/gateway/evidence_store.go
@@ -27,6 +27,9 @@
 	// evidenceRetryDelay the delay after a failed one.
 	evidenceInterval   = 500 * time.Millisecond
 	evidenceRetryDelay = time.Second
+	// evidenceListTime is how long a list may have been on its way, so that it lacks what was
+	// written meanwhile.
+	evidenceListTime = 5 * time.Second
 )
 
 // evidenceStore writes a gateway's evidence to the store.
@@ -92,13 +95,15 @@
 			e.observe(written)
 			return
 		}
+		delay = e.g.addJitter(evidenceRetryDelay)
 		if errors.Is(err, platform.ErrConflict) {
-			err = e.adopt()
+			if err = e.adopt(); err == nil {
+				delay = evidenceInterval
+			}
 		}
 		if err != nil {
 			e.g.Info("msg", "failed to write the evidence of targets that ended", "err", err)
 		}
-		delay = e.g.addJitter(evidenceRetryDelay)
 		e.mu.Lock()
 		again := !e.scheduled
 		e.scheduled = true
@@ -133,6 +138,13 @@
 	}
 }
 
+// writtenLately reports whether a list that has just arrived may be older than the record.
+func (e *evidenceStore) writtenLately() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.wrote) < evidenceListTime
+}
+
 // forget records that the gateway has no record. It reports whether it had one.
 func (e *evidenceStore) forget() bool {
 	e.mu.Lock()
@@ -167,7 +179,7 @@
 		}
 	}
 	switch {
-	case listed[g.node.VM]:
+	case listed[g.node.VM], !l.Restored && g.evidence.writtenLately():
 	case l.Restored:
 		if g.evidence.forget() {
 			g.evidence.schedule()
