--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,12 +1,17 @@
-// Package quarantine decides which parts of prompts are refused because they crash
-// engines. It does no I/O, and callers pass in the current time.
+// Package quarantine decides which parts of prompts (Table) and which whole requests
+// (Requests) are refused because they crash targets. It does no I/O, and callers pass in the
+// current time.
 //
-// It handles requests with one part in common that arrive at any gateway and end each
+// A Table handles requests with one part in common that arrive at any gateway and end each
 // engine that begins to write an answer. Sound requests share their other parts. A part
 // is guilty if several engines ended, at different times, while requests with it waited
 // for their first events, and no request with it has ever had one. So crashes for other
 // reasons, alone or of a whole failure domain, ban nothing: the parts of sound requests
 // are cleared by the next event.
+//
+// Requests handles a request that comes again at any gateway and ends each target that runs
+// it, engines and plain services alike. It is guilty if several targets ended, at different
+// times, while they had it, and none has answered it since.
 package quarantine
 
 import (
