A refusal with a success status is not believed twice either

A response that says that its request was not run is believed whatever its status, but only those of 300 and above counted as unserved on their connection. Change: both follow the same condition. The test now writes the copy on the refusal's own connection, whether or not the request takes it again, and has 200, 202, 302 and 404.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -54,9 +54,10 @@
 
 // Receive reads the head of the response to the request with the given method and
 // attempt ID. A response that names it is believed, since the pool gives no connection that
-// has carried the attempt without success, on which it may be a second copy. An error response that names no request counts as the response only on a new
-// connection, which has carried no other request. Receive returns ErrInvalidResponse if
-// the connection carries only responses to other requests, or a success that names none.
+// has carried the attempt without success, on which it may be a second copy. An error
+// response that names no request counts as the response only on a new connection, which has
+// carried no other request. Receive returns ErrInvalidResponse if the connection carries only
+// responses to other requests, or a success that names none.
 func (c *Conn) Receive(method, attempt string, deadline time.Time) (*Response, error) {
 	// The error of SetReadDeadline is ignored: bytes that arrived before the
 	// connection closed can still be read, and the read reports the close.
@@ -185,7 +186,7 @@
 		p.Observe(ConnClosedByResponse)
 		res.c.Close()
 		return
-	case res.Status >= 300 && !res.c.recordUnserved():
+	case !res.served() && !res.c.recordUnserved():
 		p.Observe(ConnUnserved)
 		res.c.Close()
 		return
@@ -198,6 +199,11 @@
 	p.Put(res.c)
 }
 
+// served reports whether the target has served the request, as far as the head tells.
+func (res *Response) served() bool {
+	return res.Status < 300 && res.Value(platform.HeaderNotExecuted) == ""
+}
+
 // keepAlive returns the time that the target keeps an idle connection.
 func keepAlive(value string) (time.Duration, bool) {
 	for part := range strings.SplitSeq(value, ",") {
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -52,7 +52,6 @@
 	*http.Request
 	Body    []byte
 	Address string
-	reused  bool // its connection has carried another request
 }
 
 // reply writes a target's response to a request. The connection closes if it
@@ -118,7 +117,7 @@
 func (h *harness) serveTarget(c net.Conn, address string) {
 	defer c.Close()
 	r := bufio.NewReader(c)
-	for reused := false; ; reused = true {
+	for {
 		q, err := http.ReadRequest(r)
 		if err != nil {
 			h.mu.Lock()
@@ -130,7 +129,7 @@
 		if err != nil {
 			return
 		}
-		call := receivedRequest{Request: q, Body: body, Address: address, reused: reused}
+		call := receivedRequest{Request: q, Body: body, Address: address}
 		h.mu.Lock()
 		h.received = append(h.received, call)
 		var next reply
--- a/pkg/gateway/refusal_copy_test.go
+++ b/pkg/gateway/refusal_copy_test.go
@@ -23,18 +23,18 @@
 // same request, which its caller has sent again with the same ID.
 func TestCopyOfARefusalIsNoAnswerToTheSameRequestSentAgain(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/once-stream/x", "/stream/x"} {
-		for _, status := range []int{400, 408, 421, 429, 500, 503} {
+		for _, status := range []int{200, 202, 302, 400, 404, 408, 421, 429, 500, 503} {
 			for _, delay := range []time.Duration{0, 5 * time.Millisecond, 40 * time.Millisecond} {
 				t.Run(fmt.Sprintf("%s %d after %s", path, status, delay), func(t *testing.T) {
 					testHarness(t, func(t *testing.T, h *harness) {
 						h.fleet.Remove("p-2", time.Now())
 						h.fleet.Remove("s-2", time.Now())
-						var runs atomic.Int64
-						h.script(respondRawKept(refusalOf(status)), runBesideCopy(&runs, refusalOf(status), delay))
+						target := &copyingTarget{refusal: refusalOf(status), delay: delay}
+						h.script(target.refuse, target.run)
 						raw := rawRequest("POST", path, "Content-Length: 0\r\n")
 						require.Equal(t, 503, h.send(raw).StatusCode)
 						res := h.send(raw)
-						require.Equal(t, int64(1), runs.Load())
+						require.Equal(t, int64(1), target.runs.Load())
 						require.Equal(t, 200, res.StatusCode)
 						require.Equal(t, events(1, 2), body(t, res))
 					})
@@ -56,8 +56,7 @@
 						{Instance: "s-1", Service: streamService, Address: "10.0.0.3:1", StartMS: 2}, {Instance: "s-3", Service: streamService, Address: "10.0.0.3:1", StartMS: 1},
 					}
 					h.fleet.Replace(targets, time.Now())
-					var runs atomic.Int64
-					run := runBesideCopy(&runs, refusalOf(421), 5*time.Millisecond)
+					target := &copyingTarget{refusal: refusalOf(421), delay: 5 * time.Millisecond}
 					h.script(func(w net.Conn, call receivedRequest) bool {
 						if others {
 							h.fleet.Put(fleet.Target{Instance: "p-2", Service: plainService, Address: "10.0.0.2:1"})
@@ -65,10 +64,10 @@
 							h.loads.begin("p-2") // so that the target at the address comes first
 							h.loads.begin("s-2")
 						}
-						return respondRawKept(refusalOf(421))(w, call)
-					}, run, run, run)
+						return target.refuse(w, call)
+					}, target.run, target.run, target.run)
 					res := h.send(rawRequest("POST", path, "Content-Length: 0\r\n"))
-					require.Equal(t, int64(1), runs.Load())
+					require.Equal(t, int64(1), target.runs.Load())
 					require.Equal(t, 200, res.StatusCode)
 					require.Equal(t, events(1, 2), body(t, res))
 				})
@@ -77,28 +76,36 @@
 	}
 }
 
-// respondRawKept returns a reply that writes text and keeps the connection.
-func respondRawKept(text string) reply {
-	return func(w net.Conn, _ receivedRequest) bool { _, err := io.WriteString(w, text); return err == nil }
+// copyingTarget refuses a request, and sends the refusal once more when it has begun to run
+// the request that comes next.
+type copyingTarget struct {
+	refusal string
+	delay   time.Duration // of the copy
+	refused net.Conn      // the connection of the refusal
+	runs    atomic.Int64
 }
 
-// runBesideCopy returns a reply that begins to run the request and writes text, which is
-// no response to it, while it runs. A copy whose request came on a new connection finds its
-// own connection closed.
-func runBesideCopy(runs *atomic.Int64, text string, delay time.Duration) reply {
-	return func(w net.Conn, call receivedRequest) bool {
-		runs.Add(1)
-		time.Sleep(delay)
-		if call.reused {
-			if _, err := io.WriteString(w, text); err != nil {
-				return false
-			}
-		}
-		time.Sleep(50 * time.Millisecond)
-		if strings.Contains(call.URL.Path, "stream") {
-			_, err := io.WriteString(w, streamHead+chunk(events(1, 2))+"0\r\n\r\n")
-			return err == nil
-		}
-		return respond(200, events(1, 2))(w, call)
+func (c *copyingTarget) refuse(w net.Conn, _ receivedRequest) bool {
+	c.refused = w
+	_, err := io.WriteString(w, c.refusal)
+	return err == nil
+}
+
+func (c *copyingTarget) run(w net.Conn, call receivedRequest) bool {
+	c.runs.Add(1)
+	time.Sleep(c.delay)
+	copied := make(chan struct{})
+	go func() {
+		defer close(copied)
+		_, _ = io.WriteString(c.refused, c.refusal) // fails if the gateway has closed it
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if w == c.refused {
+		<-copied
+	}
+	if strings.Contains(call.URL.Path, "stream") {
+		_, err := io.WriteString(w, streamHead+chunk(events(1, 2))+"0\r\n\r\n")
+		return err == nil
 	}
+	return respond(200, events(1, 2))(w, call)
 }
