Requests whose responses can't be told share no connection

A request with two IDs, of which the last is empty, counted as one without an ID, but its refusal counted under the empty one; a copy was then believed for the request that bears the first ID (503 for a request that ran). Change: connections of requests without an ID, or of HEAD, carry no other request.

--- a/pkg/forward/conn_event.go
+++ b/pkg/forward/conn_event.go
@@ -9,7 +9,7 @@
 	ConnReused           ConnEvent = iota
 	ConnNew                        // no connection was idle
 	ConnNewForOld                  // those that are idle were so for too long for a request that may not be repeated
-	ConnNewForRepeat               // a new one was dialed: the idle ones have carried the attempt
+	ConnNewForRepeat               // those that were idle have left the attempt unserved
 	ConnNewRequired                // the request may use no other
 	ConnFailed                     // it could not be opened
 	ConnClosedByTarget             // an idle one was closed by its target, or had unexpected bytes
@@ -17,6 +17,7 @@
 	ConnSurplus                    // enough others were idle
 	ConnClosedByResponse           // the response ends it
 	ConnSpoiled                    // the response was not the only one, or not read to its end
+	ConnUnshared                   // its request may share it with no other
 	ConnUnserved                   // it has carried maxUnserved attempts without success
 	ConnAbandoned                  // its request was abandoned
 	ConnReuseFailed                // a reused one failed before a byte of the response
@@ -27,7 +28,7 @@
 const ConnEvents = int(connEventLimit)
 
 var connEventNames = [ConnEvents]string{
-	"reused", "new", "new-for-old", "new-for-repeat", "new-required", "failed", "closed-by-target", "expired", "surplus", "closed-by-response", "spoiled", "unserved", "abandoned", "reuse-failed",
+	"reused", "new", "new-for-old", "new-for-repeat", "new-required", "failed", "closed-by-target", "expired", "surplus", "closed-by-response", "spoiled", "unshared", "unserved", "abandoned", "reuse-failed",
 }
 
 // String returns the event's name.
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -186,6 +186,10 @@
 		p.Observe(ConnClosedByResponse)
 		res.c.Close()
 		return
+	case !Shareable(res.method, res.c.attempt):
+		p.Observe(ConnUnshared)
+		res.c.Close()
+		return
 	case !res.served() && !res.c.recordUnserved():
 		p.Observe(ConnUnserved)
 		res.c.Close()
@@ -199,6 +203,13 @@
 	p.Put(res.c)
 }
 
+// Shareable reports whether a request may share a connection with others. Nothing in a
+// response tells whose it is if the request has no attempt ID, and a response to HEAD has
+// another length than its head states.
+func Shareable(method, attempt string) bool {
+	return attempt != "" && method != fasthttp.MethodHead
+}
+
 // served reports whether the target has served the request, as far as the head tells.
 func (res *Response) served() bool {
 	return res.Status < 300 && res.Value(platform.HeaderNotExecuted) == ""
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -281,7 +281,7 @@
 	if !x.retryable() {
 		maxIdle = maxIdleNonRetryable
 	}
-	if x.q.attempt == "" {
+	if !forward.Shareable(x.q.method, x.q.attempt) {
 		maxIdle = 0 // only a new connection carries no responses to other requests
 	}
 	x.eventSeen, x.unread = false, unreadTime{}
--- a/pkg/gateway/refusal_copy_test.go
+++ b/pkg/gateway/refusal_copy_test.go
@@ -109,3 +109,41 @@
 	}
 	return respond(200, events(1, 2))(w, call)
 }
+
+// A copy whose length the request that waits would read in another way reaches no other
+// request.
+func TestCopyOfARefusalOfAnotherMethodIsSkipped(t *testing.T) {
+	const head = "HTTP/1.1 503 X\r\nX-Attempt-Id: a-1\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\n"
+	for _, test := range []struct{ first, second, refusal string }{{"POST", "HEAD", head + "full"}, {"HEAD", "POST", head}} {
+		t.Run(test.first+" before "+test.second, func(t *testing.T) {
+			testHarness(t, func(t *testing.T, h *harness) {
+				h.fleet.Remove("p-2", time.Now())
+				target := &copyingTarget{refusal: test.refusal, delay: 5 * time.Millisecond}
+				h.script(target.refuse, func(w net.Conn, call receivedRequest) bool {
+					if call.Method == "HEAD" {
+						go func() { _, _ = io.WriteString(target.refused, target.refusal) }()
+						time.Sleep(10 * time.Millisecond)
+						return respondRaw("HTTP/1.1 200 X\r\nX-Attempt-Id: a-2\r\nX-Server-Stamp: s\r\nContent-Length: 6\r\n\r\n")(w, call)
+					}
+					return target.run(w, call)
+				})
+				require.Equal(t, 503, h.send(rawRequest(test.first, "/unsafe/x", "Content-Length: 0\r\n")).StatusCode)
+				res := h.send(strings.Replace(rawRequest(test.second, "/unsafe/x", "Content-Length: 0\r\n"), "a-1", "a-2", 1))
+				require.Equal(t, 200, res.StatusCode)
+			})
+		})
+	}
+}
+
+// The gateway reads the last ID of a request that has two, and its target the first one.
+func TestCopyOfARefusalOfARequestWithTwoIDs(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.fleet.Remove("p-2", time.Now())
+		target := &copyingTarget{refusal: refusalOf(503), delay: 5 * time.Millisecond}
+		h.script(target.refuse, target.run)
+		h.send(rawRequest("POST", "/unsafe/x", "X-Attempt-Id: \r\nContent-Length: 0\r\n"))
+		res := h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+		require.Equal(t, int64(1), target.runs.Load())
+		require.Equal(t, 200, res.StatusCode)
+	})
+}
