--- a/pkg/gateway/load_test.go
+++ b/pkg/gateway/load_test.go
@@ -260,3 +260,16 @@
 		require.Equal(t, 8, h.loads.byTarget["p-1"].slots)
 	})
 }
+
+// Another target has the address, and says so with its load: that is not the load of the one
+// that was asked for.
+func TestLoadOfAnotherTargetAtTheAddressIsNotRecorded(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.fleet.Remove("p-2", time.Now())
+		h.script(respond(421, "", "X-Instance-Load: 9,9,6\r\n"))
+		h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+		h.loads.mu.Lock()
+		defer h.loads.mu.Unlock()
+		require.Zero(t, h.loads.byTarget["p-1"].otherRequests)
+	})
+}
--- a/pkg/gateway/notice.go
+++ b/pkg/gateway/notice.go
@@ -19,8 +19,8 @@
 // observeNotice records what a target says about itself in a response. If that is new,
 // it tells the target's agent, or the one that apportions its rate limit.
 func (x *exchange) observeNotice(a *assignment, res *forward.Response, sent time.Time) {
-	if !res.Named() && x.q.attempt != "" || res.Status == fasthttp.StatusMisdirectedRequest {
-		return // it may be of another request, or another target has this address
+	if !x.speaksForTarget(res) {
+		return
 	}
 	n := platform.ParseNotice(res.Header.All())
 	if res.Status != fasthttp.StatusServiceUnavailable {
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -76,6 +76,9 @@
 // observeLoad records the load that a response states.
 func (x *exchange) observeLoad(a *assignment, res *forward.Response) {
 	x.load = platform.TargetLoad{}
+	if !x.speaksForTarget(res) {
+		return
+	}
 	text := res.Value(platform.HeaderLoad)
 	if text == "" {
 		return
@@ -92,6 +95,12 @@
 	}
 }
 
+// speaksForTarget reports whether what the response says about its target can be relied on: it
+// may be of another request, or another target may have the address.
+func (x *exchange) speaksForTarget(res *forward.Response) bool {
+	return (res.Named() || x.q.attempt == "") && res.Status != fasthttp.StatusMisdirectedRequest
+}
+
 // maxLoggedLoadBytes bounds how much of a load that cannot be read is logged. A readable
 // one takes less than 30 bytes.
 const maxLoggedLoadBytes = 64
