Responses without a length are not waited for before the next target

Cause: the body of what is dropped was read to its end, which never comes. Change: a refusal without a length closes its connection at once; a stray one ends the request that waits, as one that may have run (502, or another target if it may be repeated).

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -82,6 +82,9 @@
 		if c.onStray != nil {
 			c.onStray(res.Status, echoed)
 		}
+		if res.EndsWithConnection() {
+			return nil, errors.Annotate(ErrInvalidResponse, "response to another request without a length")
+		}
 		if err := res.Discard(); err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/pkg/gateway/refusal_copy_test.go
+++ b/pkg/gateway/refusal_copy_test.go
@@ -147,3 +147,36 @@
 		require.Equal(t, 200, res.StatusCode)
 	})
 }
+
+// Refusals without a length, whose target keeps the connection, are not waited for, and a copy
+// of one that swallows the response ends the request at once.
+func TestRefusalsWithoutALengthAreNotWaitedFor(t *testing.T) {
+	const bare = "HTTP/1.1 503 X\r\nX-Attempt-Id: a-1\r\nX-Not-Executed: 1\r\n\r\nfull"
+	testHarness(t, func(t *testing.T, h *harness) {
+		began := time.Now()
+		refuse := &copyingTarget{refusal: bare}
+		h.script(refuse.refuse, respond(200, "second"))
+		require.Equal(t, 200, h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n")).StatusCode)
+		require.Zero(t, time.Since(began))
+	})
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/once-stream/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			testHarness(t, func(t *testing.T, h *harness) {
+				h.fleet.Remove("p-2", time.Now())
+				h.fleet.Remove("s-2", time.Now())
+				refuse := &copyingTarget{refusal: refusalOf(503)}
+				h.script(refuse.refuse)
+				require.Equal(t, 503, h.send(rawRequest("POST", path, "Content-Length: 0\r\n")).StatusCode)
+				began := time.Now()
+				h.script(func(w net.Conn, _ receivedRequest) bool {
+					_, _ = io.WriteString(w, bare)
+					time.Sleep(time.Minute)
+					return false
+				})
+				res := h.send(strings.Replace(rawRequest("POST", path, "Content-Length: 0\r\n"), "a-1", "a-2", 1))
+				require.Equal(t, 502, res.StatusCode, "it may have run")
+				require.Less(t, time.Since(began), 100*time.Millisecond)
+			})
+		})
+	}
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -18,11 +18,15 @@
 	x.observeLoad(a, res)
 	if res.Named() && (res.Status == fasthttp.StatusMisdirectedRequest || res.Value(platform.HeaderNotExecuted) != "") {
 		x.logNotRun(a, res)
+		if res.EndsWithConnection() {
+			x.g.pool.Release(res) // closes it
+			return outcomeNotRun
+		}
 		x.finish(a, res, res.Discard())
 		return outcomeNotRun
 	}
 	if !x.retryable() && impliesNotRun(res.Status) {
-		x.finish(a, res, res.Discard())
+		x.discard(a, res)
 		x.fail(a, stepStatus, errors.Errorf("status %d, which does not say that the request was not run", res.Status))
 		return outcomeUnknown
 	}
@@ -33,7 +37,7 @@
 	}
 	if x.route.RetryPolicy == platform.RunStream && res.Status < 300 {
 		if x.streamStarted && formOf(res) != x.streamForm {
-			x.finish(a, res, res.Discard())
+			x.discard(a, res)
 			x.fail(a, stepStatus, errors.Annotatef(forward.ErrInvalidResponse, "%s is not the rest of the stream", formOf(res)))
 			return outcomeUnknown
 		}
@@ -136,6 +140,16 @@
 	}
 }
 
+// discard drops the body of a response to a request that may have run. One that ends with its
+// connection is not waited for.
+func (x *exchange) discard(a *assignment, res *forward.Response) {
+	if res.EndsWithConnection() {
+		x.abandon(a, res.Conn())
+		return
+	}
+	x.finish(a, res, res.Discard())
+}
+
 // finish returns the connection to the pool, or abandons it after an error.
 func (x *exchange) finish(a *assignment, res *forward.Response, err error) {
 	if err != nil {
