A response that follows the end of its request is not a response

When a request ended, the gateway half-closed the connection to the target and then set the deadline of reads. A target that answers a half-closed connection at once could end its response between the two: with an empty success, or with the last chunk of a stream that it cut short. The read in progress took that for a complete response, which could be forwarded to a caller.

Ruled out: setting the deadline before the half-close, which leaves a read that has passed the check of its deadline.

A read that returns once the request is abandoned now fails, whatever it has read. The end of the connection, too, then says nothing about whether the target had closed before.

--- a/pkg/forward/abandon.go
+++ b/pkg/forward/abandon.go
@@ -10,14 +10,14 @@
 )
 
 // Abandon abandons the request in progress. It ends the direction to the target, which makes
-// the target stop its work and close the connection. Reads and writes in progress end.
+// the target stop its work and close the connection. Reads and writes in progress end, and no
+// read of the response returns bytes that arrive later.
 func (c *Conn) Abandon() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.abandoned {
+	if c.abandoned.Swap(true) {
 		return
 	}
-	c.abandoned = true
 	half, ok := c.nc.(interface{ CloseWrite() error })
 	if !ok || c.PeerClosed() || half.CloseWrite() != nil || c.nc.SetDeadline(time.Now()) != nil {
 		c.Close()
@@ -28,7 +28,7 @@
 func (c *Conn) setReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.abandoned {
+	if c.abandoned.Load() {
 		return os.ErrDeadlineExceeded
 	}
 	return c.nc.SetReadDeadline(t)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -58,8 +58,8 @@
 	peerClosed atomic.Bool
 	// ended says that a read or write failed because the connection was closed or reset.
 	ended     atomic.Bool
-	mu        sync.Mutex // guards abandoned, and the read deadline from then on
-	abandoned bool       // the request in progress was abandoned
+	mu        sync.Mutex  // guards the read deadline from the abandonment on
+	abandoned atomic.Bool // the request in progress was abandoned
 	// unbind ends the binding to the request in progress.
 	unbind func() bool
 	// onStall is called when a read's deadline has passed.
@@ -89,6 +89,10 @@
 func (s stallReader) Read(b []byte) (int, error) {
 	for {
 		n, err := s.c.nc.Read(b)
+		if s.c.abandoned.Load() {
+			// The target may have ended a response because of the abandonment.
+			return 0, os.ErrDeadlineExceeded
+		}
 		if err == io.EOF {
 			s.c.peerClosed.Store(true)
 		}
