--- a/pkg/standin/worker_test.go
+++ b/pkg/standin/worker_test.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -50,8 +52,11 @@
 		first, err := http.DefaultClient.Do(engineRequest(t, address, "1", "90,10", 0))
 		require.NoError(t, err)
 		second, err := http.DefaultClient.Do(engineRequest(t, address, "2", test.second, 0))
-		require.NoError(t, err)
+		require.Equal(t, test.crashes > 0, err != nil, "tokens %s: %v", test.second, err)
 		for _, res := range []*http.Response{first, second} {
+			if res == nil {
+				continue // the engine has ended
+			}
 			_, _ = io.Copy(io.Discard, res.Body)
 			require.NoError(t, res.Body.Close())
 		}
@@ -94,3 +99,42 @@
 	}
 	require.Empty(t, cut)
 }
+
+// Guards against a stand-in that ends a response properly which it does not complete: callers
+// were sent an empty success of an engine that was mute or had crashed.
+func TestEngineCompletesNoResponseThatItBreaksOff(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults WorkerFaults
+		begun  string // what the caller reads before it ends its requests
+	}{
+		{"mute", WorkerFaults{NoResponseShare: 1}, ""},
+		{"crashing", WorkerFaults{DeadlyPart: "p"}, ""},
+		{"sending events", WorkerFaults{}, "id: 1\n"},
+	} {
+		var crashed atomic.Bool
+		w, address := startEngine(t, WorkerSettings{EventPause: time.Millisecond, OnCrash: func() { crashed.Store(true) }})
+		w.SetFaults(test.faults)
+		c, err := net.Dial("tcp4", address)
+		require.NoError(t, err)
+		defer c.Close()
+		request := engineRequest(t, address, "1", "1,100000", 0)
+		request.Header.Set(platform.HeaderPromptParts, "p:1,own:1")
+		require.NoError(t, request.Write(c))
+		var received strings.Builder
+		for buffer := make([]byte, 1); !strings.HasSuffix(received.String(), test.begun); {
+			_, err := io.ReadFull(c, buffer)
+			require.NoError(t, err, test.name)
+			received.Write(buffer)
+		}
+		require.NoError(t, c.(*net.TCPConn).CloseWrite())
+		_, err = io.Copy(&received, c)
+		require.NoError(t, err, test.name)
+		response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(received.String())), request)
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF, test.name)
+		require.Equal(t, test.faults.DeadlyPart != "", crashed.Load(), test.name)
+	}
+}
