Late runs of the stand-in's engine end with the engine

The gateways had waited while the engine listed the runs, and went on once it had crashed.

The stand-in now knows that it has ended from the crash on. TestLateRunEndsWithItsEngine failed without that (the run goes on).

--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -196,6 +196,12 @@
 	return errors.Trace(d.store.Publish(platform.KindTargets, string(t.Instance()), t.Entry(t.proxyAddress)))
 }
 
+// close ends a target without an announcement.
+func (t *target) close() error {
+	t.End()
+	return t.server.Close()
+}
+
 // restartTarget restarts a target that has stopped.
 func (d *deployment) restartTarget(t *target) error {
 	t.Restart()
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -208,7 +208,7 @@
 		return nil, errTargetStopping
 	}
 	name := string(t.Instance())
-	if err := t.server.Close(); err != nil {
+	if err := t.close(); err != nil {
 		return nil, errors.Trace(err)
 	}
 	t.SetClockOffset(offset)
@@ -237,7 +237,7 @@
 		return nil, errTargetStopping
 	}
 	name := string(t.Instance())
-	if err := t.server.Close(); err != nil {
+	if err := t.close(); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return func() error {
@@ -275,7 +275,7 @@
 		return
 	}
 	name := string(t.Instance())
-	if err := t.server.Close(); err != nil {
+	if err := t.close(); err != nil {
 		d.oracle.RecordViolation(Violation{GuaranteeRecovery, "", err.Error()})
 	}
 	time.AfterFunc(crashTime, func() {
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -118,6 +118,7 @@
 	// limitedSince is when the worker first stated its rate limit.
 	limitedSince time.Time
 	draining     bool
+	ended        bool // the process has ended, and not started again
 	clockOffset  time.Duration
 }
 
@@ -140,12 +141,19 @@
 	defer w.mu.Unlock()
 	w.starts++
 	w.instance = ident.Target(string(w.Service) + "-" + strconv.FormatUint(w.Seed, 10) + "-" + strconv.Itoa(w.starts))
-	w.startMS, w.sequence, w.busy, w.modelLoaded, w.draining = time.Now().Add(w.clockOffset).UnixMilli(), 0, false, false, false
+	w.startMS, w.sequence, w.busy, w.modelLoaded, w.draining, w.ended = time.Now().Add(w.clockOffset).UnixMilli(), 0, false, false, false, false
 	w.heartbeats = 0
 	w.held, w.pending = make(map[ident.Adapter]*heldAdapter), make(map[ident.Adapter]ident.Version)
 	w.running = make(map[ident.Attempt]int)
 }
 
+// End simulates the end of the process, and of all that runs in it, until a restart.
+func (w *Worker) End() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+}
+
 // Instance returns the instance name, which changes at each restart.
 func (w *Worker) Instance() ident.Target {
 	w.mu.Lock()
@@ -284,11 +292,11 @@
 	}
 }
 
-// restarted reports whether the worker has restarted since it admitted a request.
-func (w *Worker) restarted(a admission) bool {
+// endedSince reports whether the worker has ended since it admitted a request.
+func (w *Worker) endedSince(a admission) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return a.startCount != w.starts
+	return w.ended || a.startCount != w.starts
 }
 
 // workerOrder is the JSON form of an order.
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -223,11 +223,11 @@
 )
 
 // endLate runs on, without an event, until lateEnd after the connection is closed, or until
-// the worker restarts. It then breaks the response off.
+// the worker ends. It then breaks the response off.
 func (w *Worker) endLate(r *http.Request, a admission) {
 	var closed time.Time
 	for closed.IsZero() || time.Since(closed) < lateEnd {
-		if w.restarted(a) {
+		if w.endedSince(a) {
 			break
 		}
 		if closed.IsZero() && r.Context().Err() != nil {
--- a/pkg/standin/worker_test.go
+++ b/pkg/standin/worker_test.go
@@ -138,3 +138,25 @@
 		require.Equal(t, test.faults.DeadlyPart != "", crashed.Load(), test.name)
 	}
 }
+
+// Guards against a stand-in whose late runs outlive their engine: the soak took them for runs
+// at two engines at once.
+func TestLateRunEndsWithItsEngine(t *testing.T) {
+	ended := make(chan WorkerEvent, 1)
+	w, address := startEngine(t, WorkerSettings{EventPause: time.Millisecond, OnEvent: func(e WorkerEvent) {
+		if e.Kind == WorkerEnded {
+			ended <- e
+		}
+	}})
+	w.SetFaults(WorkerFaults{LateEndShare: 1})
+	response, err := http.DefaultClient.Do(engineRequest(t, address, "1", "1,10", 0))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	w.End() // the connection stays open, so that nothing else ends the run
+	select {
+	case e := <-ended:
+		require.EqualValues(t, "1", e.Attempt)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the run goes on")
+	}
+}
