Tests of abandoned requests don't depend on when their process runs

TestAbandonTellsTheTarget/it_goes_on_to_send failed once because a dial to loopback had timed out, at a load above 40 on 7 cores. Not reproduced in 50 runs of the test at a load of 20 with -cpu 1,8. A trial that dials in a loop, and that is stopped for 0.5 s every 10 to 90 ms, got 24 such errors in 25 s: the pool's limit of 0.4 s passes before the process sees that the connection is there.

The limit is a field of the pool, and these tests, which aren't about it, set a longer one. They still use the pool's own dial. The close of a target that does close is awaited for up to a minute in place of 0.2 s; what the test requires of the target and of the pool is the same.

--- a/pkg/forward/abandon_test.go
+++ b/pkg/forward/abandon_test.go
@@ -66,13 +66,17 @@
 				}
 				ended <- test.target(c.(*net.TCPConn))
 			}()
-			p := forward.NewPool()
+			p := newPatientPool()
 			c, err := p.Get(context.Background(), l.Addr().String(), "a-1", 0)
 			require.NoError(t, err)
 			require.NoError(t, c.Send([]byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(time.Minute)))
 			c.Abandon()
 			require.False(t, c.PeerClosed())
-			require.Equal(t, test.closed, c.AwaitClose(time.Now().Add(200*time.Millisecond)))
+			wait := 200 * time.Millisecond
+			if test.closed {
+				wait = time.Minute
+			}
+			require.Equal(t, test.closed, c.AwaitClose(time.Now().Add(wait)))
 			if err := <-ended; test.ended == nil {
 				require.NoError(t, err)
 			} else {
@@ -82,6 +86,14 @@
 	}
 }
 
+// newPatientPool returns a pool that waits long for connections: a busy machine may not run
+// this process for longer than the usual limit.
+func newPatientPool() *forward.Pool {
+	p := forward.NewPool()
+	p.DialTimeout = time.Minute
+	return p
+}
+
 func firstError(all ...error) error {
 	for _, err := range all {
 		if err != nil {
@@ -129,7 +141,7 @@
 			return err
 		}},
 	} {
-		p := forward.NewPool()
+		p := newPatientPool()
 		c, err := p.Get(context.Background(), l.Addr().String(), "a-1", 0)
 		require.NoError(t, err)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -133,6 +133,8 @@
 type Pool struct {
 	// Dial opens a connection. Tests replace it.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DialTimeout bounds the setup of a connection over TCP.
+	DialTimeout time.Duration
 	// Observe is called for each event of a connection, also while the pool is locked.
 	Observe func(ConnEvent)
 
@@ -142,11 +144,13 @@
 
 // NewPool returns an empty pool that dials over TCP.
 func NewPool() *Pool {
-	return &Pool{Dial: dial, Observe: func(ConnEvent) {}, idle: make(map[string][]*Conn)}
+	p := &Pool{DialTimeout: dialTimeout, Observe: func(ConnEvent) {}, idle: make(map[string][]*Conn)}
+	p.Dial = p.dial
+	return p
 }
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.UserTimeout(unackedTimeout)}
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1, Control: socket.UserTimeout(unackedTimeout)}
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
