--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -58,8 +58,8 @@
 	peerClosed atomic.Bool
 	// ended says that a read or write failed because the connection was closed or reset.
 	ended     atomic.Bool
-	mu        sync.Mutex // guards abandoned, and the read deadline from then on
-	abandoned bool       // the request in progress was abandoned
+	mu        sync.Mutex  // guards the read deadline from the abandonment on
+	abandoned atomic.Bool // the request in progress was abandoned
 	// unbind ends the binding to the request in progress.
 	unbind func() bool
 	// onStall is called when a read's deadline has passed.
@@ -89,6 +89,10 @@
 func (s stallReader) Read(b []byte) (int, error) {
 	for {
 		n, err := s.c.nc.Read(b)
+		if s.c.abandoned.Load() {
+			// The target may have ended a response because of the abandonment.
+			return 0, os.ErrDeadlineExceeded
+		}
 		if err == io.EOF {
 			s.c.peerClosed.Store(true)
 		}
@@ -129,6 +133,8 @@
 type Pool struct {
 	// Dial opens a connection. Tests replace it.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DialTimeout bounds the setup of a connection over TCP.
+	DialTimeout time.Duration
 	// Observe is called for each event of a connection, also while the pool is locked.
 	Observe func(ConnEvent)
 
@@ -138,11 +144,13 @@
 
 // NewPool returns an empty pool that dials over TCP.
 func NewPool() *Pool {
-	return &Pool{Dial: dial, Observe: func(ConnEvent) {}, idle: make(map[string][]*Conn)}
+	p := &Pool{DialTimeout: dialTimeout, Observe: func(ConnEvent) {}, idle: make(map[string][]*Conn)}
+	p.Dial = p.dial
+	return p
 }
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.UserTimeout(unackedTimeout)}
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1, Control: socket.UserTimeout(unackedTimeout)}
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
