The end of a target under a slow caller's request counts against the request

Cause: a response that is cut off after its caller kept it unread is put down to the caller, also when the target's process ended. Ruled out: that other ends are missed; without recordLost in both places all streams of the tests are sent on. Change: the loss is recorded there too. It counts only if the process has ended, so that targets that cut off responses and go on ban nothing (TestRequestsAreNotBannedForOtherReasons).

--- a/pkg/gateway/crash_engines_test.go
+++ b/pkg/gateway/crash_engines_test.go
@@ -31,7 +31,8 @@
 // engineFleet is an agentHarness whose engines end under deadly requests.
 type engineFleet struct {
 	*agentHarness
-	eventsBefore int // events that an engine sends of a deadly request
+	eventsBefore int    // events that an engine sends of a deadly request
+	filler       string // of each of these events
 
 	mu       sync.Mutex
 	engines  map[string]*mortalEngine // by address
@@ -90,7 +91,10 @@
 			require.NoError(h.t, err)
 			first++
 		}
-		_, _ = io.WriteString(w, head+chunk(events(first, first+h.eventsBefore-1)))
+		_, _ = io.WriteString(w, head)
+		for n := first; n < first+h.eventsBefore; n++ {
+			_, _ = io.WriteString(w, chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", n, h.filler)))
+		}
 	}
 	h.crash(call.Address)
 	return false
@@ -199,6 +203,25 @@
 	}
 }
 
+// A request ends each engine that runs it right after its caller has kept the response unread
+// for longer than engines may wait.
+func TestRequestOfASlowCallerThatCrashesEnginesIsRefused(t *testing.T) {
+	testEngineFleet(t, func(t *testing.T, h *engineFleet) {
+		h.eventsBefore, h.filler = 5, strings.Repeat("x", maxEventBytes*3/4)
+		for range 20 {
+			c := h.connect()
+			raw := strings.Replace(streamWith("/once-stream/"+deadly), "1000", "9000", 1)
+			go func() { _, _ = io.WriteString(c, raw) }()
+			time.Sleep(2 * cutAfterUnread)
+			_ = c.SetReadDeadline(time.Now().Add(time.Second))
+			_, _ = io.Copy(io.Discard, c)
+		}
+		ends, arrivals := h.crashTimes()
+		require.GreaterOrEqual(t, len(ends), 3)
+		require.LessOrEqual(t, after(arrivals, ends[2].Add(settled)), 3)
+	})
+}
+
 // ban makes other gateways' evidence ban the request at a path.
 func (h *engineFleet) ban(path string) {
 	f := quarantine.RequestContent{Caller: "credentials:", Method: "POST", Host: "host.example", URI: path}.Fingerprint()
--- a/pkg/gateway/unread.go
+++ b/pkg/gateway/unread.go
@@ -40,12 +40,13 @@
 }
 
 // failUnread logs that a target has cut off a response that a slow caller kept unread. The
-// target is not to blame.
+// target is not to blame, unless its process has ended.
 func (x *exchange) failUnread(a *assignment, err error) {
 	x.last = attemptStep{target: a.target.Instance, step: stepStream, err: errors.Annotatef(err, "unread for %s because of the caller", x.unread.total)}
 	if x.callerDisconnected() || x.stopped() || x.expired() {
 		return
 	}
+	x.recordLost(a)
 	x.g.metrics.unreadCuts.Inc(1)
 	x.g.Info("msg", "target cut off a response that the caller did not read", "request", x.q.attempt, "target", a.target.Instance, "service", a.target.Service, "step", stepStream, "err", err,
 		"unread", x.unread.total, "idempotent", x.retryable())
