Soak: refusals that are sent twice

Cause: no stand-in sent the copy of a refusal, so that the soak could not show REFUSED or TWICE by it. Change: a fault makes targets send a refusal once more into the next request on the connection; clients send half of the refused requests again under the same ID.

--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -30,6 +30,9 @@
 const (
 	// thinkTime is the mean pause of a client between two requests.
 	thinkTime = 120 * time.Millisecond
+	// sameIDShare is the share of the refused requests that are sent again at once, with
+	// the same ID.
+	sameIDShare = 0.5
 	// disconnectShare is the share of the requests whose caller disconnects after
 	// disconnectAfter.
 	disconnectShare = 0.04
@@ -72,7 +75,11 @@
 // run sends requests until ctx is done. It completes the request in progress.
 func (c *client) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		retryAfter := c.send(c.nextRequest())
+		r := c.nextRequest()
+		retryAfter := c.send(r)
+		if retryAfter > 0 && c.quota == nil && c.random.Float64() < sameIDShare {
+			retryAfter = c.send(r)
+		}
 		if retryAfter > 0 {
 			c.dialNumber.Add(1)
 			c.http.CloseIdleConnections()
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -57,6 +57,7 @@
 	{"target-mute", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{NoResponseShare: 0.3})},
 	{"target-states-limit", true, false, 10 * time.Second, limitTarget},
 	{"target-sheds", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{ShedShare: 0.4})},
+	{"targets-refuse-late-twice", false, false, 4 * time.Second, refuseLateTwice},
 	{"target-answers-twice", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{DuplicateShare: 0.3})},
 	{"target-answers-late-twice", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{LateCopyShare: 0.3})},
 	{"target-sends-without-end", false, false, 3 * time.Second, targetFault(standin.WorkerFaults{EndlessShare: 0.15})},
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -51,7 +51,10 @@
 	// LateCopyShare is the share of responses of which a second copy is sent when the
 	// connection may be in use again.
 	LateCopyShare float64
-	EndlessShare  float64 // of responses that go on without end, in the head or the body
+	// RefusalCopyShare is the share of the requests that are rejected as not run whose
+	// refusal is sent once more while the next request on the connection runs.
+	RefusalCopyShare float64
+	EndlessShare     float64 // of responses that go on without end, in the head or the body
 	// LateEndShare is the share of streams that stall halfway, and that go on to run for
 	// lateEnd after their connection is closed.
 	LateEndShare float64
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -157,6 +157,9 @@
 	if a.status == 0 && w.drawFault(faults.ShedShare) {
 		w.release(a, req)
 		a = admission{status: http.StatusServiceUnavailable, reason: "shed"}
+		if w.drawFault(faults.RefusalCopyShare) {
+			defer keepRefusal(r, req, a)
+		}
 	}
 	event := WorkerEvent{Kind: WorkerRejected, Instance: w.Instance(), Attempt: req.attempt, RequestedAdapter: req.adapter, Resumed: req.lastEvent > 0,
 		Account: strings.Join(r.Header.Values(platform.HeaderAccount), ","), HasKey: len(r.Header.Values(platform.HeaderAPIKey)) > 0}
@@ -173,6 +176,7 @@
 		event.Kind = WorkerEnded
 		w.notify(event)
 	}()
+	w.sendRefusalCopy(r)
 	out.Header().Set(platform.HeaderSignature, WorkerSignature(req.attempt))
 	w.stateLoad(out.Header())
 	if slices.Contains(req.parts, faults.DeadlyPart) && w.OnCrash != nil {
@@ -256,9 +260,15 @@
 	})
 }
 
-// connKey is the context key of a request's connection.
+// connKey is the context key of a request's *workerConn.
 type connKey struct{}
 
+// workerConn is a connection of a worker's server. Its requests come one after the other.
+type workerConn struct {
+	net.Conn
+	refusal string // that is sent once more into the next request; empty for none
+}
+
 // sendWithoutEnd sends bytes that are no response until the caller disconnects: a head
 // without end, or a body or an event without end.
 func (w *Worker) sendWithoutEnd(out http.ResponseWriter, req workerRequest) {
@@ -384,7 +394,7 @@
 		if tcp, ok := c.(*net.TCPConn); ok && w.UnreadTime > 0 {
 			_ = tcp.SetWriteBuffer(unreadBufferBytes)
 		}
-		return context.WithValue(ctx, connKey{}, c)
+		return context.WithValue(ctx, connKey{}, &workerConn{Conn: c})
 	}}
 	go func() { _ = server.Serve(l) }() // ends when the server is closed
 	return server
--- a/pkg/standin/worker_test.go
+++ b/pkg/standin/worker_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -94,3 +95,27 @@
 	}
 	require.Empty(t, cut)
 }
+
+// A worker refuses a request, and sends the refusal once more while the next request on the
+// connection runs.
+func TestRefusalIsSentOnceMoreIntoTheNextRequest(t *testing.T) {
+	w, address := startEngine(t, WorkerSettings{})
+	w.SetFaults(WorkerFaults{ShedShare: 1, RefusalCopyShare: 1})
+	c, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer c.Close()
+	r := bufio.NewReader(c)
+	var ids []string
+	for i, reads := range []int{1, 2} {
+		require.NoError(t, engineRequest(t, address, fmt.Sprint(i), "1,1", 0).Write(c))
+		for range reads {
+			res, err := http.ReadResponse(r, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, res.Body)
+			require.NoError(t, err)
+			ids = append(ids, fmt.Sprint(res.Header.Get(platform.HeaderAttempt), " ", res.StatusCode))
+		}
+		w.SetFaults(WorkerFaults{})
+	}
+	require.Equal(t, []string{"0 503", "0 503", "1 200"}, ids)
+}
