Soak: requests that end targets

Two faults make clients send one request, plain or a stream, that ends the process of each target that runs it, under new IDs; the oracle counts what reaches targets later than 3 s after the third end. The process of a crashed target no longer listens, also behind its proxy.

--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -132,6 +132,11 @@
 			r.DeadlyPart = *part
 		}
 	}
+	if deadly := c.d.deadly.Load(); deadly != nil && c.quota == nil && !c.slow && c.random.Float64() < deadlyShare {
+		attempt := r.Attempt
+		r = *deadly
+		r.Attempt = attempt
+	}
 	return r
 }
 
--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -106,6 +106,7 @@
 	processes []*process
 
 	deadlyPart    atomic.Pointer[ident.PromptPart] // part of prompts that ends engines, if any
+	deadly        atomic.Pointer[clientRequest]    // request that ends targets, if any
 	mu            sync.Mutex
 	version       uint64
 	configuration json.RawMessage // the newest one
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -51,6 +51,8 @@
 	{"store-restored", false, false, 0, restoreStore},
 	{"target-crashes", false, false, 2 * time.Second, crashTarget},
 	{"prompt-part-ends-targets", false, false, 8 * time.Second, deadlyPromptPart},
+	{"request-ends-targets", false, false, 12 * time.Second, sendDeadly(bookPrefix, lookPrefix)},
+	{"stream-ends-targets", false, false, 12 * time.Second, sendDeadly(draftPrefix, notePrefix)},
 	{"target-fails", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
 	{"target-fails-at-length", false, false, 3 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4, FailBytes: 6 << 20})},
 	{"target-cuts-answers", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{TruncateShare: 0.3})},
@@ -276,11 +278,15 @@
 		return
 	}
 	name := string(t.Instance())
+	t.link.Refuse()
 	if err := t.server.Close(); err != nil {
 		d.oracle.RecordViolation(Violation{GuaranteeRecovery, "", err.Error()})
 	}
 	time.AfterFunc(crashTime, func() {
 		d.store.Withdraw(platform.KindTargets, name)
+		if err := t.link.Listen(); err != nil {
+			d.oracle.RecordViolation(Violation{GuaranteeRecovery, "", err.Error()})
+		}
 		if err := d.restartTarget(t); err != nil {
 			d.oracle.RecordViolation(Violation{GuaranteeRecovery, "", err.Error()})
 		}
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -31,6 +31,7 @@
 	GuaranteePlannedStop    Guarantee = "planned-stop"         // a planned stop interrupts no request
 	GuaranteeRecovery       Guarantee = "serves-after-fault"   // most requests are served once all faults have ended
 	GuaranteeCrashes        Guarantee = "crashing-part"        // requests that end engines are stopped
+	GuaranteeCrashBudget    Guarantee = "crashing-request"     // a request that ends targets reaches few more of them
 	GuaranteeLimit          Guarantee = "stated-limit"         // a target gets no more requests than the rate limit that it states allows
 	GuaranteeOneEngine      Guarantee = "one-engine-at-a-time" // a stream goes on at another engine only once the one before has ended it
 	GuaranteeEngineMemory   Guarantee = "engine-memory"        // the requests at an engine stay within its memory
@@ -71,6 +72,7 @@
 	Adapter    ident.Adapter
 	Idempotent bool             // it may run more than once or be resumed
 	DeadlyPart ident.PromptPart // part of its prompt that ends engines, if any
+	Deadly     deadlyName       // what ends the targets that run it, if it does
 	At         time.Time
 	// NeedsKey says that its route is not public. Key is the key that it carries, and
 	// Account the client account that holds or held it; empty if none ever did.
@@ -119,6 +121,7 @@
 	faults     []*faultInterval
 	violations []Violation
 	cutUnread  int // responses that engines cut off because they stayed unread
+	deadly     deadlyHistory
 }
 
 // statedLimit is a rate limit that a target has stated since a time.
@@ -199,6 +202,7 @@
 		l := statedLimit{e.Instance, e.Limit, e.LimitedSince}
 		o.limited[l] = append(o.limited[l], e.At)
 	}
+	o.deadly.observe(o.requests[e.Attempt].Deadly, e)
 	switch e.Kind {
 	case standin.WorkerRan:
 		o.runs[e.Attempt] = append(o.runs[e.Attempt], &run{WorkerEvent: e})
@@ -210,6 +214,9 @@
 		}
 	case standin.WorkerCrashed:
 		part := o.requests[e.Attempt].DeadlyPart
+		if part == "" {
+			break
+		}
 		o.crashes[part] = append(o.crashes[part], e.At)
 	case standin.WorkerOverfilled:
 		o.violations = append(o.violations, Violation{GuaranteeEngineMemory, e.Attempt, fmt.Sprintf("%s ends at %s", e.Instance, e.At.Format(time.StampMilli))})
@@ -254,6 +261,7 @@
 		out = append(out, checkCrashes(part, crashes)...)
 	}
 	out = append(out, o.checkQuotas()...)
+	out = append(out, o.checkDeadly()...)
 	for l, arrivals := range o.limited {
 		out = append(out, checkLimit(l, arrivals)...)
 	}
--- a/pkg/soak/oracle_test.go
+++ b/pkg/soak/oracle_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,6 +59,26 @@
 	}
 }
 
+// recordDeadly records a request that ends three targets in the second before a time, and n
+// sends of it later than it may reach targets.
+func recordDeadly(o *Oracle, third float64, n int) {
+	r := newRequest("1", true)
+	r.Deadly = "/deadly-1/"
+	o.RecordRequest(r)
+	o.RecordAnswer("1", Answer{})
+	for i := range 3 + n {
+		e := runEvent("1", third-float64(2-i)/2)
+		if e.Instance = ident.Target(fmt.Sprintf("i-%d", i)); i >= 3 {
+			e.At = at(third + 5)
+		}
+		o.RecordEvent(e)
+		e.Kind = standin.WorkerEnded
+		o.RecordEvent(e)
+		e.Kind = standin.WorkerCrashed
+		o.RecordEvent(e)
+	}
+}
+
 // recordLimited records requests that a target turns away which has stated since second 5
 // that it takes one request per second.
 func recordLimited(o *Oracle, n int, from, every float64) {
@@ -105,6 +126,17 @@
 		}, []Guarantee{GuaranteeOneEngine}},
 		{"requests that end targets go on", false, func(o *Oracle) { recordCrashes(o, 9) }, []Guarantee{GuaranteeCrashes}},
 		{"requests that end targets are stopped", false, func(o *Oracle) { recordCrashes(o, 8) }, nil},
+		{"a request that ends targets goes on", false, func(o *Oracle) { recordDeadly(o, 10, 4) }, []Guarantee{GuaranteeCrashBudget}},
+		{"a request that ends targets is refused", false, func(o *Oracle) { recordDeadly(o, 10, 3) }, nil},
+		{"a request that ends targets goes on after an outage of the store", false, func(o *Oracle) {
+			o.RecordFault(at(1), false)(at(5))
+			o.recordCut(at(1), true)(at(5))
+			recordDeadly(o, 10, 4)
+		}, []Guarantee{GuaranteeCrashBudget}},
+		{"a request that ends targets goes on soon after an outage of the store", false, func(o *Oracle) {
+			o.recordCut(at(8), true)(at(9))
+			recordDeadly(o, 10, 4)
+		}, nil},
 		{"more requests than a target states", false, func(o *Oracle) { recordLimited(o, 12, 10, 0.3) }, []Guarantee{GuaranteeLimit}},
 		{"as many as are allowed", false, func(o *Oracle) { recordLimited(o, 11, 10, 0.3) }, nil},
 		{"more over a longer time", false, func(o *Oracle) { recordLimited(o, 20, 10, 0.4) }, nil},
--- a/pkg/soak/run.go
+++ b/pkg/soak/run.go
@@ -154,6 +154,7 @@
 		} else {
 			_ = level.Info(logger).Log("msg", "fault", "kind", f.kind, "lasts", duration)
 			recordEnd := d.oracle.RecordFault(time.Now(), f.isolates)
+			recordJoin := d.oracle.recordCut(time.Now(), f.cutsStore())
 			mu.Lock()
 			counts.add(f.kind, active)
 			active[f.kind]++
@@ -166,6 +167,7 @@
 					}
 				}
 				recordEnd(time.Now())
+				recordJoin(time.Now())
 				mu.Lock()
 				active[f.kind]--
 				mu.Unlock()
--- a/pkg/standin/proxy.go
+++ b/pkg/standin/proxy.go
@@ -28,10 +28,10 @@
 
 // Proxy forwards TCP connections to one process and injects network faults.
 type Proxy struct {
-	to       string
-	listener net.Listener
+	listen, to string
 
 	mu          sync.Mutex
+	listener    net.Listener
 	mode        LinkMode
 	modeChanged chan struct{} // closed and replaced when the mode changes
 	conns       map[net.Conn]bool
@@ -39,13 +39,29 @@
 
 // NewProxy starts a proxy from a listen address to another address.
 func NewProxy(listen, to string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", listen)
+	p := &Proxy{listen: listen, to: to, mode: LinkOpen, modeChanged: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	return p, p.Listen()
+}
+
+// Listen accepts connections, also again after Refuse.
+func (p *Proxy) Listen() error {
+	listener, err := net.Listen("tcp", p.listen)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return errors.Trace(err)
 	}
-	p := &Proxy{to: to, listener: listener, mode: LinkOpen, modeChanged: make(chan struct{}), conns: make(map[net.Conn]bool)}
-	go p.accept()
-	return p, nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
+// Refuse closes the current connections and the listener, as the end of a process does.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	p.closeAll()
 }
 
 // SetMode sets the fault that the proxy injects.
@@ -79,9 +95,9 @@
 	return p.mode, p.modeChanged
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -179,6 +179,9 @@
 	w.sendRefusalCopy(r)
 	out.Header().Set(platform.HeaderSignature, WorkerSignature(req.attempt))
 	w.stateLoad(out.Header())
+	if w.isDeadly(r) {
+		w.runDeadly(out, r, req, event)
+	}
 	if slices.Contains(req.parts, faults.DeadlyPart) && w.OnCrash != nil {
 		event.Kind = WorkerCrashed
 		w.notify(event)
