A changed record of evidence costs no comparison of all records

Change: counts of heads are kept up to date, and what speaks against a request is collected when the request is seen. Requests of all gateways count now, not the newest 16,384. The rapid test of agreement passes and also checks the look-up of heads.

--- a/pkg/quarantine/requests.go
+++ b/pkg/quarantine/requests.go
@@ -16,9 +16,9 @@
 
 const (
 	// maxRequests bounds the requests in one process's evidence, the oldest of which are
-	// dropped, and maxSuspectRequests those of all processes that are compared.
-	maxRequests        = 256
-	maxSuspectRequests = 16384
+	// dropped, and maxSuspicions those for which the evidence of all is kept collected.
+	maxRequests   = 256
+	maxSuspicions = 16384
 	// requestTTL is how long the end of a target counts against a request.
 	requestTTL = time.Hour
 	// minMoments is the number of different times at which targets ended that ban a
@@ -67,16 +67,18 @@
 type Requests struct {
 	suspected atomic.Bool // there may be evidence
 
-	mu       sync.Mutex
-	own      Evidence
-	others   map[ident.VM]Evidence
-	dirty    bool
-	requests map[Fingerprint]*suspicion
-	heads    map[Head]bool
+	mu     sync.Mutex
+	own    Evidence
+	others map[ident.VM]Evidence
+	heads  map[Head]int // how often they are in the evidence
+	// suspicions are those that were collected since the evidence changed last.
+	suspicions map[Fingerprint]suspicion
 }
 
 // NewRequests returns a table without evidence.
-func NewRequests() *Requests { return &Requests{others: make(map[ident.VM]Evidence)} }
+func NewRequests() *Requests {
+	return &Requests{others: make(map[ident.VM]Evidence), heads: make(map[Head]int), suspicions: make(map[Fingerprint]suspicion)}
+}
 
 // MayKnow reports whether there is evidence against a request with the head. It is cheap if
 // there is none at all.
@@ -87,8 +89,7 @@
 	h := head()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.compare()
-	return r.heads[h]
+	return r.heads[h] > 0
 }
 
 // Record records that a target's process ended while it had the requests. It reports whether
@@ -96,20 +97,8 @@
 func (r *Requests) Record(end End, requests []Fingerprint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	i := slices.IndexFunc(r.own.Ends, func(e EndWithRequests) bool { return e.sameProcess(end) })
-	if i < 0 {
-		r.own.Ends = append(r.own.Ends, EndWithRequests{End: end})
-		i = len(r.own.Ends) - 1
-	}
 	added := false
-	for _, f := range requests {
-		if !slices.Contains(r.own.Ends[i].Requests, f) {
-			r.own.Ends[i].Requests = append(r.own.Ends[i].Requests, f)
-			added = true
-		}
-	}
-	r.own.limit(time.UnixMilli(end.AtMS))
-	r.changed()
+	r.changeOwn(time.UnixMilli(end.AtMS), func(own *Evidence) { added = own.add(EndWithRequests{End: end, Requests: requests}) })
 	return added
 }
 
@@ -118,14 +107,13 @@
 func (r *Requests) RecordAnswer(f Fingerprint, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.compare()
-	if s := r.requests[f]; s == nil || len(s.live(now)) == 0 {
+	if s := r.suspicion(f); len(s.live(now)) == 0 {
 		return false
 	}
-	r.own.Answers = slices.DeleteFunc(r.own.Answers, func(a Answer) bool { return a.Request == f })
-	r.own.Answers = append(r.own.Answers, Answer{Request: f, AtMS: now.UnixMilli()})
-	r.own.limit(now)
-	r.changed()
+	r.changeOwn(now, func(own *Evidence) {
+		own.Answers = slices.DeleteFunc(own.Answers, func(a Answer) bool { return a.Request == f })
+		own.Answers = append(own.Answers, Answer{Request: f, AtMS: now.UnixMilli()})
+	})
 	return true
 }
 
@@ -142,32 +130,25 @@
 	defer r.mu.Unlock()
 	e = e.clone()
 	e.limit(now)
-	for _, old := range e.Ends {
-		if i := slices.IndexFunc(r.own.Ends, func(end EndWithRequests) bool { return end.sameProcess(old.End) }); i >= 0 {
-			for _, f := range old.Requests {
-				if !slices.Contains(r.own.Ends[i].Requests, f) {
-					r.own.Ends[i].Requests = append(r.own.Ends[i].Requests, f)
-				}
-			}
-			continue
+	r.changeOwn(now, func(own *Evidence) {
+		for _, old := range e.Ends {
+			own.add(old)
 		}
-		r.own.Ends = append(r.own.Ends, old)
-	}
-	for _, a := range e.Answers {
-		if !slices.ContainsFunc(r.own.Answers, func(own Answer) bool { return own.Request == a.Request && own.AtMS >= a.AtMS }) {
-			r.own.Answers = append(r.own.Answers, a)
+		for _, a := range e.Answers {
+			if !slices.ContainsFunc(own.Answers, func(o Answer) bool { return o.Request == a.Request && o.AtMS >= a.AtMS }) {
+				own.Answers = append(own.Answers, a)
+			}
 		}
-	}
-	r.own.limit(now)
-	r.changed()
+	})
 }
 
 // Drop drops the evidence of this process.
 func (r *Requests) Drop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	old := r.own
 	r.own = Evidence{}
-	r.changed()
+	r.replaced(old, r.own)
 }
 
 // Replace replaces the evidence of another process, or drops it if it is empty.
@@ -176,10 +157,11 @@
 	defer r.mu.Unlock()
 	e = e.clone()
 	e.limit(now)
+	old := r.others[vm]
 	if r.others[vm] = e; e.Empty() {
 		delete(r.others, vm)
 	}
-	r.changed()
+	r.replaced(old, e)
 }
 
 // Sources returns the other processes that have evidence.
@@ -214,11 +196,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.compare()
-	if s := r.requests[f]; s != nil {
-		return s.live(now)
-	}
-	return nil
+	s := r.suspicion(f)
+	return s.live(now)
 }
 
 // live returns the ends that count.
@@ -232,60 +211,97 @@
 	return out
 }
 
-// changed records that the evidence has changed. The caller holds mu.
-func (r *Requests) changed() {
-	r.dirty = true
+// replaced records that the evidence of one process was replaced. The caller holds mu.
+func (r *Requests) replaced(old, current Evidence) {
+	for _, e := range old.Ends {
+		for _, f := range e.Requests {
+			if r.heads[f.Head]--; r.heads[f.Head] == 0 {
+				delete(r.heads, f.Head)
+			}
+		}
+	}
+	for _, e := range current.Ends {
+		for _, f := range e.Requests {
+			r.heads[f.Head]++
+		}
+	}
+	clear(r.suspicions)
 	r.suspected.Store(len(r.others) > 0 || !r.own.Empty())
 }
 
-// compare compares the evidence of all processes if it has changed. The caller holds mu.
-func (r *Requests) compare() {
-	if !r.dirty {
-		return
+// changeOwn changes the evidence of this process, and drops what does not count any more. The
+// caller holds mu.
+func (r *Requests) changeOwn(now time.Time, change func(*Evidence)) {
+	old := r.own.clone()
+	change(&r.own)
+	r.own.limit(now)
+	r.replaced(old, r.own)
+}
+
+// suspicion returns what speaks against a request. It is collected from the evidence of all
+// processes at the first call after a change, since few requests are suspected and records of
+// many processes change. The caller holds mu.
+func (r *Requests) suspicion(f Fingerprint) suspicion {
+	if r.heads[f.Head] == 0 {
+		return suspicion{}
 	}
-	r.dirty = false
-	r.requests, r.heads = make(map[Fingerprint]*suspicion), make(map[Head]bool)
-	ends := slices.Clone(r.own.Ends)
+	if s, known := r.suspicions[f]; known {
+		return s
+	}
+	var s suspicion
+	s.collect(f, r.own)
 	for e := range maps.Values(r.others) {
-		ends = append(ends, e.Ends...)
+		s.collect(f, e)
 	}
-	slices.SortFunc(ends, func(a, b EndWithRequests) int { return cmp.Compare(b.AtMS, a.AtMS) })
-	for _, e := range ends { // the newest first, so that the oldest are left out
-		for _, f := range e.Requests {
-			r.add(f, e.End)
-		}
+	s.sort()
+	if len(r.suspicions) >= maxSuspicions {
+		clear(r.suspicions)
 	}
-	for _, s := range r.requests {
-		slices.Reverse(s.ends)
+	r.suspicions[f] = s
+	return s
+}
+
+// collect adds what the evidence of one process says of a request.
+func (s *suspicion) collect(f Fingerprint, e Evidence) {
+	for _, end := range e.Ends {
+		if slices.Contains(end.Requests, f) {
+			s.ends = append(s.ends, end.End)
+		}
 	}
-	r.addAnswers(r.own)
-	for e := range maps.Values(r.others) {
-		r.addAnswers(e)
+	for _, a := range e.Answers {
+		if a.Request == f {
+			s.answeredMS = max(s.answeredMS, a.AtMS)
+		}
 	}
 }
 
-// add adds the end of a target to the evidence against a request. Several processes may have
-// seen it.
-func (r *Requests) add(f Fingerprint, end End) {
-	s := r.requests[f]
-	if s == nil {
-		if len(r.requests) >= maxSuspectRequests {
-			return
+// sort puts the ends in order. Of those of one process, which several may have seen, it keeps
+// the latest.
+func (s *suspicion) sort() {
+	slices.SortFunc(s.ends, func(a, b End) int { return cmp.Compare(b.AtMS, a.AtMS) })
+	var ends []End
+	for _, end := range s.ends {
+		if !slices.ContainsFunc(ends, end.sameProcess) {
+			ends = append(ends, end)
 		}
-		s = &suspicion{}
-		r.requests[f], r.heads[f.Head] = s, true
-	}
-	if !slices.ContainsFunc(s.ends, end.sameProcess) {
-		s.ends = append(s.ends, end)
 	}
+	slices.Reverse(ends)
+	s.ends = ends
 }
 
-func (r *Requests) addAnswers(e Evidence) {
-	for _, a := range e.Answers {
-		if s := r.requests[a.Request]; s != nil {
-			s.answeredMS = max(s.answeredMS, a.AtMS)
+// add adds requests that a target's process took with it. It reports whether there are new ones.
+func (e *Evidence) add(end EndWithRequests) (added bool) {
+	i := slices.IndexFunc(e.Ends, func(known EndWithRequests) bool { return known.sameProcess(end.End) })
+	if i < 0 {
+		e.Ends = append(e.Ends, EndWithRequests{End: end.End})
+		i = len(e.Ends) - 1
+	}
+	for _, f := range end.Requests {
+		if !slices.Contains(e.Ends[i].Requests, f) {
+			e.Ends[i].Requests, added = append(e.Ends[i].Requests, f), true
 		}
 	}
+	return added
 }
 
 // Empty reports whether there is no evidence.
--- a/pkg/quarantine/requests_test.go
+++ b/pkg/quarantine/requests_test.go
@@ -113,6 +113,7 @@
 				_, _, banned := table.Banned(f, now)
 				require.Equal(t, count >= banAfter, banned)
 				require.Equal(t, count > 0, table.Suspected(f, now))
+				require.True(t, count == 0 || table.MayKnow(func() Head { return f.Head }))
 			}
 		}
 	})
