--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -51,12 +51,15 @@
 	{"store-restored", false, false, 0, restoreStore},
 	{"target-crashes", false, false, 2 * time.Second, crashTarget},
 	{"prompt-part-ends-targets", false, false, 8 * time.Second, deadlyPromptPart},
+	{"request-ends-targets", false, false, 12 * time.Second, sendDeadly(bookPrefix, lookPrefix)},
+	{"stream-ends-targets", false, false, 12 * time.Second, sendDeadly(draftPrefix, notePrefix)},
 	{"target-fails", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
 	{"target-fails-at-length", false, false, 3 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4, FailBytes: 6 << 20})},
 	{"target-cuts-answers", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{TruncateShare: 0.3})},
 	{"target-mute", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{NoResponseShare: 0.3})},
 	{"target-states-limit", true, false, 10 * time.Second, limitTarget},
 	{"target-sheds", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{ShedShare: 0.4})},
+	{"targets-refuse-late-twice", false, false, 4 * time.Second, refuseLateTwice},
 	{"target-answers-twice", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{DuplicateShare: 0.3})},
 	{"target-answers-late-twice", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{LateCopyShare: 0.3})},
 	{"target-sends-without-end", false, false, 3 * time.Second, targetFault(standin.WorkerFaults{EndlessShare: 0.15})},
@@ -275,11 +278,15 @@
 		return
 	}
 	name := string(t.Instance())
+	t.link.Refuse()
 	if err := t.close(); err != nil {
 		d.oracle.RecordViolation(Violation{GuaranteeRecovery, "", err.Error()})
 	}
 	time.AfterFunc(crashTime, func() {
 		d.store.Withdraw(platform.KindTargets, name)
+		if err := t.link.Listen(); err != nil {
+			d.oracle.RecordViolation(Violation{GuaranteeRecovery, "", err.Error()})
+		}
 		if err := d.restartTarget(t); err != nil {
 			d.oracle.RecordViolation(Violation{GuaranteeRecovery, "", err.Error()})
 		}
