Engines are set up soon although all processes start at once

Cause: a round of maintenance sent the setups of all engines one after the other, at all gateways in the order of the list. After all processes had started again, the engines at its end were set up last by every gateway, and each silent agent held up the whole round for 250 ms, with it the removal of expired targets, permits and announcements of quotas.

Ruled out: refusals of the store.

Change: a round sends several setups at a time, begins at each gateway with another engine, and nothing else of the maintenance waits for it.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -76,6 +76,7 @@
 	targetList, configurationCopy *follow.Freshness
 	trust                         trustState
 	denialRows                    *common.RowLimit // about requests refused for their keys
+	sendingSetups                 atomic.Bool
 
 	budgetMu   sync.Mutex
 	budgets    map[ident.Service]*budget
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -259,28 +259,11 @@
 		g.notices.Retain(func(t ident.Target) bool { _, known := g.fleet.Find(t); return known }, time.Now())
 		g.renewPermits()
 		g.pool.Sweep()
-		g.sendEngineSetups(ctx)
+		g.maintainEngineSetups(ctx)
 		g.quotas.maintain(g.agents.linkTo)
 	}
 }
 
-func (g *Gateway) sendEngineSetups(ctx context.Context) {
-	c := g.directory.Configuration()
-	if c == nil {
-		return
-	}
-	for _, s := range c.Services {
-		if s.Engine == nil {
-			continue
-		}
-		for _, t := range g.fleet.Available(s.Name) {
-			if _, err := g.agents.connWithSetup(ctx, t, c, s); err != nil {
-				g.Debug("msg", "failed to send the engine setup to the agent", "target", t.Instance, "err", err)
-			}
-		}
-	}
-}
-
 const (
 	// syncShare is the share of a caller's timeout that a request may wait for a
 	// process that has just started. The rest has to suffice to serve it.
