Few gateways announce quotas to each holder

Cause: after a change of the configuration or of the engines every gateway announced its limits to every holder, which are gateways x holders messages.

Change: above 32 gateways each of them announces to a holder with a probability of 32 / gateways, by a hash of both names. Questions state the limits as well, so that nothing depends on an announcement of each gateway. Until agents have told the number of gateways all announce, and up to 32 gateways nothing changes.

--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -31,6 +31,8 @@
 	linked func(address string) bool
 	// gateways estimates the number of gateways.
 	gateways func() int
+	// knownGateways returns the number that agents have told, or 0 before the first.
+	knownGateways func() int
 
 	mu       sync.RWMutex
 	accounts map[ident.Account]*accountQuota
--- a/pkg/gateway/quota_holders.go
+++ b/pkg/gateway/quota_holders.go
@@ -41,7 +41,7 @@
 		metrics: newAccountMetricsTable(g.Metrics), accounts: make(map[ident.Account]*accountQuota), announcements: make(map[string]*announcement),
 		now:  func() time.Time { return time.Now().Add(g.suspended()) },
 		call: g.askForQuota, current: g.quotaSources, linked: func(address string) bool { return g.agents.linkTo(address) != nil },
-		gateways: g.entryCount.Estimate,
+		gateways: g.entryCount.Estimate, knownGateways: g.entryCount.Peak,
 	}
 }
 
@@ -161,7 +161,12 @@
 			delete(q.announcements, address)
 		}
 	}
+	gateways := q.knownGateways()
 	for address, limits := range told {
+		if !quota.Announces(q.vm, address, gateways) {
+			delete(q.announcements, address)
+			continue
+		}
 		known := q.announcements[address]
 		if known == nil || known.version != c.Version || !slices.Equal(known.limits, limits) {
 			q.announcements[address] = &announcement{limits: limits, version: c.Version, began: now}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -177,6 +177,9 @@
 // drawBits is the number of bits of a draw, as RendezvousHash returns it.
 const drawBits = 53
 
+// MaxDraw is the bound below which rendezvous hashes are.
+const MaxDraw = 1 << drawBits
+
 // RendezvousHash returns the rendezvous hash of an adapter and a node, which is uniformly
 // distributed over drawBits bits.
 func RendezvousHash(adapter, node uint64) uint64 { return mix(adapter^node) >> (64 - drawBits) }
