Explanations and a command tell which requests are banned

Bans of whole requests hold for one caller, method, host, path and body. A question to `explain request` states neither method nor body, so it was answered as if nothing was banned, with "sends it" for a request that callers see refused with 503.

It now takes the fingerprint that the rows of the log have, and hands it to the check that refuses requests. Without one, it says how many requests are banned and that this was not checked. `hyssoproadctl bans` lists the banned requests of some gateways with the ends under each and the objects that hold the evidence, from the new page /bans beside the metrics.

Considered: computing the fingerprint from a body given to the command. Operators don't have callers' bodies and credentials, and the log has the fingerprint.

--- a/pkg/control/explain.go
+++ b/pkg/control/explain.go
@@ -14,6 +14,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/explain"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 )
 
 // explainRequest is the flags of one invocation.
@@ -31,7 +32,7 @@
 	var r explainRequest
 	r.register(fs)
 	return &ffcli.Command{
-		Name: "request", ShortUsage: "explain request -gateway <address>[,<address>...] -host <host> -path <path> [-model <model>] [-adapter <adapter>] [-parts <id:tokens,...>] [-prompt-tokens <n>] [-output-tokens <n>] [-account <name>] [--json]",
+		Name: "request", ShortUsage: "explain request -gateway <address>[,<address>...] -host <host> -path <path> [-model <model>] [-adapter <adapter>] [-parts <id:tokens,...>] [-prompt-tokens <n>] [-output-tokens <n>] [-account <name>] [-fingerprint <hex>] [--json]",
 		ShortHelp: "tell where gateways of the users' platform would send a request now, and why", FlagSet: fs,
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
@@ -53,6 +54,7 @@
 	fs.IntVar(&r.query.OutputTokens, "output-tokens", 0, "limit of the answer's length")
 	fs.StringVar(&r.account, "account", "", "name of the client account, not its key")
 	fs.StringVar(&r.query.Attempt, "attempt", "", "ID of the request, which orders engines with equal costs; by default a new one, the same for all gateways")
+	fs.TextVar(&r.query.Fingerprint, "fingerprint", quarantine.Fingerprint{}, "fingerprint of the request in a row of a gateway's log, which tells whether it is banned")
 	fs.BoolVar(&r.asJSON, "json", false, "print the gateways' answers as JSON")
 }
 
--- a/pkg/control/tool.go
+++ b/pkg/control/tool.go
@@ -120,7 +120,7 @@
 	return &ffcli.Command{
 		Name: "hyssoproadctl", ShortUsage: "hyssoproadctl [flags] <subcommand>", FlagSet: fs,
 		Options:     []ff.Option{ff.WithEnvVarPrefix("HYSSOPROAD")},
-		Subcommands: []*ffcli.Command{t.show(), t.explain(), t.do(), t.validate(), t.plan(), t.apply(), t.export(), t.hashToken(), t.report(), t.accounts()},
+		Subcommands: []*ffcli.Command{t.show(), t.explain(), t.do(), t.validate(), t.plan(), t.apply(), t.export(), t.hashToken(), t.report(), t.accounts(), t.bans()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/pkg/explain/answer.go
+++ b/pkg/explain/answer.go
@@ -23,6 +23,8 @@
 	Targets []Target `json:"targets"`
 	// RuledOut are the service's other targets.
 	RuledOut []Target `json:"ruled-out"`
+	// Bans is set if requests are banned and the query does not tell whether its is.
+	Bans *Bans `json:"bans,omitempty"`
 	// Knowledge is the age of what the gateway knows beside its targets.
 	Knowledge Knowledge `json:"knowledge"`
 }
@@ -131,6 +133,13 @@
 	Running int          `json:"running"`
 }
 
+// Bans is what is known of the whole requests that are refused because they crash targets.
+// They are told by caller, method, host, path and body, which a query without a fingerprint
+// does not state.
+type Bans struct {
+	Requests int `json:"requests"`
+}
+
 // Account is the client account of the request.
 type Account struct {
 	Name ident.Account `json:"name"`
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 )
 
 // An operator reads in one table why a request goes to its engine: e-1 keeps the prompt, and
@@ -25,6 +27,7 @@
 				Forecast: 0, ForecastAge: -1, Pace: 250, PaceAge: 300, KeptAge: -1,
 			},
 		},
+		Bans:      &Bans{Requests: 2},
 		RuledOut:  []Target{{Target: "e-3", Domain: "z1", RuledOut: Paused, RuledOutFor: 1500}},
 		Knowledge: Knowledge{Configuration: 12, TargetList: 400, Gateways: 31, AdapterLoad: 288, TokensPerMS: 19.1, Parts: 2310},
 	}
@@ -36,6 +39,7 @@
 	// request 0198, route chat, service llm, weights m/a1@7, order by cost
 	// known: configuration 12, targets 400 ms old, 31 gateways, 2310 prompt beginnings, adapter load 288 ms, prefill 19.1 tokens per ms
 	// account acme: costs 1310 tokens of a rate of 11000 per s and a burst of 11000, quota left: unknown
+	// not checked: 2 requests are banned because they crash targets; -fingerprint tells whether this one is
 	// TARGET     DOMAIN  COST    WAIT   LOAD    PREFILL  WAY   COPY   REQUESTS               UNREAD  FORECAST  PACE               ADAPTER  KEPT                LIMIT  AGENT
 	// e-1        z2      35 ms   30 ms  0 ms    5 ms     0 ms  0 ms   32 of 64 (800 ms old)  0       -         100% (120 ms old)  held     1010 (4000 ms old)  -      granted, 31 running, 0 waiting
 	// e-2        z1      500 ms  0 ms   288 ms  137 ms   3 ms  72 ms  0 of 64                0       -         250% (300 ms old)  -        -                   -      -
@@ -46,7 +50,7 @@
 // TestQueriesSurviveTheWay guards against parameters that are lost between the command and
 // the gateway.
 func TestQueriesSurviveTheWay(t *testing.T) {
-	q := Query{Host: "h", Path: "/a b?", Model: "m", Adapter: "a/1&", Parts: "x:1,y:2", PromptTokens: 3, OutputTokens: 4, Account: "acme & co", Attempt: "id"}
+	q := Query{Host: "h", Path: "/a b?", Model: "m", Adapter: "a/1&", Parts: "x:1,y:2", PromptTokens: 3, OutputTokens: 4, Account: "acme & co", Attempt: "id", Fingerprint: quarantine.RequestContent{URI: "/x"}.Fingerprint()}
 	got, err := ParseQuery(q.Values())
 	require.NoError(t, err)
 	require.Equal(t, q, got)
--- a/pkg/explain/query.go
+++ b/pkg/explain/query.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -30,6 +31,9 @@
 	Account                    ident.Account
 	// Attempt is the ID of the request, which orders engines with equal costs.
 	Attempt string
+	// Fingerprint is that of the request in rows of the log. It is zero if it is not known,
+	// and then bans of whole requests can't be told.
+	Fingerprint quarantine.Fingerprint
 }
 
 // The names of the parameters.
@@ -43,6 +47,7 @@
 	paramOutputTokens = "output-tokens"
 	paramAccount      = "account"
 	paramAttempt      = "attempt"
+	paramFingerprint  = "fingerprint"
 )
 
 // Check returns a NotValid error that names the first parameter that is missing or wrong.
@@ -70,6 +75,9 @@
 	return nil
 }
 
+// HasFingerprint reports whether the fingerprint is known.
+func (q Query) HasFingerprint() bool { return q.Fingerprint != quarantine.Fingerprint{} }
+
 func missing(name string) error { return errors.NewNotValid(nil, name+" is missing") }
 
 // Values returns the query as the parameters of a URL.
@@ -87,6 +95,9 @@
 	set(paramParts, q.Parts)
 	set(paramAccount, string(q.Account))
 	set(paramAttempt, q.Attempt)
+	if q.HasFingerprint() {
+		set(paramFingerprint, q.Fingerprint.String())
+	}
 	if q.PromptTokens != 0 {
 		set(paramPromptTokens, strconv.Itoa(q.PromptTokens))
 	}
@@ -129,6 +140,10 @@
 			q.Account = ident.Account(value)
 		case paramAttempt:
 			q.Attempt = value
+		case paramFingerprint:
+			if parseErr := q.Fingerprint.UnmarshalText([]byte(value)); parseErr != nil && err == nil {
+				err = errors.Annotate(parseErr, paramFingerprint)
+			}
 		default:
 			return q, errors.NotValidf("parameter %q", name)
 		}
--- a/pkg/explain/text.go
+++ b/pkg/explain/text.go
@@ -23,6 +23,9 @@
 	if a.Account != nil {
 		fmt.Fprintf(out, "account %s: costs %g %s of a rate of %g per s and a burst of %g, quota left: %s\n", a.Account.Name, a.Account.Cost, a.Account.Unit, a.Account.PerSecond, a.Account.Burst, a.Account.Quota)
 	}
+	if a.Bans != nil {
+		fmt.Fprintf(out, "not checked: %d requests are banned because they crash targets; -fingerprint tells whether this one is\n", a.Bans.Requests)
+	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	if len(a.Targets) > 0 {
 		fmt.Fprintln(w, "TARGET\tDOMAIN\tCOST\tWAIT\tLOAD\tPREFILL\tWAY\tCOPY\tREQUESTS\tUNREAD\tFORECAST\tPACE\tADAPTER\tKEPT\tLIMIT\tAGENT")
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -16,6 +16,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 	"github.com/hyssoproad/hyssoproad/pkg/quota"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
@@ -62,6 +63,9 @@
 		out.Outcome = refused(fasthttp.StatusUnauthorized, why, 0)
 		return out, nil
 	}
+	if bans := len(g.requests.Bans(g.node.VM, time.Now()).Requests); bans > 0 && !q.HasFingerprint() {
+		out.Bans = &explain.Bans{Requests: bans}
+	}
 	x.explain(out)
 	return out, nil
 }
@@ -71,8 +75,13 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	parts := []byte(q.Parts)
 	now := time.Now()
+	var identity *quarantine.Fingerprint
+	if q.HasFingerprint() {
+		identity = &q.Fingerprint
+	}
 	return &exchange{
-		g: g, ctx: ctx, cancel: cancel, began: now, deadline: now.Add(route.Timeout), route: route, configuration: c,
+		identity: identity,
+		g:        g, ctx: ctx, cancel: cancel, began: now, deadline: now.Add(route.Timeout), route: route, configuration: c,
 		service: c.Services[pickService(route, q.Attempt)], suspendedBefore: g.suspended(),
 		q: &request{
 			path: q.Path, attempt: q.Attempt, weights: ident.Weights{Model: q.Model, AdapterVersion: ident.AdapterVersion{Adapter: q.Adapter}},
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -297,6 +297,7 @@
 		"host=h&path=/x&prompt-tokens=many":    `prompt-tokens "many"`,
 		"host=h&path=/x&output-tokens=-1":      "output-tokens -1",
 		"host=h&path=/x&parts=a:1,b":           `parts "a:1,b": part 2 is not ID:TOKENS`,
+		"host=h&path=/x&fingerprint=12":        "fingerprint: fingerprint of 2 bytes",
 		"host=h&path=/x&prompt-token-count=10": `parameter "prompt-token-count"`,
 	} {
 		values, err := url.ParseQuery(query)
--- a/pkg/gateway/plugin.go
+++ b/pkg/gateway/plugin.go
@@ -14,6 +14,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/exposition"
 	"github.com/hyssoproad/hyssoproad/pkg/follow"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
+	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
 	"github.com/hyssoproad/hyssoproad/pkg/quota"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -25,6 +26,7 @@
 		Start: func(g *Gateway, store *platform.Store, metrics exposition.Metrics, life *kernel.Lifecycle) {
 			metrics.AddPage(explain.Path, g.explainPage)
 			metrics.AddPage(quota.ReportPath, g.quotas.accountsPage)
+			metrics.AddPage(quarantine.BansPath, g.bansPage)
 			ctx, cancel := context.WithCancel(context.Background())
 			life.Append(kernel.Hook{
 				Name: "followers",
--- a/pkg/gateway/target_end.go
+++ b/pkg/gateway/target_end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/url"
 	"sync"
 	"syscall"
 	"time"
@@ -164,7 +165,18 @@
 	return refusal{reason: "request crashes targets", wait: until.Sub(now), detail: fmt.Sprintf("fingerprint %s, ends %v", x.fingerprint(), ends)}, true
 }
 
-func (x *exchange) contentHead() quarantine.Head { return x.content().Head() }
+// contentHead returns the request's fingerprint without the body.
+func (x *exchange) contentHead() quarantine.Head {
+	if x.identity != nil {
+		return x.identity.Head
+	}
+	return x.content().Head()
+}
+
+// bansPage is the page of the metrics listener that lists banned requests.
+func (g *Gateway) bansPage(context.Context, url.Values) (any, error) {
+	return g.requests.Bans(g.node.VM, time.Now()), nil
+}
 
 // isSuspected reports whether a target has ended under the request before.
 func (x *exchange) isSuspected() bool {
--- a/pkg/quarantine/requests.go
+++ b/pkg/quarantine/requests.go
@@ -191,7 +191,21 @@
 
 // Banned returns the ends of targets for which a request is banned, and until when it is.
 func (r *Requests) Banned(f Fingerprint, now time.Time) (ends []End, until time.Time, banned bool) {
-	live := r.live(f, now)
+	if !r.suspected.Load() {
+		return nil, time.Time{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.compare()
+	if s := r.requests[f]; s != nil {
+		return s.verdict(now)
+	}
+	return nil, time.Time{}, false
+}
+
+// verdict returns the ends of targets for which the request is banned, and until when it is.
+func (s *suspicion) verdict(now time.Time) (ends []End, until time.Time, banned bool) {
+	live := s.live(now)
 	moments := 0
 	for i, e := range live {
 		if i == 0 || e.AtMS-live[i-1].AtMS > moment.Milliseconds() {
