Explaining a route does not change where requests go

Cause: `explain route` chose a target by the function that places requests, which noted at once that the target is expected to load the adapter. For 10 s the next requests for the adapter went there, also if another target had become cheaper. An operator who looked for the cause of a slow adapter thus changed what he looked at.

Ruled out: the count of requests sent (only Pick raises it) and the circuit breakers (asking one changes nothing).

Choosing now only says that a load is expected, and Pick notes it for the request that it counts.

--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -45,6 +45,8 @@
 	// later agent of the same target doesn't know the attempts that were sent
 	// to this one.
 	Report *wire.Report
+	// loads says that the target is expected to load the adapter for the request.
+	loads bool
 }
 
 const (
@@ -66,12 +68,16 @@
 func (t *Table) Pick(q Query, now time.Time) (Choice, bool) {
 	c, ok := t.choose(q, now)
 	if ok {
+		if c.loads {
+			t.locations.shard(keyHash(q.Key)).expect(q.Key, c.Node, now)
+		}
 		c.Node.sent.Add(1)
 		c.Report = c.Node.Report()
 	}
 	return c, ok
 }
 
+// choose chooses the target of a request. It changes nothing.
 func (t *Table) choose(q Query, now time.Time) (Choice, bool) {
 	all := t.pool(q.Pool)
 	if q.Key.IsZero() {
@@ -89,8 +95,7 @@
 // partial is set, a part of it.
 func (t *Table) chooseFrom(list nodeList, partial bool, q Query, now time.Time) (Choice, bool) {
 	hash := keyHash(q.Key)
-	shard := t.locations.shard(hash)
-	loaded, expected := shard.find(q.Key, now)
+	loaded, expected := t.locations.shard(hash).find(q.Key, now)
 	if partial {
 		loaded = intersect(loaded, list.nodes)
 		if expected != nil && !contains(list.nodes, expected) {
@@ -108,8 +113,7 @@
 		if ranked.n == 0 || ranked.nodes[0].Load() > replicaLoad {
 			return Choice{Node: full, Reason: ReasonLoaded}, true
 		}
-		shard.expect(q.Key, ranked.nodes[0], now)
-		return Choice{Node: ranked.nodes[0], Reason: ReasonReplica}, true
+		return Choice{Node: ranked.nodes[0], Reason: ReasonReplica, loads: true}, true
 	}
 	if ranked.n == 0 {
 		return Choice{}, false
@@ -119,8 +123,7 @@
 	if i > 0 {
 		reason = ReasonOther
 	}
-	shard.expect(q.Key, ranked.nodes[i], now)
-	return Choice{Node: ranked.nodes[i], Reason: reason}, true
+	return Choice{Node: ranked.nodes[i], Reason: reason, loads: true}, true
 }
 
 // cost estimates, in seconds of wait, what a load on the node costs this request
@@ -273,7 +276,7 @@
 }
 
 // Candidates returns the targets of a request's pool in rendezvous order, and
-// marks the one that would be chosen, with the reason.
+// marks the one that would be chosen, with the reason. It changes nothing.
 func (t *Table) Candidates(q Query, now time.Time) []Candidate {
 	hash := keyHash(q.Key)
 	loaded, _ := t.locations.shard(hash).find(q.Key, now)
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -184,3 +184,44 @@
 		i++
 	}
 }
+
+// An operator asks where a request would go, and then the costs change: the next request goes
+// where it would have gone without the question.
+func TestCandidatesChangeNothing(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		loaded func(tab *Table) // before the question
+	}{
+		{"no target holds the adapter", func(*Table) {}},
+		{"its holder is full", func(tab *Table) {
+			r := report(0, adapter(1))
+			r.Sequence, r.Running, r.Waiting = 2, 8, 8
+			tab.Update(r, true, now)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			asked, plain := table(12), table(12)
+			test.loaded(asked)
+			test.loaded(plain)
+			var chosen *Node
+			for _, c := range asked.Candidates(query(1), now) {
+				if c.Chosen {
+					chosen = c.Node
+				}
+			}
+			require.NotNil(t, chosen)
+			for _, tab := range []*Table{asked, plain} {
+				r := *chosen.Report()
+				r.Sequence, r.LoadWaitMS, r.Running = 3, 5000, 6
+				tab.Update(r, true, now)
+				full := report(0)
+				full.Sequence = 4
+				tab.Update(full, true, now)
+			}
+			x, _ := asked.Pick(query(1), now)
+			y, _ := plain.Pick(query(1), now)
+			require.Equal(t, []any{y.Node.Target, y.Reason}, []any{x.Node.Target, x.Reason})
+			require.NotEqual(t, chosen.Target, y.Node.Target, "the costs have changed")
+		})
+	}
+}
