A stopping gateway answers requests whose bodies are still arriving

Cause: a request counts as in progress from its first byte on, but had a time in the schedule of the stop only once it was read. When the reads ended, 0.2 s after the listener had closed, its connection closed without an answer. If nothing else was in progress this was at 2.7 s of a grace of 8 s already. Ruled out: requests half of whose head was read; they name nothing that could be answered, and are closed as before. Change: the reads of bodies end when the gateway answers what is left (90% of the grace), with 503, not run, Retry-After and a row in the log; bodies that are complete by then are served or refused as others are. TestStoppingGatewayAnswersRequestsWhoseBodiesArrive, red before: "unexpected EOF ... sent from 6.5s to 7.4s after SIGTERM".

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -70,7 +70,8 @@
 	q := &request{}
 	if err := c.readRequest(q, limits); err != nil {
 		q.releaseBody(c.g.bodies)
-		c.rejectUnreadable(err)
+		c.g.conns.set(c, connServing)
+		c.rejectUnreadable(q, err)
 		return false
 	}
 	c.g.conns.set(c, connServing)
@@ -137,24 +138,38 @@
 	if err != nil {
 		return err
 	}
+	c.g.conns.set(c, connReadingBody)
 	if f.expect && (f.chunked || f.length > 0) && f.length <= limits.BodyBytes {
 		if _, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return err
 		}
 	}
-	return q.readBody(c.r, f, limits.BodyBytes, c.g.bodies)
+	err = q.readBody(c.r, f, limits.BodyBytes, c.g.bodies)
+	if !isTimeout(err) || !c.g.stop.begun() {
+		return err
+	}
+	return errUnreadAtStop
 }
 
+// errUnreadAtStop is the rejection of a request whose body the stop of the process leaves
+// no time for.
+var errUnreadAtStop = reject(fasthttp.StatusServiceUnavailable, reasonStopping)
+
 // rejectUnreadable responds to a request that could not be read.
-func (c *callerConn) rejectUnreadable(err error) {
+func (c *callerConn) rejectUnreadable(q *request, err error) {
 	var r *rejection
 	if !errors.As(err, &r) {
 		return
 	}
-	c.g.Debug("msg", "request rejected", "remote", c.nc.RemoteAddr(), "status", r.status, "reason", r.reason)
+	c.g.Debug("msg", "request rejected", "request", q.attempt, "remote", c.nc.RemoteAddr(), "status", r.status, "reason", r.reason)
 	c.closeAfterResponse, c.responseStarted = true, false
 	wait := time.Duration(0)
-	if r.status == fasthttp.StatusServiceUnavailable {
+	switch {
+	case err == errUnreadAtStop:
+		c.g.metrics.refused.Inc(1)
+		c.g.Info("msg", "refused", "request", q.attempt, "reason", r.reason, "cause", "body incomplete")
+		wait = c.g.addJitter(c.g.stop.retryAfter())
+	case r.status == fasthttp.StatusServiceUnavailable:
 		wait = c.g.addJitter(memoryRetryAfter)
 	}
 	_ = c.writeError(r.status, r.reason, wait)
--- a/pkg/gateway/conns.go
+++ b/pkg/gateway/conns.go
@@ -15,9 +15,10 @@
 type connPhase uint8
 
 const (
-	connIdle    connPhase = iota // it waits for a request
-	connReading                  // the first byte of a request has arrived
-	connServing                  // the whole request has
+	connIdle        connPhase = iota // it waits for a request
+	connReading                      // the first byte of a request has arrived
+	connReadingBody                  // its head has
+	connServing                      // the whole request has
 )
 
 type connState struct {
@@ -85,13 +86,13 @@
 	}
 }
 
-// limitReads sets a deadline for the requests that are being read.
-func (t *connTable) limitReads(deadline time.Time) {
+// endReads ends the reads of requests that are in a phase.
+func (t *connTable) endReads(p connPhase) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, s := range t.conns {
-		if s.phase == connReading {
-			_ = c.nc.SetReadDeadline(deadline)
+		if s.phase == p {
+			_ = c.nc.SetReadDeadline(time.Now())
 		}
 	}
 }
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -144,7 +144,12 @@
 	for now := time.Now(); now.Before(s.exit); now = time.Now() {
 		g.endOverdue(now)
 		g.conns.closeIdle()
-		g.conns.limitReads(lastRead)
+		if !now.Before(lastRead) {
+			g.conns.endReads(connReading)
+		}
+		if !now.Before(s.answerBy) {
+			g.conns.endReads(connReadingBody)
+		}
 		time.Sleep(stopPollInterval) // also for a connection accepted last
 		if g.active.Load() == 0 && (g.conns.unserved() == 0 || !now.Before(lastRead)) {
 			return
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -24,6 +24,9 @@
 type stopCall struct {
 	after time.Duration // from SIGTERM to the request
 	raw   string
+	// restAfter is the time from SIGTERM to the rest of the request.
+	rest      string
+	restAfter time.Duration
 }
 
 // stopAnswer is what the caller got.
@@ -60,7 +63,11 @@
 			h.mu.Lock()
 			h.conns = append(h.conns, near)
 			h.mu.Unlock()
-			go func() { _, _ = io.WriteString(near, c.raw) }() // fails if the process exits first
+			go func() { // fails if the process exits first
+				_, _ = io.WriteString(near, c.raw)
+				time.Sleep(time.Until(term.Add(c.restAfter)))
+				_, _ = io.WriteString(near, c.rest)
+			}()
 			a := stopAnswer{stopCall: c, accepted: true}
 			res, err := http.ReadResponse(bufio.NewReader(near), nil)
 			if a.err = err; err == nil {
@@ -358,6 +365,33 @@
 	})
 }
 
+// Guards against requests whose bodies were still arriving when the process exited, and
+// which got no answer: they are refused before it.
+func TestStoppingGatewayAnswersRequestsWhoseBodiesArrive(t *testing.T) {
+	const chunkedHead, chunks = "Transfer-Encoding: chunked\r\n", "2\r\nab\r\n"
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.repeat(respond(200, "done"))
+		var calls []stopCall
+		for i, after := range every(100*time.Millisecond, 2*time.Second, 7100*time.Millisecond) {
+			raw := patient(strings.Replace(rawRequest("POST", "/unsafe/x", chunkedHead), "a-1", fmt.Sprint("a-", i), 1))
+			calls = append(calls, stopCall{after: after, raw: raw + chunks, rest: chunks + "0\r\n\r\n", restAfter: after + 900*time.Millisecond})
+		}
+		calls = append(calls, stopCall{after: 7 * time.Second, raw: patient(rawRequest("POST", "/unsafe/x", "Content-Length: 4\r\n")) + "ab", restAfter: time.Minute})
+		answers, took := h.playStop(calls)
+		require.Less(t, took, 8*time.Second)
+		require.Greater(t, len(answers), 50)
+		for _, a := range answers {
+			require.NoError(t, a.err, "sent from %s to %s after SIGTERM", a.after, a.restAfter)
+			if a.restAfter < 6*time.Second {
+				require.Equal(t, 200, a.status, "sent %s after SIGTERM", a.after)
+			} else if a.status != 200 {
+				require.Equal(t, 503, a.status)
+				require.NotEmpty(t, a.retryAfter)
+			}
+		}
+	})
+}
+
 // Guards against LOST: the first event of a stream that was sent in time came so late that
 // the rest would be cut. Its caller gets a whole response that promises nothing instead.
 func TestStoppingGatewayBeginsNoStreamThatItWouldCut(t *testing.T) {
