A gateway that has stopped sends no more requests

Cause: connections that had carried no request were waited for during 0.2 s and then left open. A request that arrived on one between the return of Stop and the end of the process was passed on, and cut: the schedule of the stop, of 7.2 s, still left it time when the stop ended early. Ruled out: kept connections; they are closed while idle. Change: once nothing is in progress no request is sent any more, and only then is it checked again that nothing is; a request that arrives later is refused as not run. TestStoppedGatewaySendsNoRequests, red before: a request 2.8 s after SIGTERM, 0.1 s after the end of the stop, reached a target.

--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -68,10 +68,12 @@
 	// noOtherEntry says that the balancer still chooses this process although it knows
 	// that it is stopping: it has no other entry to choose.
 	noOtherEntry *atomic.Bool
+	// noMoreSends says that the process ends once the requests that were sent have.
+	noMoreSends *atomic.Bool
 }
 
 func newStopState() stopState {
-	return stopState{schedule: new(atomic.Pointer[stopSchedule]), done: make(chan struct{}), noOtherEntry: new(atomic.Bool)}
+	return stopState{schedule: new(atomic.Pointer[stopSchedule]), done: make(chan struct{}), noOtherEntry: new(atomic.Bool), noMoreSends: new(atomic.Bool)}
 }
 
 // begin begins the stop.
@@ -151,8 +153,11 @@
 			g.conns.endReads(connReadingBody)
 		}
 		time.Sleep(stopPollInterval) // also for a connection accepted last
-		if g.active.Load() == 0 && (g.conns.unserved() == 0 || !now.Before(lastRead)) {
-			return
+		if g.active.Load() > 0 || g.conns.unserved() > 0 && now.Before(lastRead) {
+			continue
+		}
+		if g.stop.noMoreSends.Swap(true) {
+			return // a request that was sent before would be in progress
 		}
 	}
 	g.endOverdue(s.exit)
@@ -193,6 +198,9 @@
 	case phaseSent:
 		return s.answerBy, true
 	}
+	if x.g.stop.noMoreSends.Load() {
+		return s.unready, true
+	}
 	due := s.answerBy.Add(-x.forecastDuration())
 	if due.Before(s.unready) {
 		return s.unready, true
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -81,6 +81,7 @@
 	time.Sleep(time.Until(term))
 	require.NoError(h.t, h.Stop(h.t.Context()))
 	took = time.Since(term)
+	time.Sleep(processEnd)
 	h.mu.Lock()
 	for _, c := range h.conns {
 		_ = c.Close()
@@ -95,6 +96,9 @@
 	return accepted, took
 }
 
+// processEnd is how long the process runs on once the gateway has stopped.
+const processEnd = 100 * time.Millisecond
+
 // pipeListener accepts pipes.
 type pipeListener struct {
 	conns chan net.Conn
@@ -392,6 +396,20 @@
 	})
 }
 
+// Guards against LOST: a request that arrived on an open connection after the wait for the
+// last ones was passed on, and cut as the process ended.
+func TestStoppedGatewaySendsNoRequests(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.repeat(func(net.Conn, receivedRequest) bool { time.Sleep(time.Minute); return false })
+		raw := patient(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+		// The listener closes once nothing was in progress from unreadyDetectionTime on.
+		answers, took := h.playStop([]stopCall{{after: 2400 * time.Millisecond, rest: raw, restAfter: unreadyDetectionTime + firstRequestTime + processEnd}})
+		require.Less(t, took, 3*time.Second)
+		require.Len(t, answers, 1)
+		require.Empty(t, h.receivedRequests())
+	})
+}
+
 // Guards against LOST: the first event of a stream that was sent in time came so late that
 // the rest would be cut. Its caller gets a whole response that promises nothing instead.
 func TestStoppingGatewayBeginsNoStreamThatItWouldCut(t *testing.T) {
