A stopping gateway keeps a stream back until it is sure to be complete

Cause: whether a stream that is taken late in the grace fits was decided by the usual interval of events over all targets, twice before the send and once at the first event. A target that had slowed down since, or is slower than most, made the stream longer, and it was cut at the exit. Class: a decision before the facts in place of one that follows them. Ruled out by runs in virtual time on the code before, streams of 12 and 24 events sent from 3 s after SIGTERM: targets that answer 500 after 1 s or 504 after 2 s on each second or third request, a pause of all targets of 1.5 s: none was cut for these. A complete response is always sent; one that is not when the gateway answers what is left becomes a 502, whole, and nothing of it was sent. TestStoppingGatewayCutsNoStreamThatSlowsDown, red before in 4 of 6 cases: sent 4.2 and 4.9 s after SIGTERM, status 200, cut 7.6 s after it.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -38,6 +38,8 @@
 	streaming context.Context
 	// served reports whether the connection has carried a request.
 	served bool
+	// delayed says that the response is kept back in out.
+	delayed bool
 	// responseStarted reports whether bytes of the current response were written.
 	responseStarted bool
 	// closeAfterResponse reports whether the connection closes after the current
@@ -321,9 +323,9 @@
 	keptOutBytes = 8 << 10
 )
 
-// flush writes the buffered bytes.
+// flush writes the buffered bytes, unless the response is kept back.
 func (c *callerConn) flush() error {
-	if len(c.out) == 0 {
+	if len(c.out) == 0 || c.delayed {
 		return nil
 	}
 	err := c.write(c.out)
@@ -335,7 +337,7 @@
 
 // flushWith writes the buffered bytes and then body, which is copied only if it is small.
 func (c *callerConn) flushWith(body []byte) error {
-	if len(body) <= maxCopiedBytes {
+	if len(body) <= maxCopiedBytes || c.delayed {
 		c.out = append(c.out, body...)
 		return c.flush()
 	}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -89,6 +89,10 @@
 	lastEventAt   time.Time // when events were last forwarded
 	events        int       // that were forwarded
 	complete      bool      // the end of the stream was forwarded
+	// delayedSince is when the first event came of a stream that may be kept back, and
+	// delayedEvents the number of events until then.
+	delayedSince  time.Time
+	delayedEvents int
 }
 
 // handle serves one request. It reports whether the connection can be used further.
@@ -170,6 +174,7 @@
 		if o == outcomeDelivered {
 			return !x.callerDisconnected()
 		}
+		x.dropDelayed()
 		if x.expired() && !x.stopped() {
 			return x.finishTimedOut(o)
 		}
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -245,15 +245,17 @@
 // endSend records that no target has run the request.
 func (x *exchange) endSend() { x.phase.CompareAndSwap(phaseSent, phaseWaiting) }
 
-// beginStream reports whether the response may begin: it has to be complete when the
-// process exits. No margin is added to the forecast, since a refusal wastes a run by now.
+// beginStream reports whether the response may begin, now or once it is sure to be complete
+// when the process exits.
 func (x *exchange) beginStream() bool {
-	if s := x.g.stop.schedule.Load(); s != nil && x.g.stop.unready(time.Now()) {
-		if left, known := x.forecastEvents(); known && time.Now().Add(left).After(s.exit) {
-			return false
-		}
+	switch x.streamStart(time.Now()) {
+	case startNever:
+		return false
+	case startLater:
+		x.c.delayed = true
+		return true
 	}
-	return x.phase.CompareAndSwap(phaseSent, phaseStreaming) || x.phase.Load() == phaseStreaming
+	return x.openStream()
 }
 
 // targetTime returns the time that a target may spend on the request.
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -291,6 +291,51 @@
 	}
 }
 
+// Guards against LOST: targets that slowed down after a stream was taken late in the grace,
+// and streams of uneven targets, were cut at its end.
+func TestStoppingGatewayCutsNoStreamThatSlowsDown(t *testing.T) {
+	const usual = 35 * time.Millisecond
+	for _, test := range []struct {
+		name     string
+		interval func(n int, afterTerm time.Duration) time.Duration // of the n-th stream
+		servedTo time.Duration                                      // requests until then are served
+	}{
+		{"as before", func(int, time.Duration) time.Duration { return usual }, 5 * time.Second},
+		{"all targets slow down", func(_ int, after time.Duration) time.Duration {
+			if after > 4*time.Second {
+				return 3 * usual
+			}
+			return usual
+		}, 4500 * time.Millisecond},
+		{"one target in five is slow", func(n int, _ time.Duration) time.Duration {
+			if n%5 == 0 {
+				return 4 * usual
+			}
+			return usual
+		}, 3500 * time.Millisecond},
+	} {
+		for _, path := range []string{"/stream/x", "/once-stream/x"} {
+			t.Run(test.name+path, func(t *testing.T) {
+				testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+					term, streams := time.Now().Add(12*time.Second), 0
+					h.repeat(func(w net.Conn, call receivedRequest) bool {
+						streams++
+						return respondStream(200*time.Millisecond, test.interval(streams, time.Since(term)), 24)(w, call)
+					})
+					raw := patient(rawRequest("POST", path, "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "X-Token-Count: 500,24\r\n"))
+					answers, _ := h.playStop(stopCalls(raw, every(50*time.Millisecond, -12*time.Second, 7100*time.Millisecond)...))
+					for _, a := range answers {
+						require.NoError(t, a.err, "sent %s after SIGTERM, status %d, ended %s after it", a.after, a.status, a.ended)
+						if a.after <= test.servedTo {
+							require.Equal(t, 200, a.status, "sent %s after SIGTERM", a.after)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against LOST on plain services: a service that was slower than its objective held
 // requests that may not be repeated until the process exited, or their time limit passed.
 func TestStoppingGatewayAnswersRequestsAtSlowServices(t *testing.T) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -104,7 +104,7 @@
 			events := bytes.Count(pending[:complete], eventEnd)
 			timing.events += events
 			x.events += events
-			if !x.streamStarted && !x.beginStream() {
+			if (!x.streamStarted || x.c.delayed) && !x.beginStream() {
 				x.abandon(a, res.Conn())
 				x.endForStop(phaseSent)
 				return outcomeUnknown
@@ -168,6 +168,9 @@
 	if !x.streamStarted {
 		x.c.beginStream(x.ctx, res)
 	}
+	if x.c.delayed && !x.openStream() {
+		return outcomeUnknown
+	}
 	x.complete = true
 	if err := x.c.endStream(); err != nil {
 		x.c.closeAfterResponse = true
