The soak has late halves of bodies, targets that slow down, and stops during a start

A fifth of the bodies come in chunks with the second half up to 0.9 s later. New kinds, also in runs of planned work: targets whose events take 120 ms more, and a process that is stopped again 0 to 0.4 s after its replacement was started. Targets that answer with 500 are part of planned runs now, so that the stops are played beside them.

--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -185,6 +185,9 @@
 	if r.method == http.MethodPost {
 		req.Body = io.NopCloser(strings.NewReader("{}"))
 		req.ContentLength = 2
+		if c.random.Float64() < lateBodyShare {
+			req.Body, req.ContentLength = io.NopCloser(newLateBody("{}", c.random)), -1
+		}
 	}
 	req.Header.Set(platform.HeaderAttempt, string(r.Attempt))
 	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(r.timeout.Milliseconds(), 10))
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -34,6 +34,7 @@
 	{"process-killed", false, true, 0, signalFault(syscall.SIGKILL, 0)},
 	{"process-paused", false, true, 5 * time.Second, signalFault(syscall.SIGSTOP, syscall.SIGCONT)},
 	{"process-stopped", true, true, 0, signalFault(syscall.SIGTERM, 0)},
+	{"process-stopped-starting", true, true, 0, stopAgain},
 	{"settings-signal", true, false, 0, signalFault(syscall.SIGHUP, 0)},
 	{"all-killed", false, true, 0, killAll},
 	{"process-link-cut", false, true, 4 * time.Second, processLinkFault(standin.LinkCut)},
@@ -51,7 +52,8 @@
 	{"store-restored", false, false, 0, restoreStore},
 	{"target-crashes", false, false, 2 * time.Second, crashTarget},
 	{"prompt-part-ends-targets", false, false, 8 * time.Second, deadlyPromptPart},
-	{"target-fails", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
+	{"target-fails", true, false, 4 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4})},
+	{"target-slows", true, false, 4 * time.Second, targetFault(standin.WorkerFaults{EventDelay: 120 * time.Millisecond})},
 	{"target-fails-at-length", false, false, 3 * time.Second, targetFault(standin.WorkerFaults{FailShare: 0.4, FailBytes: 6 << 20})},
 	{"target-cuts-answers", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{TruncateShare: 0.3})},
 	{"target-mute", false, false, 4 * time.Second, targetFault(standin.WorkerFaults{NoResponseShare: 0.3})},
@@ -99,6 +101,32 @@
 	}
 }
 
+// stopAgain stops a process, and the one that replaces it while that starts.
+func stopAgain(d *deployment, random *rand.Rand) (func() error, error) {
+	p := randomProcess(d, random)
+	before, err := d.pid(p)
+	if err != nil {
+		return nil, err
+	}
+	wait := time.Duration(random.Int64N(int64(maxStartTime)))
+	return func() error {
+		for until := time.Now().Add(restartTime); time.Now().Before(until); time.Sleep(time.Millisecond) {
+			if pid, err := d.pid(p); err == nil && pid != before {
+				time.Sleep(wait)
+				break
+			}
+		}
+		return d.sendSignal(p, syscall.SIGTERM)
+	}, d.sendSignal(p, syscall.SIGTERM)
+}
+
+const (
+	// restartTime is how long a process may take to stop and to be started again.
+	restartTime = 10 * time.Second
+	// maxStartTime is how long a process takes to serve requests.
+	maxStartTime = 400 * time.Millisecond
+)
+
 func killAll(d *deployment, _ *rand.Rand) (func() error, error) {
 	for _, p := range d.processes {
 		if err := d.sendSignal(p, syscall.SIGKILL); err != nil {
--- a/pkg/soak/slow.go
+++ b/pkg/soak/slow.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"time"
 )
 
@@ -56,3 +57,25 @@
 	s.read += n
 	return n, err
 }
+
+const (
+	// lateBodyShare is the share of the bodies whose second half comes up to maxBodyDelay
+	// after the first, in chunks.
+	lateBodyShare = 0.2
+	maxBodyDelay  = 900 * time.Millisecond
+)
+
+// newLateBody returns a body that is read with a delay in its middle.
+func newLateBody(text string, random *rand.Rand) io.Reader {
+	half, delay := len(text)/2, time.Duration(random.Int64N(int64(maxBodyDelay)))
+	return io.MultiReader(strings.NewReader(text[:half]), delayedReader(delay), strings.NewReader(text[half:]))
+}
+
+// delayedReader ends after a time.
+type delayedReader time.Duration
+
+// Read waits and returns io.EOF.
+func (d delayedReader) Read([]byte) (int, error) {
+	time.Sleep(time.Duration(d))
+	return 0, io.EOF
+}
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -55,6 +55,8 @@
 	// LateEndShare is the share of streams that stall halfway, and that go on to run for
 	// lateEnd after their connection is closed.
 	LateEndShare float64
+	// EventDelay is what each event of a stream takes in addition.
+	EventDelay time.Duration
 	// DeadlyPart is a part of prompts: OnCrash is called when the worker begins to answer
 	// a request with it.
 	DeadlyPart ident.PromptPart
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -336,7 +336,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(w.scaled(w.EventPause)):
+		case <-time.After(w.scaled(w.EventPause) + w.eventDelay()):
 		}
 		text := WorkerEventText(req.attempt, n, req.eventBytes)
 		if cut && n > req.events/2 {
@@ -356,6 +356,12 @@
 	}
 }
 
+func (w *Worker) eventDelay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults.EventDelay
+}
+
 // unreadPieceBytes is the part of an event that a caller has to read within UnreadTime.
 const unreadPieceBytes = 4 << 10
 
