--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -68,10 +68,12 @@
 	// noOtherEntry says that the balancer still chooses this process although it knows
 	// that it is stopping: it has no other entry to choose.
 	noOtherEntry *atomic.Bool
+	// noMoreSends says that the process ends once the requests that were sent have.
+	noMoreSends *atomic.Bool
 }
 
 func newStopState() stopState {
-	return stopState{schedule: new(atomic.Pointer[stopSchedule]), done: make(chan struct{}), noOtherEntry: new(atomic.Bool)}
+	return stopState{schedule: new(atomic.Pointer[stopSchedule]), done: make(chan struct{}), noOtherEntry: new(atomic.Bool), noMoreSends: new(atomic.Bool)}
 }
 
 // begin begins the stop.
@@ -144,10 +146,18 @@
 	for now := time.Now(); now.Before(s.exit); now = time.Now() {
 		g.endOverdue(now)
 		g.conns.closeIdle()
-		g.conns.limitReads(lastRead)
+		if !now.Before(lastRead) {
+			g.conns.endReads(connReading)
+		}
+		if !now.Before(s.answerBy) {
+			g.conns.endReads(connReadingBody)
+		}
 		time.Sleep(stopPollInterval) // also for a connection accepted last
-		if g.active.Load() == 0 && (g.conns.unserved() == 0 || !now.Before(lastRead)) {
-			return
+		if g.active.Load() > 0 || g.conns.unserved() > 0 && now.Before(lastRead) {
+			continue
+		}
+		if g.stop.noMoreSends.Swap(true) {
+			return // a request that was sent before would be in progress
 		}
 	}
 	g.endOverdue(s.exit)
@@ -188,6 +198,9 @@
 	case phaseSent:
 		return s.answerBy, true
 	}
+	if x.g.stop.noMoreSends.Load() {
+		return s.unready, true
+	}
 	due := s.answerBy.Add(-x.forecastDuration())
 	if due.Before(s.unready) {
 		return s.unready, true
@@ -232,15 +245,17 @@
 // endSend records that no target has run the request.
 func (x *exchange) endSend() { x.phase.CompareAndSwap(phaseSent, phaseWaiting) }
 
-// beginStream reports whether the response may begin: it has to be complete when the
-// process exits. No margin is added to the forecast, since a refusal wastes a run by now.
+// beginStream reports whether the response may begin, now or once it is sure to be complete
+// when the process exits.
 func (x *exchange) beginStream() bool {
-	if s := x.g.stop.schedule.Load(); s != nil && x.g.stop.unready(time.Now()) {
-		if left, known := x.forecastEvents(); known && time.Now().Add(left).After(s.exit) {
-			return false
-		}
+	switch x.streamStart(time.Now()) {
+	case startNever:
+		return false
+	case startLater:
+		x.c.delayed = true
+		return true
 	}
-	return x.phase.CompareAndSwap(phaseSent, phaseStreaming) || x.phase.Load() == phaseStreaming
+	return x.openStream()
 }
 
 // targetTime returns the time that a target may spend on the request.
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -24,6 +24,9 @@
 type stopCall struct {
 	after time.Duration // from SIGTERM to the request
 	raw   string
+	// restAfter is the time from SIGTERM to the rest of the request.
+	rest      string
+	restAfter time.Duration
 }
 
 // stopAnswer is what the caller got.
@@ -60,7 +63,11 @@
 			h.mu.Lock()
 			h.conns = append(h.conns, near)
 			h.mu.Unlock()
-			go func() { _, _ = io.WriteString(near, c.raw) }() // fails if the process exits first
+			go func() { // fails if the process exits first
+				_, _ = io.WriteString(near, c.raw)
+				time.Sleep(time.Until(term.Add(c.restAfter)))
+				_, _ = io.WriteString(near, c.rest)
+			}()
 			a := stopAnswer{stopCall: c, accepted: true}
 			res, err := http.ReadResponse(bufio.NewReader(near), nil)
 			if a.err = err; err == nil {
@@ -74,6 +81,7 @@
 	time.Sleep(time.Until(term))
 	require.NoError(h.t, h.Stop(h.t.Context()))
 	took = time.Since(term)
+	time.Sleep(processEnd)
 	h.mu.Lock()
 	for _, c := range h.conns {
 		_ = c.Close()
@@ -88,6 +96,9 @@
 	return accepted, took
 }
 
+// processEnd is how long the process runs on once the gateway has stopped.
+const processEnd = 100 * time.Millisecond
+
 // pipeListener accepts pipes.
 type pipeListener struct {
 	conns chan net.Conn
@@ -280,6 +291,51 @@
 	}
 }
 
+// Guards against LOST: targets that slowed down after a stream was taken late in the grace,
+// and streams of uneven targets, were cut at its end.
+func TestStoppingGatewayCutsNoStreamThatSlowsDown(t *testing.T) {
+	const usual = 35 * time.Millisecond
+	for _, test := range []struct {
+		name     string
+		interval func(n int, afterTerm time.Duration) time.Duration // of the n-th stream
+		servedTo time.Duration                                      // requests until then are served
+	}{
+		{"as before", func(int, time.Duration) time.Duration { return usual }, 5 * time.Second},
+		{"all targets slow down", func(_ int, after time.Duration) time.Duration {
+			if after > 4*time.Second {
+				return 3 * usual
+			}
+			return usual
+		}, 4500 * time.Millisecond},
+		{"one target in five is slow", func(n int, _ time.Duration) time.Duration {
+			if n%5 == 0 {
+				return 4 * usual
+			}
+			return usual
+		}, 3500 * time.Millisecond},
+	} {
+		for _, path := range []string{"/stream/x", "/once-stream/x"} {
+			t.Run(test.name+path, func(t *testing.T) {
+				testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+					term, streams := time.Now().Add(12*time.Second), 0
+					h.repeat(func(w net.Conn, call receivedRequest) bool {
+						streams++
+						return respondStream(200*time.Millisecond, test.interval(streams, time.Since(term)), 24)(w, call)
+					})
+					raw := patient(rawRequest("POST", path, "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "X-Token-Count: 500,24\r\n"))
+					answers, _ := h.playStop(stopCalls(raw, every(50*time.Millisecond, -12*time.Second, 7100*time.Millisecond)...))
+					for _, a := range answers {
+						require.NoError(t, a.err, "sent %s after SIGTERM, status %d, ended %s after it", a.after, a.status, a.ended)
+						if a.after <= test.servedTo {
+							require.Equal(t, 200, a.status, "sent %s after SIGTERM", a.after)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against LOST on plain services: a service that was slower than its objective held
 // requests that may not be repeated until the process exited, or their time limit passed.
 func TestStoppingGatewayAnswersRequestsAtSlowServices(t *testing.T) {
@@ -358,6 +414,47 @@
 	})
 }
 
+// Guards against requests whose bodies were still arriving when the process exited, and
+// which got no answer: they are refused before it.
+func TestStoppingGatewayAnswersRequestsWhoseBodiesArrive(t *testing.T) {
+	const chunkedHead, chunks = "Transfer-Encoding: chunked\r\n", "2\r\nab\r\n"
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.repeat(respond(200, "done"))
+		var calls []stopCall
+		for i, after := range every(100*time.Millisecond, 2*time.Second, 7100*time.Millisecond) {
+			raw := patient(strings.Replace(rawRequest("POST", "/unsafe/x", chunkedHead), "a-1", fmt.Sprint("a-", i), 1))
+			calls = append(calls, stopCall{after: after, raw: raw + chunks, rest: chunks + "0\r\n\r\n", restAfter: after + 900*time.Millisecond})
+		}
+		calls = append(calls, stopCall{after: 7 * time.Second, raw: patient(rawRequest("POST", "/unsafe/x", "Content-Length: 4\r\n")) + "ab", restAfter: time.Minute})
+		answers, took := h.playStop(calls)
+		require.Less(t, took, 8*time.Second)
+		require.Greater(t, len(answers), 50)
+		for _, a := range answers {
+			require.NoError(t, a.err, "sent from %s to %s after SIGTERM", a.after, a.restAfter)
+			if a.restAfter < 6*time.Second {
+				require.Equal(t, 200, a.status, "sent %s after SIGTERM", a.after)
+			} else if a.status != 200 {
+				require.Equal(t, 503, a.status)
+				require.NotEmpty(t, a.retryAfter)
+			}
+		}
+	})
+}
+
+// Guards against LOST: a request that arrived on an open connection after the wait for the
+// last ones was passed on, and cut as the process ended.
+func TestStoppedGatewaySendsNoRequests(t *testing.T) {
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.repeat(func(net.Conn, receivedRequest) bool { time.Sleep(time.Minute); return false })
+		raw := patient(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+		// The listener closes once nothing was in progress from unreadyDetectionTime on.
+		answers, took := h.playStop([]stopCall{{after: 2400 * time.Millisecond, rest: raw, restAfter: unreadyDetectionTime + firstRequestTime + processEnd}})
+		require.Less(t, took, 3*time.Second)
+		require.Len(t, answers, 1)
+		require.Empty(t, h.receivedRequests())
+	})
+}
+
 // Guards against LOST: the first event of a stream that was sent in time came so late that
 // the rest would be cut. Its caller gets a whole response that promises nothing instead.
 func TestStoppingGatewayBeginsNoStreamThatItWouldCut(t *testing.T) {
--- a/pkg/quarantine/request_bans.go
+++ b/pkg/quarantine/request_bans.go
@@ -35,9 +35,9 @@
 func (r *Requests) Bans(vm ident.VM, now time.Time) BanReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.compare()
 	out := BanReport{Gateway: vm, Requests: []RequestBan{}}
-	for f, s := range r.requests {
+	for f := range r.fingerprints() {
+		s := r.suspicion(f)
 		ends, until, banned := s.verdict(now)
 		if !banned {
 			continue
@@ -52,6 +52,23 @@
 	return out
 }
 
+// fingerprints returns the requests in the evidence of all processes. The caller holds mu.
+func (r *Requests) fingerprints() map[Fingerprint]bool {
+	out := make(map[Fingerprint]bool)
+	add := func(e Evidence) {
+		for _, end := range e.Ends {
+			for _, f := range end.Requests {
+				out[f] = true
+			}
+		}
+	}
+	add(r.own)
+	for e := range maps.Values(r.others) {
+		add(e)
+	}
+	return out
+}
+
 // recordsOf returns the processes whose evidence has the end under the request. The caller
 // holds mu.
 func (r *Requests) recordsOf(f Fingerprint, end End, own ident.VM) []ident.VM {
--- a/pkg/quarantine/requests.go
+++ b/pkg/quarantine/requests.go
@@ -178,11 +178,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.compare()
-	if s := r.requests[f]; s != nil {
-		return s.verdict(now)
-	}
-	return nil, time.Time{}, false
+	s := r.suspicion(f)
+	return s.verdict(now)
 }
 
 // verdict returns the ends of targets for which the request is banned, and until when it is.
