explain route tells all that an entry weighs

`explain route` at the product's own entry gave load and rank of each target. It now answers with the types of `explain request`: costs by term, the age of each report and of the configuration, what rules targets out (state, circuit breaker, packing), and the refusal with status and Retry-After or the wait that the target's agent expects. `-json` prints all of it. Replies keep the table for tools of earlier releases and for `-format json`.

The dispatcher answers with the loop that places requests (`place`), given the choice without its notes, and with the refusal that a run would give; the version of the adapter and a stale configuration are checked by the functions that callers' requests pass. Open circuit breakers were left out before: the table marked a target as chosen that got no request.

The text dump of state moves from the gateway's tests to pkg/teststate, unchanged, so that the dispatcher's test compares all of its state before and after each question. `make run ONCE=1` shows an explanation; operator.Example_explainRoute is the one in docs/operators.md.

Considered: a cost column for evictions, which gateways don't have; it is shown with the load that evicts. Not covered: the limits and rules of one caller.

--- a/pkg/caller/completion.go
+++ b/pkg/caller/completion.go
@@ -125,7 +125,7 @@
 	j.Revision = srv.catalog.Revision()
 	adapter, ok := srv.catalog.Adapter(named.Adapter)
 	if !ok {
-		return notRun(404, "unknown-adapter", "no adapter is named "+string(named.Adapter))
+		return unknownAdapter(named.Adapter)
 	}
 	current, ok := srv.catalog.Caller(caller)
 	if !ok {
@@ -140,6 +140,16 @@
 	if named.Version == 0 && !j.Adapter.IsZero() {
 		named = j.Adapter
 	}
+	j.Priority = rule.Priority
+	return srv.resolveVersion(j, adapter, named)
+}
+
+func unknownAdapter(name ident.Adapter) *dispatch.Refusal {
+	return notRun(404, "unknown-adapter", "no adapter is named "+string(name))
+}
+
+// resolveVersion resolves the named version of an adapter, or its default.
+func (srv *Server) resolveVersion(j *dispatch.Job, adapter wire.Adapter, named ident.AdapterVersion) *dispatch.Refusal {
 	if named.Version == 0 {
 		named.Version = adapter.Default
 	}
@@ -157,7 +167,7 @@
 	if !ok {
 		return notRun(404, "unknown-service", "the adapter's service is not declared")
 	}
-	j.Adapter, j.Weights, j.Service, j.Priority = named, version.Weights, service, rule.Priority
+	j.Adapter, j.Weights, j.Service = named, version.Weights, service
 	return nil
 }
 
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -56,6 +56,8 @@
 	catalog  *catalog.Catalog
 	run      func(context.Context, *dispatch.Job, dispatch.Output) dispatch.Result
 	confirm  func(ident.Caller, string, bool, *dispatch.Refusal) *dispatch.Refusal
+	// place tells where a job would go.
+	place func(*dispatch.Job) dispatch.Placement
 	// cancelAll ends the requests in progress.
 	cancelAll func()
 	// admissible returns an error while the entry must not admit requests.
@@ -110,6 +112,7 @@
 	srv.run = d.Run
 	srv.confirm = d.ConfirmRefusal
 	srv.cancelAll = d.CancelAll
+	srv.place = d.Explain
 }
 
 // Handler returns the handler that routes callers' requests by path.
@@ -213,14 +216,22 @@
 	return srv.confirm(x.caller.Name, k, repeat, refusal)
 }
 
-func (srv *Server) admit(x *exchange, next handlerFunc) *dispatch.Refusal {
-	// This check comes first, because an entry without a configuration cannot
-	// authenticate callers.
+// checkConfiguration returns the refusal of all requests while the configuration is stale.
+func (srv *Server) checkConfiguration() *dispatch.Refusal {
 	if err := srv.admissible(); err != nil {
 		r := notRun(503, dispatch.ReasonConfigStale, err.Error())
 		r.RetryAfter = time.Second
 		return r
 	}
+	return nil
+}
+
+func (srv *Server) admit(x *exchange, next handlerFunc) *dispatch.Refusal {
+	// This check comes first, because an entry without a configuration cannot
+	// authenticate callers.
+	if refusal := srv.checkConfiguration(); refusal != nil {
+		return refusal
+	}
 	if refusal := srv.authenticate(x); refusal != nil {
 		return refusal
 	}
--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -227,3 +227,28 @@
 	require.True(t, announced)
 	require.Equal(t, 200, <-answered)
 }
+
+// Guards against explanations that refuse in another way than callers see it.
+func TestExplanationRefusesAsRequestsAreRefused(t *testing.T) {
+	for _, test := range []struct {
+		model string
+		stale error
+	}{
+		{"nobody@1", nil}, {"guide@7", nil}, {"guide@1", nil}, {"guide", nil}, {"guide@2", errors.New("not confirmed")}, {"guide@2", nil},
+	} {
+		ts := newTestServer(t)
+		ts.stale = test.stale
+		ts.served.place = func(*dispatch.Job) dispatch.Placement { return dispatch.Placement{} }
+		named, err := ident.ParseAdapterVersion(test.model)
+		require.NoError(t, err)
+		job, placement := ts.served.Explain(named)
+		status, body := ts.do(t, completionCall(test.model))
+		if placement.Refusal == nil {
+			require.Equal(t, 200, status, test.model)
+			require.Equal(t, []any{ts.jobs[0].Service, ts.jobs[0].Adapter}, []any{job.Service, job.Adapter})
+			continue
+		}
+		require.Equal(t, status, placement.Refusal.Status, test.model)
+		require.Contains(t, body, `"`+placement.Refusal.Reason+`"`)
+	}
+}
--- a/pkg/control/explain_test.go
+++ b/pkg/control/explain_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -11,6 +12,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/explain"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/operator"
 )
 
 // gatewayPage serves the page of a gateway with the name. It returns its address.
@@ -93,3 +95,35 @@
 		require.NotContains(t, out, "gateway ", test.args)
 	}
 }
+
+// TestExplainRouteReadsBothKindsOfReply guards against an answer that is lost between an entry
+// and the operator, and against tools that need the newest entry.
+func TestExplainRouteReadsBothKindsOfReply(t *testing.T) {
+	table := &operator.Table{Columns: []string{"target"}, Rows: [][]string{{"t-1"}}}
+	answer := &explain.Answer{Gateway: "entry-a", Outcome: explain.Outcome{Action: explain.ActionSend, Target: "t-1", Reason: "home", Wait: 250}}
+	for _, test := range []struct {
+		args  []string
+		reply operator.Reply
+		code  int
+		want  string
+	}{
+		{[]string{"explain", "route", "guide@1"}, operator.Reply{Table: table, Explanation: answer}, ExitOK, "gateway entry-a in -: sends it to t-1, where it is expected to wait for 250 ms (home)\n"},
+		{[]string{"explain", "route", "guide@1", "--json"}, operator.Reply{Table: table, Explanation: answer}, ExitOK, `"gateway": "entry-a"`},
+		{[]string{"-format", "json", "explain", "route", "guide@1"}, operator.Reply{Table: table, Explanation: answer}, ExitOK, `"columns":["target"]`},
+		{[]string{"explain", "route", "guide@1"}, operator.Reply{Table: table}, ExitOK, "TARGET\nt-1\n"},
+		{[]string{"explain", "route"}, operator.Reply{}, ExitUsage, "adapter is missing"},
+		{[]string{"explain", "route", "guide@1", "rest"}, operator.Reply{}, ExitUsage, `argument "rest"`},
+	} {
+		entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var q operator.CommandRequest
+			_ = json.NewDecoder(r.Body).Decode(&q)
+			if q.Text == "explain route guide@1" {
+				_ = json.NewEncoder(w).Encode(test.reply)
+			}
+		}))
+		code, out, stderr := runTool(append([]string{"-entry", entry.URL}, test.args...)...)
+		entry.Close()
+		require.Equal(t, test.code, code, stderr)
+		require.Contains(t, out+stderr, test.want, test.args)
+	}
+}
--- a/pkg/control/tool.go
+++ b/pkg/control/tool.go
@@ -136,8 +136,8 @@
 
 func (t *tool) explain() *ffcli.Command {
 	return &ffcli.Command{
-		Name: "explain", ShortUsage: "explain route <adapter>[@<version>] | explain refusal <reason> | explain request <flags>", ShortHelp: "explain a routing decision or a refusal",
-		Subcommands: []*ffcli.Command{t.explainRequest()},
+		Name: "explain", ShortUsage: "explain route <adapter>[@<version>] [-json] | explain refusal <reason> | explain request <flags>", ShortHelp: "explain a routing decision or a refusal",
+		Subcommands: []*ffcli.Command{t.explainRequest(), t.explainRoute()},
 		Exec:        func(ctx context.Context, args []string) error { return t.query(ctx, "explain", args) },
 	}
 }
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -159,14 +159,21 @@
 }
 
 func (r *run) pickTarget() (route.Choice, *Refusal) {
-	query := route.Query{Pool: r.job.pool(), Key: r.job.Adapter, Exclude: r.exclude, Balance: r.job.Service.Balance}
+	query := r.job.query(r.exclude)
+	choice, ok := r.d.place(&query, r.d.Table.Pick)
+	if !ok {
+		return choice, r.giveUp(refused)
+	}
+	return choice, nil
+}
+
+// place chooses the target of a request by pick. It excludes targets with open circuit
+// breakers from the query.
+func (d *Dispatcher) place(query *route.Query, pick func(route.Query, time.Time) (route.Choice, bool)) (route.Choice, bool) {
 	for {
-		choice, ok := r.d.Table.Pick(query, time.Now())
-		if !ok {
-			return choice, r.giveUp(refused)
-		}
-		if r.d.breakers.allow(choice.Node.Target, time.Now()) {
-			return choice, nil
+		choice, ok := pick(*query, time.Now())
+		if !ok || d.breakers.allow(choice.Node.Target, time.Now()) {
+			return choice, ok
 		}
 		query.Exclude = append(query.Exclude, choice.Node.Target)
 	}
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -48,6 +48,10 @@
 	return route.Pool{Kind: j.Service.Kind, Model: j.Service.Model, Role: j.Service.Role}
 }
 
+func (j *Job) query(exclude []ident.Target) route.Query {
+	return route.Query{Pool: j.pool(), Key: j.Adapter, Exclude: exclude, Balance: j.Service.Balance}
+}
+
 // Refusal says why a request was not served.
 type Refusal struct {
 	Outcome    wire.Outcome
--- a/pkg/explain/answer.go
+++ b/pkg/explain/answer.go
@@ -55,18 +55,22 @@
 	Action Action       `json:"action"`
 	Target ident.Target `json:"target,omitempty"`
 	Reason string       `json:"reason,omitempty"`
-	// Wait is the expected wait, with ActionWait.
+	// Wait is the expected wait, with ActionWait, or with ActionSend that at the target.
 	Wait Milliseconds `json:"wait-ms,omitempty"`
 	// Status and RetryAfter are those of the answer, with ActionRefuse. A random part of
-	// up to half of RetryAfter is added to it.
+	// up to half of RetryAfter is added to it, unless ExactRetry is set.
 	Status     int          `json:"status,omitempty"`
 	RetryAfter Milliseconds `json:"retry-after-ms,omitempty"`
+	// ExactRetry says that nothing is added to RetryAfter.
+	ExactRetry bool `json:"exact-retry-after,omitempty"`
 }
 
 // Cost is the cost of a target by term, in ms.
 type Cost struct {
-	Wait    Milliseconds `json:"wait-ms"`
-	Load    Milliseconds `json:"adapter-load-ms"`
+	Wait Milliseconds `json:"wait-ms"`
+	Load Milliseconds `json:"adapter-load-ms"`
+	// Evict is the cost of loading again what the load evicts.
+	Evict   Milliseconds `json:"eviction-ms,omitempty"`
 	Prefill Milliseconds `json:"prefill-ms"`
 	Way     Milliseconds `json:"way-ms"`
 	Copy    Milliseconds `json:"adapter-copy-ms"`
@@ -112,6 +116,9 @@
 	Leaving     Exclusion = "says that it is leaving"
 	Paused      Exclusion = "wants no requests for now" // by Retry-After
 	Ejected     Exclusion = "ejected"                   // it fails more often than others
+	BreakerOpen Exclusion = "its circuit breaker is open"
+	Spare       Exclusion = "spare: requests are packed on fewer targets"
+	Unusable    Exclusion = "not usable"
 )
 
 // Limit is the rate limit that a target states.
@@ -156,9 +163,12 @@
 
 // Knowledge is the age of what a gateway knows.
 type Knowledge struct {
-	Configuration uint64       `json:"configuration-version"`
-	TargetList    Milliseconds `json:"target-list-age-ms"`
-	Gateways      int          `json:"gateways"`
+	Configuration uint64 `json:"configuration-version"`
+	// ConfigurationAge is the time since the version was last confirmed to be the latest, -1
+	// if it never was, and 0 if that is not known.
+	ConfigurationAge Milliseconds `json:"configuration-age-ms,omitempty"`
+	TargetList       Milliseconds `json:"target-list-age-ms"`
+	Gateways         int          `json:"gateways"`
 	// Learned is what the gateway has learned of the service's engines.
 	AdapterLoad Milliseconds `json:"adapter-load-ms,omitempty"`
 	TokensPerMS float64      `json:"prefill-tokens-per-ms,omitempty"`
--- a/pkg/explain/text.go
+++ b/pkg/explain/text.go
@@ -13,9 +13,16 @@
 // WriteText writes the answer for a reader: what would happen, then the targets.
 func (a *Answer) WriteText(out io.Writer) error {
 	fmt.Fprintf(out, "gateway %s in %s: %s\n", a.Gateway, orDash(string(a.Domain)), a.Outcome)
-	fmt.Fprintf(out, "request %s, route %s, service %s, weights %s, order by %s\n", a.Attempt, orDash(a.Route), orDash(a.Service), orDash(a.Weights), orDash(string(a.Order)))
+	fmt.Fprintf(out, "request %s, route %s, service %s, weights %s, order by %s\n", orDash(a.Attempt), orDash(a.Route), orDash(a.Service), orDash(a.Weights), orDash(string(a.Order)))
 	k := a.Knowledge
-	fmt.Fprintf(out, "known: configuration %d, targets %s old, %d gateways, %d prompt beginnings", k.Configuration, k.TargetList, k.Gateways, k.Parts)
+	confirmed := ""
+	if k.ConfigurationAge != 0 {
+		confirmed = " (never confirmed)"
+	}
+	if k.ConfigurationAge > 0 {
+		confirmed = " (confirmed " + k.ConfigurationAge.String() + " ago)"
+	}
+	fmt.Fprintf(out, "known: configuration %d%s, targets %s old, %d gateways, %d prompt beginnings", k.Configuration, confirmed, k.TargetList, k.Gateways, k.Parts)
 	if k.TokensPerMS > 0 {
 		fmt.Fprintf(out, ", adapter load %s, prefill %.1f tokens per ms", k.AdapterLoad, k.TokensPerMS)
 	}
@@ -50,9 +57,13 @@
 func (t Target) row() []string {
 	cost := []string{"-", "-", "-", "-", "-", "-"}
 	if c := t.Cost; c != nil {
-		cost = []string{c.Total.String(), c.Wait.String(), c.Load.String(), c.Prefill.String(), c.Way.String(), c.Copy.String()}
+		load := c.Load.String()
+		if c.Evict > 0 {
+			load += " + " + c.Evict.String() + " evicted"
+		}
+		cost = []string{c.Total.String(), c.Wait.String(), load, c.Prefill.String(), c.Way.String(), c.Copy.String()}
 	}
-	if t.LoadPerSlot != nil {
+	if t.LoadPerSlot != nil && t.Cost == nil {
 		cost[0] = strconv.FormatFloat(*t.LoadPerSlot, 'f', 2, 64) + " per slot"
 	}
 	row := append([]string{string(t.Target), orDash(string(t.Domain))}, cost...)
@@ -88,6 +99,9 @@
 	switch o.Action {
 	case ActionSend:
 		out = "sends it to " + string(o.Target)
+		if o.Wait > 0 {
+			out += ", where it is expected to wait for " + o.Wait.String()
+		}
 	case ActionAsk:
 		out = "asks for a place at " + string(o.Target)
 	case ActionWait:
@@ -98,7 +112,10 @@
 		out += ", expected for " + o.Wait.String()
 	case ActionRefuse:
 		out = fmt.Sprintf("refuses it with status %d", o.Status)
-		if o.RetryAfter > 0 {
+		switch {
+		case o.RetryAfter > 0 && o.ExactRetry:
+			out += ", Retry-After " + o.RetryAfter.String()
+		case o.RetryAfter > 0:
 			out += fmt.Sprintf(", Retry-After %s to %s", o.RetryAfter, 3*o.RetryAfter/2)
 		}
 	}
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -19,6 +19,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/explain"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
+	"github.com/hyssoproad/hyssoproad/pkg/teststate"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -134,7 +135,7 @@
 				host, _, _ := net.SplitHostPort(e.Address)
 				values = append(values, e, h.agents[net.JoinHostPort(host, fmt.Sprint(fleetPeerPort))].Orderer)
 			}
-			return stateOf(values...)
+			return teststate.Of(values...)
 		}
 		h.disturb()
 		h.load("/stream/", 200, 5*time.Second)
--- a/pkg/operator/query.go
+++ b/pkg/operator/query.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
-	"github.com/hyssoproad/hyssoproad/pkg/route"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -34,7 +33,7 @@
 
 func (srv *Server) query(s *Statement) (*Table, error) {
 	if s.Explain != nil {
-		return srv.explain(s.Explain)
+		return explainRefusal(s.Explain.Name)
 	}
 	build, ok := tables[s.Show.Table]
 	if !ok {
@@ -216,34 +215,3 @@
 	}
 	return t
 }
-
-// explain describes how a request for an adapter would be routed, or what a
-// refusal reason means.
-func (srv *Server) explain(e *Explain) (*Table, error) {
-	if e.Subject == "refusal" {
-		return explainRefusal(e.Name)
-	}
-	key, err := ident.ParseAdapterVersion(e.Name)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	adapter, ok := srv.peer.Config.Catalog().Adapter(key.Adapter)
-	if !ok {
-		return nil, errors.NotFoundf("adapter %q", key.Adapter)
-	}
-	if key.Version == 0 {
-		key.Version = adapter.Default
-	}
-	service, _ := srv.peer.Config.Catalog().Service(adapter.Service)
-	query := route.Query{
-		Pool: route.Pool{Kind: service.Kind, Model: service.Model, Role: service.Role},
-		Key:  key, Balance: service.Balance,
-	}
-	t := &Table{Columns: []string{"target", "rank", "chosen", "reason", "holds", "load", "load-wait-ms", "evict-cost", "usable"}}
-	for i, c := range srv.peer.Table.Candidates(query, time.Now()) {
-		r := c.Node.Report()
-		t.add(string(c.Node.Target), formatInt(i+1), strconv.FormatBool(c.Chosen), c.Reason.String(), strconv.FormatBool(c.Holds),
-			strconv.FormatFloat(c.Node.Load(), 'f', 2, 64), formatInt(r.LoadWaitMS), strconv.FormatFloat(r.EvictCost, 'f', 2, 64), strconv.FormatBool(c.Usable))
-	}
-	return t, nil
-}
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -16,6 +16,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/catalog"
 	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/dispatch"
+	"github.com/hyssoproad/hyssoproad/pkg/explain"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/kernel"
 	"github.com/hyssoproad/hyssoproad/pkg/peer"
@@ -45,12 +46,13 @@
 	peer         *peer.Peer
 	requestStats *caller.RequestStats
 	dispatch     *dispatch.Dispatcher
+	explainJob   func(ident.AdapterVersion) (*dispatch.Job, dispatch.Placement)
 	server       *fasthttp.Server
 }
 
 // New returns the operator server of an entry and adds it to the lifecycle.
 func New(c common.Common, p *peer.Peer, callers *caller.Server, d *dispatch.Dispatcher, s settings.Entry, life *kernel.Lifecycle) *Server {
-	srv := &Server{Common: c.With("operator"), settings: s.Operators, peer: p, requestStats: callers.Stats(), dispatch: d}
+	srv := &Server{Common: c.With("operator"), settings: s.Operators, peer: p, requestStats: callers.Stats(), dispatch: d, explainJob: callers.Explain}
 	r := router.New()
 	r.POST("/operator/command", srv.serve(true, srv.command))
 	r.POST("/operator/query", srv.serve(false, srv.serveQuery))
@@ -92,7 +94,9 @@
 	Revision ident.Revision `json:"revision,omitempty"`
 	Command  ident.Command  `json:"command,omitempty"`
 	Table    *Table         `json:"table,omitempty"`
-	Changes  []wire.Change  `json:"changes,omitempty"`
+	// Explanation answers where a request would go.
+	Explanation *explain.Answer `json:"explanation,omitempty"`
+	Changes     []wire.Change   `json:"changes,omitempty"`
 	// RequestStats holds the entry's request statistics for reports. Its series
 	// cover the last hour.
 	RequestStats *caller.RequestStatsExport `json:"records,omitempty"`
@@ -202,6 +206,9 @@
 	if s.Show == nil && s.Explain == nil {
 		return Reply{}, errors.NotValidf("a command is not a query:")
 	}
+	if s.Explain != nil && s.Explain.Subject == "route" {
+		return srv.explainRoute(s.Explain.Name)
+	}
 	table, err := srv.query(s)
 	if err != nil {
 		return Reply{}, errors.Trace(err)
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"sort"
 	"time"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
@@ -66,7 +65,7 @@
 // Pick chooses the target of a request and counts the request as sent there. It
 // reports false when no usable target is left.
 func (t *Table) Pick(q Query, now time.Time) (Choice, bool) {
-	c, ok := t.choose(q, now)
+	c, ok := t.Choose(q, now)
 	if ok {
 		if c.loads {
 			t.locations.shard(keyHash(q.Key)).expect(q.Key, c.Node, now)
@@ -77,8 +76,8 @@
 	return c, ok
 }
 
-// choose chooses the target of a request. It changes nothing.
-func (t *Table) choose(q Query, now time.Time) (Choice, bool) {
+// Choose returns the target that Pick would choose. It changes nothing.
+func (t *Table) Choose(q Query, now time.Time) (Choice, bool) {
 	all := t.pool(q.Pool)
 	if q.Key.IsZero() {
 		return chooseLeastLoaded(all.nodes, q)
@@ -126,13 +125,22 @@
 	return Choice{Node: ranked.nodes[i], Reason: reason, loads: true}, true
 }
 
-// cost estimates, in seconds of wait, what a load on the node costs this request
-// and later ones.
-func cost(n *Node) float64 {
+// Cost estimates, in seconds of wait, what a load on a target costs a request and later
+// ones.
+type Cost struct {
+	Load     float64 // wait for the load
+	Eviction float64 // of the adapters that the load evicts
+	Queue    float64
+}
+
+func cost(n *Node) Cost {
 	r := n.Report()
-	return float64(r.LoadWaitMS)/1000 + evictPenalty*r.EvictCost + n.Load()
+	return Cost{Load: float64(r.LoadWaitMS) / 1000, Eviction: evictPenalty * r.EvictCost, Queue: n.Load()}
 }
 
+// Total returns the sum of the terms.
+func (c Cost) Total() float64 { return c.Load + c.Eviction + c.Queue }
+
 func (q *Query) allows(n *Node) bool {
 	if !n.usable.Load() {
 		return false
@@ -213,7 +221,7 @@
 func (r *ranking) cheapest() int {
 	best, leastCost := 0, 0.0
 	for i, n := range r.nodes[:r.n] {
-		if c := cost(n); i == 0 || c < leastCost {
+		if c := cost(n).Total(); i == 0 || c < leastCost {
 			best, leastCost = i, c
 		}
 	}
@@ -266,29 +274,3 @@
 	}
 	return false
 }
-
-// Candidate is one target that was considered for a request.
-type Candidate struct {
-	Choice
-	Chosen bool
-	Holds  bool
-	Usable bool
-}
-
-// Candidates returns the targets of a request's pool in rendezvous order, and
-// marks the one that would be chosen, with the reason. It changes nothing.
-func (t *Table) Candidates(q Query, now time.Time) []Candidate {
-	hash := keyHash(q.Key)
-	loaded, _ := t.locations.shard(hash).find(q.Key, now)
-	chosen, ok := t.choose(q, now)
-	var out []Candidate
-	for _, n := range t.pool(q.Pool).nodes {
-		c := Candidate{Choice: Choice{Node: n}, Holds: contains(loaded, n), Usable: q.allows(n)}
-		if ok && n == chosen.Node {
-			c.Chosen, c.Reason = true, chosen.Reason
-		}
-		out = append(out, c)
-	}
-	sort.Slice(out, func(i, j int) bool { return score(hash, out[i].Node) > score(hash, out[j].Node) })
-	return out
-}
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -52,7 +52,7 @@
 	tab := table(12)
 	counts := make(map[int]int)
 	for i := range 6000 {
-		c, _ := tab.choose(Query{Pool: pool, Key: adapter(i), Balance: 1}, now)
+		c, _ := tab.Choose(Query{Pool: pool, Key: adapter(i), Balance: 1}, now)
 		counts[c.Node.Report().Slots]++
 	}
 	// A third of the targets each have 4, 6 and 8 slots.
@@ -180,14 +180,14 @@
 	for b.Loop() {
 		// The time advances by expectedTTL, so that expectations of earlier
 		// picks have ended and each pick of an absent adapter ranks all targets.
-		_, _ = tab.choose(queries[i%len(queries)], now.Add(time.Duration(i)*expectedTTL))
+		_, _ = tab.Choose(queries[i%len(queries)], now.Add(time.Duration(i)*expectedTTL))
 		i++
 	}
 }
 
 // An operator asks where a request would go, and then the costs change: the next request goes
 // where it would have gone without the question.
-func TestCandidatesChangeNothing(t *testing.T) {
+func TestQuestionsChangeNoChoice(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		loaded func(tab *Table) // before the question
@@ -203,13 +203,10 @@
 			asked, plain := table(12), table(12)
 			test.loaded(asked)
 			test.loaded(plain)
-			var chosen *Node
-			for _, c := range asked.Candidates(query(1), now) {
-				if c.Chosen {
-					chosen = c.Node
-				}
-			}
-			require.NotNil(t, chosen)
+			choice, ok := asked.Choose(query(1), now)
+			require.True(t, ok)
+			chosen := choice.Node
+			asked.Candidates(query(1), choice, now)
 			for _, tab := range []*Table{asked, plain} {
 				r := *chosen.Report()
 				r.Sequence, r.LoadWaitMS, r.Running = 3, 5000, 6
--- a/pkg/gateway/explain_state_test.go
+++ b/pkg/teststate/state.go
@@ -1,4 +1,6 @@
-package gateway
+// Package teststate turns all that is reachable from values into text, so that tests can show
+// that a question changes nothing.
+package teststate
 
 import (
 	"fmt"
@@ -12,11 +14,11 @@
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 )
 
-// stateOf returns all that is reachable from a value as text, but for connections, whose
+// Of returns all that is reachable from a value as text, but for connections, whose
 // counters of frames and bytes a question advances, and for functions and channels. It holds
 // the locks that guard what it reads.
-func stateOf(values ...any) string {
-	d := &stateDump{seen: make(map[uintptr]bool)}
+func Of(values ...any) string {
+	d := &dump{seen: make(map[uintptr]bool)}
 	for _, v := range values {
 		d.write(reflect.ValueOf(v))
 		d.WriteByte('\n')
@@ -24,14 +26,14 @@
 	return d.String()
 }
 
-type stateDump struct {
+type dump struct {
 	strings.Builder
 	seen map[uintptr]bool
 }
 
 var connectionTypes = []reflect.Type{reflect.TypeFor[link.Conn](), reflect.TypeFor[forward.Conn]()}
 
-func (d *stateDump) write(v reflect.Value) {
+func (d *dump) write(v reflect.Value) {
 	switch v.Kind() {
 	case reflect.Invalid, reflect.Func, reflect.Chan, reflect.UnsafePointer:
 	case reflect.Pointer:
@@ -95,7 +97,7 @@
 }
 
 // writeAtomic writes a value of package atomic.
-func (d *stateDump) writeAtomic(v reflect.Value) {
+func (d *dump) writeAtomic(v reflect.Value) {
 	if !v.CanAddr() {
 		return
 	}
@@ -107,14 +109,14 @@
 
 // writeMap writes a map in the order of its keys, and of their addresses if they are
 // connections.
-func (d *stateDump) writeMap(v reflect.Value) {
+func (d *dump) writeMap(v reflect.Value) {
 	type entry struct {
 		key   string
 		value reflect.Value
 	}
 	var entries []entry
 	for _, key := range v.MapKeys() {
-		k := &stateDump{seen: make(map[uintptr]bool)}
+		k := &dump{seen: make(map[uintptr]bool)}
 		k.write(key)
 		if key.Kind() == reflect.Pointer {
 			fmt.Fprintf(k, "%x", key.Pointer())
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -12,6 +12,8 @@
 ctl show loaded
 echo
 ctl show targets
+echo
+ctl explain route guide-00000@1
 if [ "${ONCE:-}" != 1 ]; then
   echo
   echo "operators: $bin/hyssoproadctl -entry http://$(operators_address "$dir/entry-01.hujson") -token-file $dir/operator-token show waiting"
