The benchmark of choosing a target counts the note of a load again

BenchmarkPick called the choice, which no longer notes that a target is expected to load the adapter. It now does both, as a request does.

--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -67,15 +67,20 @@
 func (t *Table) Pick(q Query, now time.Time) (Choice, bool) {
 	c, ok := t.Choose(q, now)
 	if ok {
-		if c.loads {
-			t.locations.shard(keyHash(q.Key)).expect(q.Key, c.Node, now)
-		}
+		t.expectLoad(q, c, now)
 		c.Node.sent.Add(1)
 		c.Report = c.Node.Report()
 	}
 	return c, ok
 }
 
+// expectLoad records that the chosen target loads the adapter, if it has to.
+func (t *Table) expectLoad(q Query, c Choice, now time.Time) {
+	if c.loads {
+		t.locations.shard(keyHash(q.Key)).expect(q.Key, c.Node, now)
+	}
+}
+
 // Choose returns the target that Pick would choose. It changes nothing.
 func (t *Table) Choose(q Query, now time.Time) (Choice, bool) {
 	all := t.pool(q.Pool)
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -180,7 +180,9 @@
 	for b.Loop() {
 		// The time advances by expectedTTL, so that expectations of earlier
 		// picks have ended and each pick of an absent adapter ranks all targets.
-		_, _ = tab.Choose(queries[i%len(queries)], now.Add(time.Duration(i)*expectedTTL))
+		q, at := queries[i%len(queries)], now.Add(time.Duration(i)*expectedTTL)
+		c, _ := tab.Choose(q, at)
+		tab.expectLoad(q, c, at)
 		i++
 	}
 }
