Of requests that are banned together, sound ones are served again

Cause: sound requests with the same caller, path and body count as one. Those in progress at three engines that ended one right after the other, with no answer in between, were banned for an hour with the one that ended them. Ruled out: answers that go unseen; with all engines down there is none. Change: if another banned request was lost with the same targets, one gateway sends each once, 10 s after the last end. The answer lifts the ban at all gateways. A request that was lost alone is not tried, so that a deadly one reaches one target more at most, and only if another was lost each time.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -35,6 +35,7 @@
 // acquire returns an assignment to one of the service's eligible targets. It calls
 // grant for a target that needs one, and waits up to maxWait for a permit.
 func (x *exchange) acquire(grant func([]fleet.Target) (*assignment, refusal), maxWait time.Duration) (*assignment, refusal) {
+	x.tryBanned()
 	if why, banned := x.banned(); banned {
 		return nil, why
 	}
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -164,6 +164,47 @@
 	})
 }
 
+// A sound request was lost each time with one that ends targets: both are banned, and one trial
+// of either shows which is to blame.
+func TestSoundRequestLostWithADeadlyOneIsServedAgain(t *testing.T) {
+	const sound, trialDelay = "/safe/sound", 11 * time.Second
+	for _, test := range []struct {
+		first             string // the request that is tried first
+		deadlyArrivals    int
+		firstStatus, ends int
+	}{{sound, 0, 200, 0}, {deadlyPath, 1, 502, 1}} {
+		t.Run(test.first, func(t *testing.T) {
+			testCrashFleet(t, 2, 3, func(t *testing.T, h *crashFleet) {
+				var lost []quarantine.Fingerprint
+				for _, path := range []string{sound, deadlyPath} {
+					lost = append(lost, quarantine.RequestContent{Caller: "credentials:", Method: "GET", Host: "host.example", URI: path}.Fingerprint())
+				}
+				for i := range 3 {
+					h.gateways[0].requests.Record(quarantine.End{Target: "t", StartMS: int64(i), AtMS: time.Now().UnixMilli()}, lost)
+					h.gateways[0].evidence.schedule()
+					time.Sleep(time.Second)
+				}
+				require.Equal(t, 503, h.send(0, "GET", sound).StatusCode)
+				time.Sleep(trialDelay)
+				require.Equal(t, 503, h.send(1, "GET", test.first).StatusCode, "the gateway that saw the end tries it")
+				require.Equal(t, test.firstStatus, h.send(0, "GET", test.first).StatusCode)
+				time.Sleep(trialDelay)
+				h.send(0, "GET", sound)
+				time.Sleep(settled)
+				for range 60 {
+					for gateway := range h.gateways {
+						require.Equal(t, 200, h.send(gateway, "GET", sound).StatusCode)
+						require.Equal(t, 503, h.send(gateway, "GET", deadlyPath).StatusCode)
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				require.Len(t, h.arrivals(deadlyPath), test.deadlyArrivals)
+				require.Len(t, h.ended(), test.ends)
+			})
+		})
+	}
+}
+
 // While its first target ends, a request is sent on; one under which a target has ended before
 // is not.
 func TestLostRequestUnderWhichATargetEndedIsNotSentOn(t *testing.T) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -68,6 +68,8 @@
 	identity *quarantine.Fingerprint
 	// suspected says that a target had ended under the request before the last loss.
 	suspected bool
+	// trial says that the request is sent although it is banned.
+	trial bool
 	// last is the last step taken at a target.
 	last attemptStep
 	// suspendedBefore is how long the VM had been suspended when the request arrived.
--- a/pkg/gateway/target_end.go
+++ b/pkg/gateway/target_end.go
@@ -158,12 +158,22 @@
 		return refusal{}, false
 	}
 	ends, until, banned := x.g.requests.Banned(x.fingerprint(), now)
-	if !banned {
+	if !banned || x.trial {
 		return refusal{}, false
 	}
 	return refusal{reason: "request crashes targets", wait: until.Sub(now), detail: fmt.Sprintf("fingerprint %s, ends %v", x.fingerprint(), ends)}, true
 }
 
+// tryBanned makes the request a trial if it is banned and one is due.
+func (x *exchange) tryBanned() {
+	if x.trial || !x.g.requests.MayKnow(x.contentHead) {
+		return
+	}
+	if x.trial = x.g.requests.MayTry(x.fingerprint(), x.g.node.VM, time.Now()); x.trial {
+		x.g.Info("msg", "trying a banned request: another one may be to blame", "request", x.q.attempt, "fingerprint", x.fingerprint())
+	}
+}
+
 func (x *exchange) contentHead() quarantine.Head { return x.content().Head() }
 
 // isSuspected reports whether a target has ended under the request before.
--- a/pkg/quarantine/requests.go
+++ b/pkg/quarantine/requests.go
@@ -73,11 +73,12 @@
 	heads  map[Head]int // how often they are in the evidence
 	// suspicions are those that were collected since the evidence changed last.
 	suspicions map[Fingerprint]suspicion
+	tried      map[Fingerprint]time.Time // when banned requests were sent once more
 }
 
 // NewRequests returns a table without evidence.
 func NewRequests() *Requests {
-	return &Requests{others: make(map[ident.VM]Evidence), heads: make(map[Head]int), suspicions: make(map[Fingerprint]suspicion)}
+	return &Requests{others: make(map[ident.VM]Evidence), heads: make(map[Head]int), suspicions: make(map[Fingerprint]suspicion), tried: make(map[Fingerprint]time.Time)}
 }
 
 // MayKnow reports whether there is evidence against a request with the head. It is cheap if
@@ -174,16 +175,21 @@
 // Banned returns the ends of targets for which a request is banned, and until when it is.
 func (r *Requests) Banned(f Fingerprint, now time.Time) (ends []End, until time.Time, banned bool) {
 	live := r.live(f, now)
+	if !ban(live) {
+		return nil, time.Time{}, false
+	}
+	return live, time.UnixMilli(live[len(live)-banAfter].AtMS).Add(requestTTL), true
+}
+
+// ban reports whether ends of targets, in the order of their times, ban a request.
+func ban(ends []End) bool {
 	moments := 0
-	for i, e := range live {
-		if i == 0 || e.AtMS-live[i-1].AtMS > moment.Milliseconds() {
+	for i, e := range ends {
+		if i == 0 || e.AtMS-ends[i-1].AtMS > moment.Milliseconds() {
 			moments++
 		}
 	}
-	if len(live) < banAfter || moments < minMoments {
-		return nil, time.Time{}, false
-	}
-	return live, time.UnixMilli(live[len(live)-banAfter].AtMS).Add(requestTTL), true
+	return len(ends) >= banAfter && moments >= minMoments
 }
 
 // Suspected reports whether a target has ended while it had the request, and none has
