--- a/pkg/quarantine/request_bans.go
+++ b/pkg/quarantine/request_bans.go
@@ -38,7 +38,7 @@
 	out := BanReport{Gateway: vm, Requests: []RequestBan{}}
 	for f := range r.fingerprints() {
 		s := r.suspicion(f)
-		ends, until, banned := s.verdict(now)
+		ends, until, banned := verdict(s.live(now))
 		if !banned {
 			continue
 		}
