The log names the responses that a stop cuts because their callers read slowly

Cause: a response that is complete, but still held for its caller, is in no exchange any more. At the exit it was cut without a row, so that the log of a gateway could not tell this from a response that was delivered. Change: connections know such a request until its response is read, and the exit names each.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -101,6 +101,8 @@
 		return true
 	}
 	c.streaming = nil
+	c.g.conns.setUnread(c, q)
+	defer c.g.conns.set(c, connServing)
 	err := c.held.await(q.ctx)
 	if err != nil && q.ctx.Err() == nil {
 		c.logUnread(q, err)
--- a/pkg/gateway/conns.go
+++ b/pkg/gateway/conns.go
@@ -24,6 +24,7 @@
 type connState struct {
 	phase    connPhase
 	exchange *exchange // set once the request has a route
+	unread   *request  // set while its complete response is held for the caller
 }
 
 func newConnTable() *connTable { return &connTable{conns: make(map[*callerConn]connState)} }
@@ -36,6 +37,23 @@
 	t.setState(c, connState{phase: connServing, exchange: x})
 }
 
+// setUnread records that the complete response to a request is held for the caller.
+func (t *connTable) setUnread(c *callerConn, q *request) {
+	t.setState(c, connState{phase: connServing, unread: q})
+}
+
+// unread returns the requests whose complete responses are held for their callers.
+func (t *connTable) unread() (out []*request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.conns {
+		if s.unread != nil {
+			out = append(out, s.unread)
+		}
+	}
+	return out
+}
+
 func (t *connTable) setState(c *callerConn, s connState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -161,6 +161,9 @@
 		}
 	}
 	g.endOverdue(s.exit)
+	for _, q := range g.conns.unread() {
+		g.Info("msg", "response cut at the exit", "request", q.attempt, "cause", "unread by its caller")
+	}
 	time.Sleep(lastWriteTime)
 }
 
