The schedule of a stop counts the time that its VM was suspended

Cause: the times of a stop are of the monotonic clock, which stands still while the VM is suspended; the platform's grace goes on. After a suspension of 3 s the gateway meant to answer at 10.2 s what the platform cuts at 8 s. Found while looking for other ways into a kill in a stop; deadlines of requests and grants took the time off already. Change: each look at the schedule takes off the time of a suspension since the last one, and logs it. TestStopCountsTheTimeOfASuspension, red before: 10.24 s of 8 s.

--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -45,6 +45,15 @@
 	answerBy time.Time
 	// exit is when streams that still run are cut.
 	exit time.Time
+	// suspended is how long the VM had been suspended when the times were set.
+	suspended time.Duration
+}
+
+// discount returns the schedule after the VM was suspended for a total time. The monotonic
+// clock does not count it, but the platform does.
+func (s stopSchedule) discount(total time.Duration) stopSchedule {
+	d := s.suspended - total
+	return stopSchedule{unready: s.unready.Add(d), answerBy: s.answerBy.Add(d), exit: s.exit.Add(d), suspended: total}
 }
 
 // newStopSchedule returns the schedule of a stop that began at the given time and is
@@ -114,11 +123,12 @@
 func (g *Gateway) Stop(context.Context) error {
 	began := time.Now()
 	schedule := newStopSchedule(began, g.node.Bounds.StopGrace)
+	schedule.suspended = g.suspended()
 	g.stop.begin(schedule)
 	g.Info("msg", "stopping", "active", g.active.Load())
-	g.awaitRequests(schedule)
+	g.awaitRequests()
 	_ = g.listener.Close()
-	g.awaitLastRequests(schedule)
+	g.awaitLastRequests()
 	g.Info("msg", "finished", "unfinished", g.active.Load(), "after", time.Since(began))
 	return nil
 }
@@ -126,8 +136,12 @@
 // awaitRequests waits until no request is in progress and the balancer sends no more, or
 // until the time for responses is over. Meanwhile it closes idle connections and ends the
 // requests that run out of time.
-func (g *Gateway) awaitRequests(s stopSchedule) {
-	for now := time.Now(); now.Before(s.answerBy); now = time.Now() {
+func (g *Gateway) awaitRequests() {
+	for {
+		s, now := g.currentSchedule(), time.Now()
+		if !now.Before(s.answerBy) {
+			return
+		}
 		g.endOverdue(now)
 		if !now.Before(s.unready) {
 			g.conns.closeIdle()
@@ -141,10 +155,14 @@
 
 // awaitLastRequests waits, after the listener was closed, for requests that are already on
 // their way on accepted connections, and for streams.
-func (g *Gateway) awaitLastRequests(s stopSchedule) {
+func (g *Gateway) awaitLastRequests() {
 	lastRead := time.Now().Add(firstRequestTime)
-	for now := time.Now(); now.Before(s.exit); now = time.Now() {
+	for {
+		s, now := g.currentSchedule(), time.Now()
 		g.endOverdue(now)
+		if !now.Before(s.exit) {
+			break
+		}
 		g.conns.closeIdle()
 		if !now.Before(lastRead) {
 			g.conns.endReads(connReading)
@@ -160,13 +178,24 @@
 			return // a request that was sent before would be in progress
 		}
 	}
-	g.endOverdue(s.exit)
 	for _, q := range g.conns.unread() {
 		g.Info("msg", "response cut at the exit", "request", q.attempt, "cause", "unread by its caller")
 	}
 	time.Sleep(lastWriteTime)
 }
 
+// currentSchedule returns the schedule of the stop, and keeps it right when the VM was
+// suspended.
+func (g *Gateway) currentSchedule() stopSchedule {
+	s := *g.stop.schedule.Load()
+	if total := g.suspended(); total > s.suspended {
+		s = s.discount(total)
+		g.stop.schedule.Store(&s)
+		g.Info("msg", "suspended while stopping", "left", time.Until(s.exit))
+	}
+	return s
+}
+
 // endOverdue ends the requests that have run out of time.
 func (g *Gateway) endOverdue(now time.Time) {
 	for _, x := range g.conns.exchanges() {
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -357,3 +357,22 @@
 		require.Equal(t, 1, log.rows("request=a-1"))
 	})
 }
+
+// Guards against LOST: a VM that was suspended while its gateway stopped took the time of the
+// suspension off the grace, and the process was killed with requests in progress.
+func TestStopCountsTheTimeOfASuspension(t *testing.T) {
+	const suspension = 3 * time.Second
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.repeat(func(net.Conn, receivedRequest) bool { time.Sleep(time.Minute); return false })
+		var suspended atomic.Int64
+		h.suspended = func() time.Duration { return time.Duration(suspended.Load()) }
+		time.AfterFunc(2*time.Second, func() { suspended.Store(int64(suspension)) })
+		raw := patient(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+		answers, took := h.playStop(stopCalls(raw, every(250*time.Millisecond, 0, 8*time.Second)...))
+		require.Less(t, took+suspension, 8*time.Second)
+		require.NotEmpty(t, answers)
+		for _, a := range answers {
+			require.NoError(t, a.err, "sent %s after SIGTERM, ended %s after it", a.after, a.ended)
+		}
+	})
+}
