Pings of links use function timers

The cause is in the Go runtime (go1.26.8): a goroutine that receives from a channel timer which is due, and which no goroutine waited for, runs the timer itself (maybeRunChan), with the race context of the bubble's timers, while other threads use the same context. A program of only that crashes in 3 of 3 runs with 8 threads (tsan_rtl.cpp:282 twice, a fault once), and in 0 of 3 with one thread; with receives that block in 0 of 3 each.

In pkg/system the ticker of the link's write loop was the only such timer: a runtime that prints these calls showed 259 in one run of the package, and 0 with this change.

Pings and the check of the peer now run from a function timer, which only the bubble runs.

go test -race, TestOracleCatchesBrokenVariants twice over: crashed in 2 of 6 runs before (SIGSEGV, tsan_rtl.cpp:346), 0 of 6 after. pkg/system, gateway, orderer, link, dispatch and agent passed once each without the race detector. Not run: the race detector on the whole of pkg/system with this change.

--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -76,7 +76,9 @@
 	parity  uint32 // parity of the stream numbers that this side opens
 
 	liveness Liveness
-	pinged   time.Time // time of the last ping; used by the write loop only
+	pinged   time.Time // time of the last ping; used by pingTimer only
+	// pingTimer calls ping at regular times. It is stopped under mu.
+	pingTimer *time.Timer
 	// now reads the clock. Times are kept as durations since opened, which the
 	// monotonic clock measures: the wall clock may jump.
 	now    func() time.Time
@@ -121,6 +123,7 @@
 		c.next = 1
 	}
 	c.parity = c.next % 2
+	c.startPings()
 	go c.readLoop()
 	go c.writeLoop()
 	return c, nil
@@ -150,6 +153,7 @@
 	c.cancel(err)
 	_ = c.nc.Close()
 	c.mu.Lock()
+	c.pingTimer.Stop()
 	streams := c.streams
 	c.streams = nil
 	c.mu.Unlock()
@@ -317,18 +321,10 @@
 
 func (c *Conn) writeLoop() {
 	var spare []byte
-	pings := time.NewTicker(c.liveness.Ping)
-	defer pings.Stop()
 	for {
 		select {
 		case <-c.ctx.Done():
 			return
-		case <-pings.C:
-			if err := c.ping(); err != nil {
-				c.fail(err)
-				return
-			}
-			continue
 		case <-c.wake:
 		}
 		c.outMu.Lock()
@@ -346,29 +342,6 @@
 	}
 }
 
-// ping checks that the peer has sent a frame recently, and sends a ping when
-// one is due.
-func (c *Conn) ping() error {
-	since, limit, period := c.lastReceived.Load(), c.liveness.Silence, time.Duration(0)
-	if busy := c.busySince.Load(); busy != notBusy {
-		// While the link was idle, the peer may have pinged at the longer Idle
-		// interval.
-		since = max(since, busy)
-	} else if c.liveness.Idle > c.liveness.Ping {
-		period = c.liveness.Idle
-		limit = max(limit, maxMissedIdlePings*period)
-	}
-	if silence := time.Duration(c.age() - since); silence > limit {
-		return errors.Annotatef(ErrClosed, "no frame from peer for %s", silence)
-	}
-	now := c.now()
-	if now.Sub(c.pinged) < period {
-		return nil
-	}
-	c.pinged = now
-	return c.send(KindPing, 0, nil)
-}
-
 // Ping sends a ping at once.
 func (c *Conn) Ping() error { return c.send(KindPing, 0, nil) }
 
