A permit that is due at once is used without a timer

With no wait left, the request was assigned through a channel timer that was due at once, or, by chance, given up if its time had ended meanwhile.

--- a/pkg/gateway/permit.go
+++ b/pkg/gateway/permit.go
@@ -219,6 +219,9 @@
 		why.wait = wait
 		return nil, why
 	}
+	if wait <= 0 {
+		return x.g.assign(soonest), refusal{}
+	}
 	select {
 	case <-x.ctx.Done():
 		return nil, refusal{reason: "timed out"}
