--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -162,10 +162,10 @@
 		for _, path := range []string{"/stream/x", "/once-stream/x"} {
 			t.Run(test.name+path, func(t *testing.T) {
 				testAgentHarness(t, func(t *testing.T, h *agentHarness) {
-					term, streams := time.Now().Add(12*time.Second), 0
+					term, streams := time.Now().Add(12*time.Second), new(atomic.Int64)
 					h.repeat(func(w net.Conn, call receivedRequest) bool {
-						streams++
-						return respondStream(200*time.Millisecond, test.interval(streams, time.Since(term)), 24)(w, call)
+						n := int(streams.Add(1))
+						return respondStream(200*time.Millisecond, test.interval(n, time.Since(term)), 24)(w, call)
 					})
 					raw := patient(rawRequest("POST", path, "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "X-Token-Count: 500,24\r\n"))
 					answers, _ := h.playStop(stopCalls(raw, every(50*time.Millisecond, -12*time.Second, 7100*time.Millisecond)...))
