Discarded bodies without end come in chunks in the test too

make prove: TestBytesWithoutEndAreBounded still passed without the limit of discarded bodies, since those without a length, the only ones in the table, are not read any more. Change: the same two cases with chunks, beside the old ones. It fails without the limit again.

--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -40,12 +40,14 @@
 		{"informational heads without end", "", "HTTP/1.1 100 Continue\r\n\r\n", 64 << 10},
 		{"stray responses without end", "", "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n", 64 << 10},
 		{"a stray body without end", "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n\r\n", "z", 256 << 10},
+		{"a stray body of chunks without end", "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(strings.Repeat("z", 1000)), 256 << 10},
 		{"a body until close", ok + "\r\n", strings.Repeat("b", 1000), maxResponseBytes + 1<<20},
 		{"an announced length", ok + "Content-Length: 1000000000000\r\n\r\n", "b", 64 << 10},
 		{"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", chunk(strings.Repeat("c", 1000)), maxResponseBytes + 2<<20},
 		{"a chunk size", ok + "Transfer-Encoding: chunked\r\n\r\n", "0", 64 << 10},
 		{"a trailer", ok + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "X-T: 1\r\n", 64 << 10},
 		{"a refused request's body", "HTTP/1.1 503 X\r\nX-Attempt-Id: a-1\r\nX-Not-Executed: 1\r\n\r\n", "n", 256 << 10},
+		{"a refused request's chunks", "HTTP/1.1 503 X\r\nX-Attempt-Id: a-1\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(strings.Repeat("n", 1000)), 256 << 10},
 	} {
 		for _, path := range []string{"/safe/x", "/unsafe/x"} {
 			t.Run(test.name+path, func(t *testing.T) {
