Proofs of refusals follow the code that moved

The first test also has a request with an ID before those without, since their own connections are closed now; it fails without the mechanism.

--- a/pkg/gateway/refusal_test.go
+++ b/pkg/gateway/refusal_test.go
@@ -73,15 +73,18 @@
 	}
 }
 
-// Nothing in a response tells whose it is if the request has no ID.
+// Nothing in a response tells whose it is if the request has no ID, after one that has an ID
+// and after one that has none.
 func TestRequestsWithoutAnIDUseNewConnections(t *testing.T) {
 	testHarness(t, func(t *testing.T, h *harness) {
 		h.fleet.Remove("p-2", time.Now())
-		h.script(respond(200, "first"), respond(200, "second"))
-		for _, want := range []string{"first", "second"} {
-			raw := strings.Replace(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"), "X-Attempt-Id: a-1\r\n", "", 1)
+		h.script(respond(200, "first"), respond(200, "second"), respond(200, "third"))
+		named := rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n")
+		require.Equal(t, "first", body(t, h.send(named)))
+		for _, want := range []string{"second", "third"} {
+			raw := strings.Replace(named, "X-Attempt-Id: a-1\r\n", "", 1)
 			require.Equal(t, want, body(t, h.send(raw)))
 		}
-		require.Len(t, h.conns, 4, "two connections of callers, two to the target")
+		require.Len(t, h.conns, 6, "three connections of callers, three to the target")
 	})
 }
