Tests of stops close connections at once again when Stop returns

The harness had come to wait 100 ms before it closed them, for one new test, and so for all: a response written after the end of the stop would have passed.

--- a/pkg/gateway/stop_harness_test.go
+++ b/pkg/gateway/stop_harness_test.go
@@ -36,6 +36,11 @@
 // of its own. All connections close once Stop has returned, as when the process exits. It
 // returns the answers of those whose connections were accepted.
 func (h *harness) playStop(calls []stopCall) (accepted []stopAnswer, took time.Duration) {
+	return h.playStopAndRunOn(calls, 0)
+}
+
+// playStopAndRunOn is like playStop, but the process runs on for a time once Stop has returned.
+func (h *harness) playStopAndRunOn(calls []stopCall, runsOn time.Duration) (accepted []stopAnswer, took time.Duration) {
 	l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
 	h.listener = l
 	go h.accept(l)
@@ -74,7 +79,9 @@
 	time.Sleep(time.Until(term))
 	require.NoError(h.t, h.Stop(h.t.Context()))
 	took = time.Since(term)
-	time.Sleep(processEnd)
+	if runsOn > 0 {
+		time.Sleep(runsOn)
+	}
 	h.mu.Lock()
 	for _, c := range h.conns {
 		_ = c.Close()
@@ -89,9 +96,6 @@
 	return accepted, took
 }
 
-// processEnd is how long the process runs on once the gateway has stopped.
-const processEnd = 100 * time.Millisecond
-
 // pipeListener accepts pipes.
 type pipeListener struct {
 	conns chan net.Conn
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -293,7 +293,8 @@
 		h.repeat(func(net.Conn, receivedRequest) bool { time.Sleep(time.Minute); return false })
 		raw := patient(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
 		// The listener closes once nothing was in progress from unreadyDetectionTime on.
-		answers, took := h.playStop([]stopCall{{after: 2400 * time.Millisecond, rest: raw, restAfter: unreadyDetectionTime + firstRequestTime + processEnd}})
+		const processEnd = 100 * time.Millisecond
+		answers, took := h.playStopAndRunOn([]stopCall{{after: 2400 * time.Millisecond, rest: raw, restAfter: unreadyDetectionTime + firstRequestTime + processEnd}}, processEnd)
 		require.Less(t, took, 3*time.Second)
 		require.Len(t, answers, 1)
 		require.Empty(t, h.receivedRequests())
