Every end of a request has a row

Cause: a request whose caller had left, whose response could not be written or that was not read whole ended without a row, so that nothing told whether the gateway or the caller had ended it. The users' record of streams lost around SIGTERM names neither in any row.

Change: rows "caller disconnected" with the error of the read that showed it, "response cut" with that of the write, "request not read"; counters callers_disconnected, responses_cut and requests_unreadable. Rejected requests are logged at info. Nothing is decided otherwise.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -19,8 +19,8 @@
 // writeTimeout is how long a caller may read nothing of its response.
 const writeTimeout = 5 * time.Second
 
-// errCallerDisconnected is the cancellation cause of a request whose caller has
-// closed its connection.
+// errCallerDisconnected is in the chain of the cancellation cause of a request whose caller
+// has closed its connection. The cause has the message of the read that shows it.
 const errCallerDisconnected = errors.ConstError("caller disconnected")
 
 // callerConn is one caller's connection.
@@ -104,8 +104,8 @@
 	c.g.conns.setUnread(c, q)
 	defer c.g.conns.set(c, connServing)
 	err := c.held.await(q.ctx)
-	if err != nil && q.ctx.Err() == nil {
-		c.logUnread(q, err)
+	if err != nil {
+		c.logCut(q, err)
 	}
 	return err == nil
 }
@@ -132,7 +132,7 @@
 func (c *callerConn) watchForClose(cancel context.CancelCauseFunc, peekErr chan<- error) {
 	_, err := c.r.Peek(1)
 	if err != nil {
-		cancel(errCallerDisconnected)
+		cancel(errors.WithType(err, errCallerDisconnected))
 	}
 	peekErr <- err
 }
@@ -163,9 +163,11 @@
 func (c *callerConn) rejectUnreadable(q *request, err error) {
 	var r *rejection
 	if !errors.As(err, &r) {
+		c.g.metrics.unreadable.Inc(1)
+		c.g.Info("msg", "request not read", "request", q.attempt, "remote", c.nc.RemoteAddr(), "err", err, "stopping", c.g.stop.begun())
 		return
 	}
-	c.g.Debug("msg", "request rejected", "request", q.attempt, "remote", c.nc.RemoteAddr(), "status", r.status, "reason", r.reason)
+	c.g.Info("msg", "request rejected", "request", q.attempt, "remote", c.nc.RemoteAddr(), "status", r.status, "reason", r.reason)
 	c.closeAfterResponse, c.responseStarted = true, false
 	wait := time.Duration(0)
 	switch {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -104,8 +104,11 @@
 		if g.stop.begun() {
 			wait = g.stop.retryAfter()
 		}
-		return context.Cause(ctx) != errCallerDisconnected &&
-			c.writeError(fasthttp.StatusServiceUnavailable, "no configuration yet", g.addJitter(wait)) == nil
+		if hasDisconnected(ctx) {
+			c.logDisconnected(q)
+			return false
+		}
+		return c.writeError(fasthttp.StatusServiceUnavailable, "no configuration yet", g.addJitter(wait)) == nil
 	}
 	route, configuration := g.directory.Find(string(q.head.Host()), q.path)
 	if route == nil {
@@ -280,7 +283,13 @@
 func (x *exchange) expired() bool { return x.ctx.Err() != nil || x.remaining() <= 0 }
 
 // callerDisconnected reports whether the caller has closed its connection.
-func (x *exchange) callerDisconnected() bool { return context.Cause(x.ctx) == errCallerDisconnected }
+func (x *exchange) callerDisconnected() bool { return hasDisconnected(x.ctx) }
+
+// hasDisconnected reports whether the caller whose request the context is of has closed its
+// connection.
+func hasDisconnected(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errCallerDisconnected)
+}
 
 // sendOnce sends the request to the assigned target once.
 func (x *exchange) sendOnce(a *assignment) outcome {
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -9,10 +10,36 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 )
 
+// failWrite ends the response after an error of a write to the caller.
+func (x *exchange) failWrite(err error) {
+	x.c.closeAfterResponse = true
+	if x.callerDisconnected() {
+		x.finishDisconnected(outcomeUnknown)
+		return
+	}
+	x.c.logCut(x.q, err)
+}
+
+// finishDisconnected ends a request whose caller has closed its connection, after the outcome
+// of its last send.
+func (x *exchange) finishDisconnected(o outcome) bool {
+	result := "not-run"
+	switch {
+	case x.streamStarted:
+		result = "unfinished"
+	case x.runs > 0 || o == outcomeUnknown:
+		result = "unknown"
+	}
+	x.g.metrics.disconnects.Inc(1)
+	x.g.Info("msg", "caller disconnected", "request", x.q.attempt, "service", x.service.Name, "target", x.last.target, "step", x.last.step, "err", context.Cause(x.ctx),
+		"outcome", result, "sends", x.sends, "last-event", x.lastEvent, "after", time.Since(x.began), "stopping", x.g.stop.begun())
+	return false
+}
+
 // finishUnserved ends a request for which no target returned a complete response.
 func (x *exchange) finishUnserved(why refusal) bool {
 	if x.callerDisconnected() {
-		return false
+		return x.finishDisconnected(outcomeNotRun)
 	}
 	if x.stopped() {
 		why = x.stopRefusal()
@@ -77,7 +104,7 @@
 // finishTimedOut ends a request that timed out or whose caller disconnected.
 func (x *exchange) finishTimedOut(o outcome) bool {
 	if x.callerDisconnected() {
-		return false
+		return x.finishDisconnected(o)
 	}
 	if x.failedResponse != nil && !x.streamStarted {
 		return x.deliverFailure()
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -35,6 +35,9 @@
 	connections     [forward.ConnEvents]tally.Counter    // to targets, by event
 	targetEnds      [len(endEvidenceNames)]tally.Counter // processes that lost requests, by what shows their end
 	unread          tally.Counter                        // responses that a caller did not read in time
+	cutResponses    tally.Counter                        // responses whose write failed otherwise
+	disconnects     tally.Counter                        // requests whose caller closed its connection
+	unreadable      tally.Counter                        // requests that ended before they were read
 }
 
 // latencyBuckets double from the time of a round trip to a caller's longest wait.
@@ -55,6 +58,7 @@
 		listAge:    scope.Histogram("target_list_age", latencyBuckets),
 		trust:      scope.Gauge("configuration_trusted"),
 		heldWrites: scope.Counter("held_writes"), unreadCuts: scope.Counter("streams_cut_unread"), unread: scope.Counter("responses_unread"),
+		cutResponses: scope.Counter("responses_cut"), disconnects: scope.Counter("callers_disconnected"), unreadable: scope.Counter("requests_unreadable"),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
--- a/pkg/gateway/over_quota.go
+++ b/pkg/gateway/over_quota.go
@@ -34,9 +34,6 @@
 // finishOverQuota ends a request that its account's quota has no room for.
 func (x *exchange) finishOverQuota(o quotaOutcome, wait time.Duration) bool {
 	if o == quotaAborted {
-		if x.callerDisconnected() {
-			return false
-		}
 		return x.finishTimedOut(outcomeNotRun)
 	}
 	wait = x.g.addJitter(max(wait, minRetryAfter))
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -69,10 +69,7 @@
 	}
 	a.release() // a caller that reads slowly takes no place at the target
 	if err := x.c.writeResponse(res, body, x.q.method); err != nil {
-		x.c.closeAfterResponse = true
-		if !x.callerDisconnected() && isTimeout(err) {
-			x.c.logUnread(x.q, err)
-		}
+		x.failWrite(err)
 	}
 	return outcomeDelivered
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -112,10 +112,7 @@
 			began := time.Now()
 			if err := x.forwardEvents(res, pending[:complete]); err != nil {
 				x.abandon(a, res.Conn())
-				x.c.closeAfterResponse = true
-				if !x.callerDisconnected() && isTimeout(err) {
-					x.c.logUnread(x.q, err)
-				}
+				x.failWrite(err)
 				return outcomeDelivered
 			}
 			if x.unread.record(began, time.Now()) {
@@ -173,7 +170,7 @@
 	}
 	x.complete = true
 	if err := x.c.endStream(); err != nil {
-		x.c.closeAfterResponse = true
+		x.failWrite(err)
 	}
 	return outcomeDelivered
 }
--- a/pkg/gateway/unread.go
+++ b/pkg/gateway/unread.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,6 +53,22 @@
 		"unread", x.unread.total, "idempotent", x.retryable())
 }
 
+// logDisconnected logs that the caller closed its connection before the request had a route.
+func (c *callerConn) logDisconnected(q *request) {
+	c.g.metrics.disconnects.Inc(1)
+	c.g.Info("msg", "caller disconnected", "request", q.attempt, "err", context.Cause(q.ctx), "outcome", "not-run", "sends", 0)
+}
+
+// logCut logs that the caller has not got all of its response, because of an error of a write.
+func (c *callerConn) logCut(q *request, err error) {
+	if isTimeout(err) {
+		c.logUnread(q, err)
+		return
+	}
+	c.g.metrics.cutResponses.Inc(1)
+	c.g.Info("msg", "response cut", "request", q.attempt, "step", "write", "err", err, "stopping", c.g.stop.begun())
+}
+
 // logUnread logs that the caller did not read its response in time.
 func (c *callerConn) logUnread(q *request, err error) {
 	if c.unreadLogged {
