A caller that closes its sending side still gets its response

Callers saw: the connection closed without a whole response, and no row named the request, whether it waited or had streamed for seconds (LOST).

Cause: the read that watches for the caller's close took the end of what the caller sends for the end of the connection. A TCP client may close its sending side after the request and read on. Class: one signal with two meanings.

Change: after the end of what the caller sends, its host is given bytes: the response, or an interim response if that has not begun. The host of a closed connection answers with a reset, which the state of the socket shows within milliseconds; a caller that still reads gets its response. A write that fails ends the request as the caller's close.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -39,9 +40,8 @@
 	// served reports whether the connection has carried a request.
 	served bool
 	// delayed says that the response is kept back in out.
-	delayed bool
-	// responseStarted reports whether bytes of the current response were written.
-	responseStarted bool
+	delayed  bool
+	response responseState
 	// closeAfterResponse reports whether the connection closes after the current
 	// response.
 	closeAfterResponse bool
@@ -78,17 +78,20 @@
 	}
 	c.g.conns.set(c, connServing)
 	_ = c.nc.SetReadDeadline(time.Time{})
-	c.responseStarted, c.closeAfterResponse, c.http11, c.unreadLogged = false, !q.keepAlive || c.g.stop.begun(), q.head.IsHTTP11(), false
+	c.closeAfterResponse, c.http11, c.unreadLogged = !q.keepAlive || c.g.stop.begun(), q.head.IsHTTP11(), false
+	c.response.await(c.http11)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	q.ctx = ctx
 	peekErr := make(chan error, 1)
-	go c.watchForClose(cancel, peekErr)
+	go c.watchForClose(ctx, cancel, peekErr)
 	// A response that started before the stop did not announce the close, so its
 	// connection carries another request, whose response does.
 	reusable := c.g.handle(ctx, c, q, began)
 	q.releaseBody(c.g.bodies)
-	if !c.awaitDelivery(q) || !reusable || c.closeAfterResponse {
+	delivered := c.awaitDelivery(q)
+	c.response.end()
+	if !delivered || !reusable || c.closeAfterResponse {
 		return false
 	}
 	return c.awaitNext(peekErr, limits.IdleTimeout)
@@ -128,10 +131,15 @@
 }
 
 // watchForClose waits for the connection's next byte. It cancels the current
-// request when the caller closes the connection.
-func (c *callerConn) watchForClose(cancel context.CancelCauseFunc, peekErr chan<- error) {
+// request when the caller closes the connection, but not when it has closed its sending
+// side only.
+func (c *callerConn) watchForClose(ctx context.Context, cancel context.CancelCauseFunc, peekErr chan<- error) {
 	_, err := c.r.Peek(1)
-	if err != nil {
+	switch {
+	case err == nil || isTimeout(err):
+	case err == io.EOF && c.isHalfClosed(ctx):
+		c.g.metrics.halfClosed.Inc(1)
+	default:
 		cancel(errors.WithType(err, errCallerDisconnected))
 	}
 	peekErr <- err
@@ -168,7 +176,7 @@
 		return
 	}
 	c.g.Info("msg", "request rejected", "request", q.attempt, "remote", c.nc.RemoteAddr(), "status", r.status, "reason", r.reason)
-	c.closeAfterResponse, c.responseStarted = true, false
+	c.closeAfterResponse = true
 	wait := time.Duration(0)
 	switch {
 	case err == errUnreadAtStop:
@@ -352,7 +360,7 @@
 }
 
 func (c *callerConn) write(b []byte) error {
-	c.responseStarted = true
+	c.response.begin()
 	if c.streaming == nil {
 		return errors.Trace(writeWhileRead(c.nc, b))
 	}
--- a/pkg/gateway/end_row_test.go
+++ b/pkg/gateway/end_row_test.go
@@ -39,7 +39,7 @@
 		{"half of a body", rawRequest("POST", "/unsafe/x", "Content-Length: 9\r\n") + "half", slow, 0, time.Second, []string{`msg="request not read" request=a-1`, `err="unexpected EOF"`}, false},
 		{"malformed chunks", rawRequest("POST", "/unsafe/x", "Transfer-Encoding: chunked\r\n") + "x\r\n", slow, 0, time.Second, []string{`msg="request rejected" request=a-1`, "status=400"}, false},
 		{"before a response", rawRequest("GET", "/safe/x"), slow, 0, 100 * time.Millisecond, []string{`msg="caller disconnected" request=a-1`, "step=answer", "err=EOF", "outcome=unknown", "sends=1"}, true},
-		{"within a stream", stream, respondStream(0, 50*time.Millisecond, 40), 3, 0, []string{`request=a-1`, "step=stream", "outcome=unfinished", "last-event=3"}, true},
+		{"within a stream", stream, respondStream(0, 50*time.Millisecond, 40), 3, 0, []string{`msg="caller disconnected" request=a-1`, "step=stream", "outcome=unfinished", "last-event=3"}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			testAgentHarness(t, func(t *testing.T, h *agentHarness) {
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
@@ -13,11 +14,12 @@
 // failWrite ends the response after an error of a write to the caller.
 func (x *exchange) failWrite(err error) {
 	x.c.closeAfterResponse = true
-	if x.callerDisconnected() {
-		x.finishDisconnected(outcomeUnknown)
+	if x.stopped() || isTimeout(err) && !x.callerDisconnected() {
+		x.c.logCut(x.q, err)
 		return
 	}
-	x.c.logCut(x.q, err)
+	x.cancel(errors.WithType(err, errCallerDisconnected))
+	x.finishDisconnected(outcomeUnknown)
 }
 
 // finishDisconnected ends a request whose caller has closed its connection, after the outcome
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -69,6 +69,9 @@
 	requests *quarantine.Requests
 	evidence *evidenceStore
 	lost     *lostProcesses
+	// halfClosed reports whether a caller has closed its sending side only, as far as its
+	// host has told. Tests replace it.
+	halfClosed func(net.Conn) bool
 	// suspended returns how long the VM was suspended since it started. Tests replace it.
 	suspended func() time.Duration
 	// targetList is how current the list of targets is, and configurationCopy how current
@@ -121,7 +124,7 @@
 		Common: c, metrics: newMetrics(c.Metrics), node: node,
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
-		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, targetList: new(follow.Freshness),
+		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, halfClosed: socket.HalfClosed, targetList: new(follow.Freshness),
 		loads: newLoadTracker(), placing: newPlacing(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(), requests: quarantine.NewRequests(), lost: newLostProcesses(),
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -27,10 +27,13 @@
 	streamService ident.Service = "streams"
 )
 
+// testRouteTimeout is the timeout of all routes of testConfiguration.
+const testRouteTimeout = 10 * time.Second
+
 func testConfiguration(version uint64) *platform.Configuration {
 	route := func(prefix string, policy platform.RetryPolicy, targets int) platform.Route {
 		return platform.Route{
-			Name: prefix, Host: "host.example", PathPrefix: prefix, RetryPolicy: policy, Timeout: 10 * time.Second,
+			Name: prefix, Host: "host.example", PathPrefix: prefix, RetryPolicy: policy, Timeout: testRouteTimeout,
 			Objective: 100 * time.Millisecond, MaxTargets: targets, Split: []platform.TrafficShare{{Service: plainService, Weight: 1}},
 		}
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -37,6 +37,7 @@
 	unread          tally.Counter                        // responses that a caller did not read in time
 	cutResponses    tally.Counter                        // responses whose write failed otherwise
 	disconnects     tally.Counter                        // requests whose caller closed its connection
+	halfClosed      tally.Counter                        // callers that closed their sending side before the response
 	unreadable      tally.Counter                        // requests that ended before they were read
 }
 
@@ -58,7 +59,7 @@
 		listAge:    scope.Histogram("target_list_age", latencyBuckets),
 		trust:      scope.Gauge("configuration_trusted"),
 		heldWrites: scope.Counter("held_writes"), unreadCuts: scope.Counter("streams_cut_unread"), unread: scope.Counter("responses_unread"),
-		cutResponses: scope.Counter("responses_cut"), disconnects: scope.Counter("callers_disconnected"), unreadable: scope.Counter("requests_unreadable"),
+		cutResponses: scope.Counter("responses_cut"), disconnects: scope.Counter("callers_disconnected"), halfClosed: scope.Counter("callers_half_closed"), unreadable: scope.Counter("requests_unreadable"),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
--- a/pkg/socket/socket.go
+++ b/pkg/socket/socket.go
@@ -52,25 +52,36 @@
 	}
 }
 
-// finWait2 is the state of a TCP connection whose close the peer has acknowledged, while its
-// own side is open.
-const finWait2 = 5
+// States of a TCP connection (include/net/tcp_states.h).
+const (
+	finWait2  = 5 // this side is closed and the peer has acknowledged that; the peer's is open
+	closeWait = 8 // the peer's side is closed, this one is open
+)
 
 // CloseAcknowledged reports whether the peer's kernel has acknowledged the end of the bytes
 // that this side sends, while the peer has not closed the connection.
 func CloseAcknowledged(nc net.Conn) bool {
 	conn, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
+	return ok && isInState(conn, finWait2)
+}
+
+// HalfClosed reports whether the peer has closed its side of the connection and has not
+// answered bytes with a reset, as its kernel does once the peer has closed all of it.
+// Connections other than sockets never count as half closed.
+func HalfClosed(nc net.Conn) bool {
+	conn, ok := nc.(syscall.Conn)
+	return ok && isInState(conn, closeWait)
+}
+
+func isInState(conn syscall.Conn, state uint8) bool {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return false
 	}
-	acknowledged := false
+	matches := false
 	err = raw.Control(func(fd uintptr) {
 		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO)
-		acknowledged = infoErr == nil && info.State == finWait2
+		matches = infoErr == nil && info.State == state
 	})
-	return err == nil && acknowledged
+	return err == nil && matches
 }
--- a/pkg/socket/socket_test.go
+++ b/pkg/socket/socket_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -40,3 +41,20 @@
 	pipe, _ := net.Pipe()
 	require.True(t, socket.Quiet(pipe))
 }
+
+func TestHalfClosed(t *testing.T) {
+	near, far := pair(t)
+	require.False(t, socket.HalfClosed(near), "open")
+	require.NoError(t, far.(*net.TCPConn).CloseWrite())
+	_, err := near.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	_, err = io.WriteString(near, "a")
+	require.NoError(t, err)
+	_, err = io.ReadFull(far, make([]byte, 1))
+	require.NoError(t, err)
+	require.True(t, socket.HalfClosed(near), "the peer still reads")
+	require.NoError(t, far.Close())
+	_, err = io.WriteString(near, "b")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !socket.HalfClosed(near) }, 10*time.Second, time.Millisecond, "the peer's kernel resets the connection")
+}
