The interim response that asks for a body has a write deadline of its own

Callers saw: on a kept connection, a request with Expect: 100-continue ended with a closed connection, its body unread, right after a stream or 5 s after another response.

Cause: the interim response was written under the deadline of the last write of the response before. Class: state of one request left for the next.

TestBodyIsAskedForOnAConnectionKeptAfterAStream failed before (EOF in place of the interim response).

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -152,7 +152,7 @@
 	}
 	c.g.conns.set(c, connReadingBody)
 	if f.expect && (f.chunked || f.length > 0) && f.length <= limits.BodyBytes {
-		if _, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if err := writeInterim(c.nc); err != nil {
 			return err
 		}
 	}
--- a/pkg/gateway/half_close_test.go
+++ b/pkg/gateway/half_close_test.go
@@ -144,3 +144,28 @@
 		})
 	}
 }
+
+// Guards against LOST: the interim response that a caller waits for before it sends a body was
+// written under the deadline of the response before, so that the connection closed.
+func TestBodyIsAskedForOnAConnectionKeptAfterAStream(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.script(respondStream(0, 10*time.Millisecond, 5), respond(200, "done"))
+		c := h.connect()
+		send := func(raw string) { go func() { _, _ = io.WriteString(c, raw) }() }
+		send(patient(streamRequest("/stream/x")))
+		r := bufio.NewReader(c)
+		res, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		require.NoError(t, err)
+		time.Sleep(2 * promptWrite)
+		send(rawRequest("POST", "/unsafe/x", "Content-Length: 4\r\nExpect: 100-continue\r\n"))
+		res, err = http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusContinue, res.StatusCode)
+		send("body")
+		res, err = http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, res.StatusCode)
+	})
+}
