A stopping gateway waits for the handlers of the streams that it cuts

Operators saw: streams cut at the exit without a row (possible by reading; not shown to be the users' case).

Cause: the process ended 50 ms after the cut, whether or not the handlers had ended. With rows that take 100 ms to write, 0 of 6 cut streams had one.

Change: the gateway waits until no request is in progress, until 98% of the grace at the latest. TestStoppedGatewayHasLoggedTheStreamsThatItCuts: 0 of 6 rows before, 6 of 6 after.

--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -18,15 +18,15 @@
 	// answerShare is the share of the stop grace period after which the gateway answers
 	// the requests itself that have no response yet.
 	answerShare = 0.9
-	// exitShare is the share of the stop grace period after which the process exits. The
-	// rest is for its end.
+	// exitShare is the share of the stop grace period after which streams are cut and the
+	// process exits once their handlers have ended, at the latest after endShare. The rest is
+	// for its end.
 	exitShare        = 0.95
+	endShare         = 0.98
 	stopPollInterval = 20 * time.Millisecond
 	// firstRequestTime is how long the first request on a new connection may take to
 	// arrive: a few round trips.
 	firstRequestTime = 200 * time.Millisecond
-	// lastWriteTime is how long the handlers of abandoned requests may take to end.
-	lastWriteTime = 50 * time.Millisecond
 	// targetAnswerReserve is how much earlier than the gateway a target gives up on a
 	// request while the process is stopping, so that its response still counts. It is also
 	// how much earlier than the exit what is kept back of a stream is given up.
@@ -46,6 +46,8 @@
 	answerBy time.Time
 	// exit is when streams that still run are cut.
 	exit time.Time
+	// end is when the process exits although handlers have not ended.
+	end time.Time
 	// suspended is how long the VM had been suspended when the times were set.
 	suspended time.Duration
 }
@@ -54,7 +56,7 @@
 // clock does not count it, but the platform does.
 func (s stopSchedule) discount(total time.Duration) stopSchedule {
 	d := s.suspended - total
-	return stopSchedule{unready: s.unready.Add(d), answerBy: s.answerBy.Add(d), exit: s.exit.Add(d), suspended: total}
+	return stopSchedule{unready: s.unready.Add(d), answerBy: s.answerBy.Add(d), exit: s.exit.Add(d), end: s.end.Add(d), suspended: total}
 }
 
 // newStopSchedule returns the schedule of a stop that began at the given time and is
@@ -64,6 +66,7 @@
 		unready:  began.Add(unreadyDetectionTime),
 		answerBy: began.Add(time.Duration(answerShare * float64(grace))),
 		exit:     began.Add(time.Duration(exitShare * float64(grace))),
+		end:      began.Add(time.Duration(endShare * float64(grace))),
 	}
 	if s.unready.After(s.answerBy) {
 		s.unready = s.answerBy
@@ -182,7 +185,9 @@
 	for _, q := range g.conns.unread() {
 		g.Info("msg", "response cut at the exit", "request", q.attempt, "cause", "unread by its caller")
 	}
-	time.Sleep(lastWriteTime)
+	for g.active.Load() > 0 && time.Now().Before(g.currentSchedule().end) {
+		time.Sleep(stopPollInterval)
+	}
 }
 
 // currentSchedule returns the schedule of the stop, and keeps it right when the VM was
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	kitlog "github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssoproad/hyssoproad/pkg/common"
@@ -476,3 +477,23 @@
 		}
 	})
 }
+
+// Guards against ends without a row: the process ended 50 ms after it had cut its streams,
+// whether or not their handlers had ended.
+func TestStoppedGatewayHasLoggedTheStreamsThatItCuts(t *testing.T) {
+	const streams = 6
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		log := new(syncBuffer)
+		h.Log = kitlog.LoggerFunc(func(keyvals ...any) error {
+			time.Sleep(100 * time.Millisecond)
+			_, err := fmt.Fprintln(log, keyvals...)
+			return err
+		})
+		h.repeat(respondStream(0, 100*time.Millisecond, 200))
+		raw := patient(rawRequest("POST", "/once-stream/x", "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "X-Token-Count: 500,200\r\n"))
+		answers, took := h.playStop(stopCalls(raw, every(50*time.Millisecond, -time.Second, -time.Second+(streams-1)*50*time.Millisecond)...))
+		require.Len(t, answers, streams)
+		require.Equal(t, streams, log.rows("stream aborted"))
+		require.Less(t, took, 8*time.Second)
+	})
+}
