A stream goes on at the software version that began it

Cause: the version in an engine's record was not read, nor the attempt that a returning caller names. Any engine of the service counted as one that can go on. Class: an identity that is narrower than the type that stands for it.

Change: the gateway remembers the version at a stream's first event and tells the agent beside the engine; within a response, and when a caller takes the stream up again, only engines of that version are eligible. A gateway that does not know the stream, since it has just started, asks the agents of the service. What nobody knows is refused at once as not run, and so is a stream whose version has no engine left, with the rest of the caller's time as Retry-After. A name counts within the caller's account only.

A question to all agents only where a gateway does not know a stream.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -25,6 +25,9 @@
 	Domain   ident.Domain
 	Slots    int
 	Draining bool
+	// Software is the version of the target's software. Streams go on only at targets of the
+	// version that began them.
+	Software ident.Software
 	StartMS  int64 // start time in Unix ms; 0 if unknown
 	// Heartbeat is the number of the heartbeat that wrote the record, from the start of
 	// the process on; 0 if unknown.
--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -5,11 +5,13 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/origin"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
@@ -29,6 +31,7 @@
 	silent bool
 
 	mu       sync.Mutex
+	origins  map[string]*origin.Table // by the address of the agent
 	links    []*link.Conn
 	ended    bool     // the test has ended: its agents accept no further links
 	requests []string // addresses of the agents that were asked, in order
@@ -79,6 +82,24 @@
 				}
 				return err
 			},
+			link.KindStreamOrigin: func(_ context.Context, _ *link.Stream, f link.Frame) error {
+				var r wire.StreamOrigin
+				_, err := r.UnmarshalMsg(f.Body)
+				h.originsAt(address).Record(origin.Stream{Account: r.Account, Attempt: r.Attempt}, r.Software, time.Duration(r.TTLMS)*time.Millisecond, time.Now())
+				return err
+			},
+			link.KindOriginQuery: func(ctx context.Context, s *link.Stream, f link.Frame) error {
+				if h.silent {
+					<-ctx.Done()
+					return nil
+				}
+				var q wire.OriginQuery
+				if _, err := q.UnmarshalMsg(f.Body); err != nil {
+					return err
+				}
+				software, known := h.originsAt(address).Find(origin.Stream{Account: q.Account, Attempt: q.Attempt}, time.Now())
+				return s.Send(link.KindOriginReply, &wire.OriginReply{Known: known, Software: software})
+			},
 			link.KindRunQuery: func(ctx context.Context, s *link.Stream, _ link.Frame) error {
 				if h.silent {
 					<-ctx.Done()
@@ -135,6 +156,19 @@
 	}
 }
 
+// originsAt returns what the agent at an address knows of streams.
+func (h *agentHarness) originsAt(address string) *origin.Table {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.origins == nil {
+		h.origins = make(map[string]*origin.Table)
+	}
+	if h.origins[address] == nil {
+		h.origins[address] = origin.NewTable()
+	}
+	return h.origins[address]
+}
+
 // accepted keeps the link that an agent has accepted. One whose handshake ends only after
 // the test is closed, since a bubble can't end with a link open.
 func (h *agentHarness) accepted(c *link.Conn) {
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -43,7 +43,12 @@
 		return nil, x.tooLarge()
 	}
 	targets := x.awaitTargets()
-	if len(targets) == 0 {
+	switch {
+	case len(targets) > 0:
+	case x.originGone():
+		x.g.metrics.goneOrigins.Inc(1)
+		return nil, refusal{reason: reasonOriginGone, detail: string(x.origin.software), wait: x.remaining()}
+	default:
 		return nil, x.noTarget()
 	}
 	if !x.needsGrant() {
@@ -66,7 +71,7 @@
 func (x *exchange) awaitTargets() []fleet.Target {
 	until := time.Now().Add(min(x.maxGrantWait(), time.Duration(targetWaitShare*float64(x.remaining()))))
 	for {
-		targets := x.g.eligibleTargets(x.service.Name, x.excluded)
+		targets := x.g.eligibleOf(x.matching(x.g.fleet.Available(x.service.Name)), x.service.Name, x.excluded)
 		now := time.Now()
 		if len(targets) > 0 || len(x.excluded) > 0 || !x.g.fleet.Settling(now) || !now.Before(until) {
 			return targets
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -79,7 +79,8 @@
 	failedResponse *forward.Response
 	failedBody     []byte
 	// load is the load that the last response states.
-	load platform.TargetLoad
+	load   platform.TargetLoad
+	origin streamOrigin
 	// unread is how long the caller has kept the stream from being read.
 	unread unreadTime
 	// eventSeen says that the last target has sent an event.
@@ -151,6 +152,9 @@
 	defer x.releaseReserved()
 	defer x.endAbandoned()
 	defer func() { x.g.bodies.release(cap(x.failedBody)) }()
+	if why, ok := x.findOrigin(); !ok {
+		return x.finishUnserved(why)
+	}
 	for {
 		if x.awaitAbandoned() && x.expired() && !x.stopped() {
 			return x.finishTimedOut(outcomeUnknown)
@@ -319,7 +323,7 @@
 			return outcomeUnsent // it has stated a limit since
 		}
 	}
-	if !x.g.mayReceive(a.target) {
+	if !x.g.mayReceive(a.target) || !x.goesOnAt(a.target) {
 		conn.Close()
 		x.g.Info("msg", "target left before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
 		return outcomeUnsent
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/notice"
+	"github.com/hyssoproad/hyssoproad/pkg/origin"
 	"github.com/hyssoproad/hyssoproad/pkg/outlier"
 	"github.com/hyssoproad/hyssoproad/pkg/placement"
 	"github.com/hyssoproad/hyssoproad/pkg/quarantine"
@@ -72,6 +73,8 @@
 	// halfClosed reports whether a caller has closed its sending side only, as far as its
 	// host has told. Tests replace it.
 	halfClosed func(net.Conn) bool
+	// origins holds the software that began the streams of this gateway.
+	origins *origin.Table
 	// suspended returns how long the VM was suspended since it started. Tests replace it.
 	suspended func() time.Duration
 	// targetList is how current the list of targets is, and configurationCopy how current
@@ -124,7 +127,7 @@
 		Common: c, metrics: newMetrics(c.Metrics), node: node,
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
-		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), suspended: uptime.Suspended, halfClosed: socket.HalfClosed, targetList: new(follow.Freshness),
+		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), origins: origin.NewTable(), suspended: uptime.Suspended, halfClosed: socket.HalfClosed, targetList: new(follow.Freshness),
 		loads: newLoadTracker(), placing: newPlacing(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(), requests: quarantine.NewRequests(), lost: newLostProcesses(),
@@ -167,7 +170,12 @@
 // excluded nor ejected by outlier detection. If there are none, it returns the ejected
 // ones that want requests and are not excluded.
 func (g *Gateway) eligibleTargets(s ident.Service, excluded []ident.Target) []fleet.Target {
-	all, now := g.fleet.Available(s), time.Now()
+	return g.eligibleOf(g.fleet.Available(s), s, excluded)
+}
+
+// eligibleOf is like eligibleTargets for some of the service's targets.
+func (g *Gateway) eligibleOf(all []fleet.Target, s ident.Service, excluded []ident.Target) []fleet.Target {
+	now := time.Now()
 	detector, known := g.knownDetector(s)
 	anyEjected := known && detector.AnyEjected(now)
 	if len(excluded) == 0 && !anyEjected && g.notices.Empty() {
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -38,6 +38,9 @@
 	cutResponses    tally.Counter                        // responses whose write failed otherwise
 	disconnects     tally.Counter                        // requests whose caller closed its connection
 	halfClosed      tally.Counter                        // callers that closed their sending side before the response
+	resumedStreams  tally.Counter                        // requests that continue a stream of an earlier one
+	unknownOrigins  tally.Counter                        // of these, refused because nobody knows what began the stream
+	goneOrigins     tally.Counter                        // streams for which no target runs the software that began them
 	unreadable      tally.Counter                        // requests that ended before they were read
 }
 
@@ -59,7 +62,8 @@
 		listAge:    scope.Histogram("target_list_age", latencyBuckets),
 		trust:      scope.Gauge("configuration_trusted"),
 		heldWrites: scope.Counter("held_writes"), unreadCuts: scope.Counter("streams_cut_unread"), unread: scope.Counter("responses_unread"),
-		cutResponses: scope.Counter("responses_cut"), disconnects: scope.Counter("callers_disconnected"), halfClosed: scope.Counter("callers_half_closed"), unreadable: scope.Counter("requests_unreadable"),
+		cutResponses: scope.Counter("responses_cut"), disconnects: scope.Counter("callers_disconnected"), halfClosed: scope.Counter("callers_half_closed"),
+		resumedStreams: scope.Counter("streams_resumed"), unknownOrigins: scope.Counter("stream_origins_unknown"), goneOrigins: scope.Counter("stream_origins_gone"), unreadable: scope.Counter("requests_unreadable"),
 	}
 	for i, name := range outcomeNames {
 		m.outcomes[i] = scope.Tagged(map[string]string{"outcome": name}).Counter("sends")
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -32,6 +32,7 @@
 	keepAlive     bool
 	callerTimeout time.Duration // set by the caller; 0 if none
 	lastEvent     string
+	resumes       string // attempt that brought the first event of the stream to continue
 	// key is the client account's key, if the caller sent one. severalKeys says that it
 	// sent another one too, and hasAccountHeaders that headerLines contains headers which are not
 	// forwarded if the configuration has client accounts.
@@ -181,9 +182,9 @@
 }
 
 // readRoutingHeader reads the headers that the gateway uses, most of whose names are defined
-// in package platform. All of them begin with x, l or a.
+// in package platform. All of them begin with x, l, a or r.
 func (q *request) readRoutingHeader(name string, value []byte) {
-	if name[0] != 'x' && name[0] != 'l' && name[0] != 'a' {
+	if name[0] != 'x' && name[0] != 'l' && name[0] != 'a' && name[0] != 'r' {
 		return
 	}
 	switch {
@@ -200,6 +201,11 @@
 		q.callerTimeout = platform.ParseDeadline(value)
 	case strings.EqualFold(name, platform.HeaderLastEvent):
 		q.lastEvent = string(value)
+	case strings.EqualFold(name, platform.HeaderResumes):
+		if q.resumes != "" {
+			q.resumes += "," // several lines are one value (RFC 9110, section 5.3), which names no stream
+		}
+		q.resumes += string(value)
 	case strings.EqualFold(name, platform.HeaderModel):
 		q.weights.Model, q.weights.Adapter = platform.ParseModel(value)
 	case strings.EqualFold(name, platform.HeaderPromptParts):
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -89,6 +89,7 @@
 				}
 				a.reportFirstEvent(time.Since(sent))
 				x.g.clearParts(x.q.parts)
+				x.beginAt(a)
 				timing.firstEvent = time.Since(sent)
 				x.g.firstEvents.Record(x.route.Name, timing.firstEvent)
 				x.g.metrics.grantWait.RecordDuration(timing.grantWait)
--- /dev/null
+++ b/pkg/gateway/stream_origin.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/fleet"
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+	"github.com/hyssoproad/hyssoproad/pkg/link"
+	"github.com/hyssoproad/hyssoproad/pkg/origin"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
+)
+
+const (
+	// originWait bounds the time of all questions for the origin of one stream.
+	originWait = 600 * time.Millisecond
+	// maxOriginQueries is the number of agents that are asked at a time.
+	maxOriginQueries = 32
+	// originRetryAfter is the Retry-After time of a request that continues a stream while
+	// agents that may know its origin do not answer.
+	originRetryAfter = 500 * time.Millisecond
+)
+
+// The reasons of the refusal of a request that continues a stream.
+const (
+	reasonOriginUnknown    = "software version that began the stream is not known"
+	reasonOriginUnanswered = "software version that began the stream is not known yet"
+	reasonOriginGone       = "no engine of the software version that began the stream"
+)
+
+// streamOrigin is what is known of the software that began the stream of a request. It is
+// the zero value until the stream has begun.
+type streamOrigin struct {
+	stream   origin.Stream
+	software ident.Software
+	begun    bool // a target has sent events, so that only its software may go on
+}
+
+// resumesStream reports whether the request continues the stream of an earlier one.
+func (x *exchange) resumesStream() bool {
+	return x.route.RetryPolicy == platform.RunStream && x.route.CanResume && x.q.lastEvent != ""
+}
+
+// findOrigin finds out which software began the stream that the request continues, if it does.
+// It returns the refusal if that is not known: what is not known is not guessed, since no
+// engine and no caller would notice.
+func (x *exchange) findOrigin() (refusal, bool) {
+	if !x.resumesStream() {
+		return refusal{}, true
+	}
+	stream := origin.Stream{Account: x.accountName(), Attempt: ident.Attempt(x.q.resumes)}
+	software, known := x.g.origins.Find(stream, time.Now())
+	asked, answered := 0, 0
+	if !known && stream.Attempt != "" {
+		software, known, asked, answered = x.g.askOrigin(x.ctx, x.g.fleet.Known(x.service.Name), stream)
+	}
+	if !known {
+		why := refusal{reason: reasonOriginUnknown, wait: x.remaining()}
+		if answered < asked {
+			why = refusal{reason: reasonOriginUnanswered, wait: originRetryAfter}
+		}
+		x.g.metrics.unknownOrigins.Inc(1)
+		x.g.Info("msg", "origin of a stream not known", "request", x.q.attempt, "stream", stream.Attempt, "last-event", x.q.lastEvent, "asked", asked, "answered", answered)
+		return why, false
+	}
+	x.origin = streamOrigin{stream, software, true}
+	x.g.metrics.resumedStreams.Inc(1)
+	x.g.Info("msg", "stream resumed", "request", x.q.attempt, "stream", stream.Attempt, "last-event", x.q.lastEvent, "software", software, "asked", asked)
+	x.g.origins.Record(stream, software, x.originTTL(), time.Now())
+	return refusal{}, true
+}
+
+// askOrigin asks the agents beside targets which software began a stream, until one knows.
+func (g *Gateway) askOrigin(ctx context.Context, targets []fleet.Target, s origin.Stream) (software ident.Software, known bool, asked, answered int) {
+	ctx, cancel := context.WithTimeout(ctx, originWait)
+	defer cancel()
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, maxOriginQueries)
+	for _, t := range targets {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+		}
+		asked++
+		if ctx.Err() != nil {
+			continue
+		}
+		group.Go(func() {
+			defer func() { <-slots }()
+			reply, err := g.queryOrigin(ctx, t, s)
+			if err != nil {
+				g.Debug("msg", "failed to ask for the origin of a stream", "stream", s.Attempt, "target", t.Instance, "err", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answered++
+			if reply.Known {
+				software, known = reply.Software, true
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	return software, known, asked, answered
+}
+
+// queryOrigin asks the agent beside a target which software began a stream. An agent of an
+// earlier release knows of none.
+func (g *Gateway) queryOrigin(ctx context.Context, t fleet.Target, s origin.Stream) (reply wire.OriginReply, err error) {
+	conn, err := g.agents.conn(ctx, t)
+	if err != nil || !conn.Reads(link.KindOriginQuery) {
+		return reply, err
+	}
+	err = conn.Call(ctx, link.KindOriginQuery, &wire.OriginQuery{Account: s.Account, Attempt: s.Attempt}, link.KindOriginReply, &reply)
+	return reply, err
+}
+
+// originTTL returns how long the caller may take the stream up again.
+func (x *exchange) originTTL() time.Duration { return max(x.q.callerTimeout, x.route.Timeout) }
+
+// beginAt records, at the first event of a target, the software that began the stream, here
+// and beside the target: this process may end, and its callers come back to another one.
+func (x *exchange) beginAt(a *assignment) {
+	if x.route.RetryPolicy != platform.RunStream || !x.route.CanResume {
+		return
+	}
+	if !x.origin.begun {
+		x.origin = streamOrigin{origin.Stream{Account: x.accountName(), Attempt: ident.Attempt(x.q.attempt)}, a.target.Software, true}
+	}
+	o := x.origin
+	if o.stream.Attempt == "" {
+		return // nobody can name it
+	}
+	x.g.origins.Record(o.stream, o.software, x.originTTL(), time.Now())
+	if a.agent == nil || !a.agent.Reads(link.KindStreamOrigin) {
+		return
+	}
+	err := a.agent.Notify(link.KindStreamOrigin, &wire.StreamOrigin{
+		Account: o.stream.Account, Attempt: o.stream.Attempt, StartMS: a.target.StartMS, Software: o.software, TTLMS: x.originTTL().Milliseconds(),
+	})
+	if err != nil {
+		x.g.Debug("msg", "failed to tell an agent the origin of a stream", "stream", o.stream.Attempt, "target", a.target.Instance, "err", err)
+	}
+}
+
+// mayGoOnAt reports whether the request may be sent to the target: a stream that has begun
+// goes on at targets of the software that began it only.
+func (x *exchange) mayGoOnAt(t fleet.Target) bool {
+	return !x.origin.begun || t.Software == x.origin.software
+}
+
+// goesOnAt reports whether the target is still the process to which the request may be sent.
+func (x *exchange) goesOnAt(t fleet.Target) bool {
+	if !x.origin.begun {
+		return true
+	}
+	current, listed := x.g.fleet.Find(t.Instance)
+	return listed && current.StartMS == t.StartMS && x.mayGoOnAt(current)
+}
+
+// matching returns the targets to which the request may be sent.
+func (x *exchange) matching(targets []fleet.Target) []fleet.Target {
+	if !x.origin.begun {
+		return targets
+	}
+	var out []fleet.Target
+	for _, t := range targets {
+		if x.mayGoOnAt(t) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// originGone reports whether no listed target runs the software that began the stream.
+func (x *exchange) originGone() bool {
+	return x.origin.begun && len(x.matching(x.g.fleet.Available(x.service.Name))) == 0 && !x.g.fleet.Settling(time.Now())
+}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -225,7 +225,7 @@
 	g.holdings.Observe(i.Address, held)
 	return fleet.Target{
 		Instance: i.Instance, Service: i.Service, Address: i.Address, Domain: i.Domain,
-		Slots: i.Slots, Draining: i.Draining, StartMS: i.StartMS, Heartbeat: i.Heartbeat, Models: fleet.ModelsOf(models),
+		Slots: i.Slots, Draining: i.Draining, Software: i.Software, StartMS: i.StartMS, Heartbeat: i.Heartbeat, Models: fleet.ModelsOf(models),
 	}, true
 }
 
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -22,6 +22,8 @@
 	Target string
 	// Caller names a client of the system.
 	Caller string
+	// Software names a version of the software that targets run.
+	Software string
 	// Service names a service that callers address.
 	Service string
 	// Account names a client account, whose callers share keys and a quota.
--- a/pkg/ident/ident_gen.go
+++ b/pkg/ident/ident_gen.go
@@ -439,6 +439,34 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Software) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Software) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Software(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Software) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Target) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -59,6 +59,9 @@
 	KindGrantPreview
 	KindGrantPreviewReply
 	KindAccountGrantRequest
+	KindStreamOrigin
+	KindOriginQuery
+	KindOriginReply
 	kindLimit
 )
 
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -17,6 +17,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/notice"
+	"github.com/hyssoproad/hyssoproad/pkg/origin"
 	"github.com/hyssoproad/hyssoproad/pkg/retry"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
@@ -66,6 +67,8 @@
 	// notices is what gateways tell of targets.
 	notices *notice.Table
 	permits permitTable
+	// origins holds the software that began the streams of this engine.
+	origins *origin.Table
 	// quotas are the shares of client accounts' quotas that are held here.
 	quotas quotaTable
 	// entryCount is how many entries are or were lately linked.
@@ -91,7 +94,7 @@
 	return &Orderer{
 		Common: c, metrics: newMetrics(c.Metrics), node: node, Engine: Engine{Report: client.Report, Send: client.Send, Identity: client.Identity},
 		scheduler: grant.New(), pending: make(map[grant.RequestID]chan wire.GrantReply), wake: make(chan struct{}, 1),
-		notices: notice.New(), latePauseRows: common.NewRowLimit(1, latePauseRowInterval),
+		notices: notice.New(), origins: origin.NewTable(), latePauseRows: common.NewRowLimit(1, latePauseRowInterval),
 	}
 }
 
@@ -127,7 +130,7 @@
 		link.KindPauseReport: o.handlePauseReport, link.KindRequestLost: o.handleRequestLost,
 		link.KindTargetNotice: o.handleTargetNotice, link.KindPermitRequest: o.handlePermitRequest,
 		link.KindRunQuery: o.handleRunQuery, link.KindQuotaLimits: o.handleQuotaLimits, link.KindQuotaRequest: o.handleQuotaRequest,
-		link.KindGrantPreview: o.handleGrantPreview,
+		link.KindGrantPreview: o.handleGrantPreview, link.KindStreamOrigin: o.handleStreamOrigin, link.KindOriginQuery: o.handleOriginQuery,
 	}
 }
 
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -o grant_schema_gen.go -tests=false -io=false
 
-//msgp:tuple EngineSetup ModelSetup GrantRequest AccountGrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport TargetNotice PermitRequest PermitReply RunQuery RunReply
+//msgp:tuple EngineSetup ModelSetup GrantRequest AccountGrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport TargetNotice PermitRequest PermitReply RunQuery RunReply StreamOrigin OriginQuery OriginReply
 
 // EngineSetup tells the agent beside an engine what the engine serves and how
 // much it holds. For the same instance, a setup from an older configuration
@@ -174,3 +174,26 @@
 	Known   bool // the engine has just listed the requests that it runs
 	Running bool // the request is one of them
 }
+
+// StreamOrigin tells the agent beside an engine that a stream has had its first event there,
+// and which software the engine runs.
+type StreamOrigin struct {
+	Account ident.Account // empty if the configuration has none
+	Attempt ident.Attempt // that brought the stream's first event
+	// StartMS is the start time of the engine's process in Unix ms, as listed.
+	StartMS  int64
+	Software ident.Software
+	TTLMS    int64 // how long the caller may take the stream up again, in ms
+}
+
+// OriginQuery asks an agent which software began a stream.
+type OriginQuery struct {
+	Account ident.Account
+	Attempt ident.Attempt // that brought the stream's first event
+}
+
+// OriginReply answers an OriginQuery.
+type OriginReply struct {
+	Known    bool
+	Software ident.Software
+}
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -611,6 +611,102 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *OriginQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o, err = z.Account.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	o, err = z.Attempt.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OriginQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	bts, err = z.Account.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	bts, err = z.Attempt.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OriginQuery) Msgsize() (s int) {
+	s = 1 + z.Account.Msgsize() + z.Attempt.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *OriginReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBool(o, z.Known)
+	o, err = z.Software.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Software")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OriginReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Known, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	bts, err = z.Software.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Software")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OriginReply) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + z.Software.Msgsize()
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z PauseReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -894,6 +990,78 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamOrigin) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o, err = z.Account.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	o, err = z.Attempt.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	o = msgp.AppendInt64(o, z.StartMS)
+	o, err = z.Software.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Software")
+		return
+	}
+	o = msgp.AppendInt64(o, z.TTLMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamOrigin) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	bts, err = z.Account.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	bts, err = z.Attempt.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	z.StartMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartMS")
+		return
+	}
+	bts, err = z.Software.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Software")
+		return
+	}
+	z.TTLMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TTLMS")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamOrigin) Msgsize() (s int) {
+	s = 1 + z.Account.Msgsize() + z.Attempt.Msgsize() + msgp.Int64Size + z.Software.Msgsize() + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *TargetNotice) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
