The rest of a stream goes before new streams

Change: it is granted before all new requests, and asks up to twelve engines.

New streams still share the places of a version with few engines left. TestRestOfAStreamGoesFirst fails without the rank.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -145,6 +145,9 @@
 func (x *exchange) askInOrder(p placed, weights ident.Weights, ask func(fleet.Target, grantOptions) wire.GrantReply) (why refusal, soonest *fleet.Target) {
 	homes := p.homes
 	limit, heldElsewhere := min(maxAgents, len(homes)), false
+	if x.origin.begun {
+		limit = min(maxCrowdedAgents, len(homes))
+	}
 	why = refusal{reason: "no engine can run it", wait: noTargetRetryAfter}
 	for i := 0; i < limit; i++ {
 		reply := ask(homes[i], grantOptions{
--- a/pkg/gateway/authenticate.go
+++ b/pkg/gateway/authenticate.go
@@ -92,9 +92,17 @@
 // maxAccountRank bounds the rank of an account, so that ranks can be combined.
 const maxAccountRank = 1 << 20
 
-// rank returns the request's urgency, 0 being the most urgent. The account's rank takes
-// precedence over that of the route, which stands in for the rank of requests without one.
+// begunRank is the rank of the rest of a stream: fewer engines can serve it than a new one,
+// and what its caller already has is worth nothing without it.
+const begunRank = -1
+
+// rank returns the request's urgency, the lowest being the most urgent. The account's rank
+// takes precedence over that of the route, which stands in for the rank of requests without
+// one.
 func (x *exchange) rank() int {
+	if x.origin.begun {
+		return begunRank
+	}
 	if !x.g.directory.Accounts().Ranked() {
 		return x.route.Rank
 	}
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -154,7 +154,7 @@
 	if limited {
 		x.g.metrics.limitedSends.Inc(1)
 	}
-	x.g.Debug("msg", "sending", "request", x.q.attempt, "target", a.target.Instance, "list-era", list.Position().Era, "list-revision", list.Position().Revision, "list-age", age, "held", now.Sub(x.began),
+	x.g.Debug("msg", "sending", "request", x.q.attempt, "target", a.target.Instance, "list-era", list.Position().Era, "list-revision", list.Position().Revision, "list-age", age, "held", now.Sub(x.began), "software", a.target.Software, "begun-by", x.origin.software,
 		"limited", limited, "limit", limit.PerSecond, "limit-age", limit.Age(now))
 }
 
--- a/pkg/gateway/stream_origin_test.go
+++ b/pkg/gateway/stream_origin_test.go
@@ -177,3 +177,22 @@
 	require.NoError(t, err)
 	return res
 }
+
+// Guards against LOST: with few engines left of a version, new streams took the places that
+// the rest of begun ones needed.
+func TestRestOfAStreamGoesFirst(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		var ranks []int
+		h.grant = func(_ string, r wire.GrantRequest) wire.GrantReply {
+			ranks = append(ranks, r.Rank)
+			return wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+		}
+		h.script(respondRaw(streamHead+chunk(events(1, 2))), respondStreamFrom(3, 4), respondStreamFrom(5, 6))
+		require.Equal(t, events(1, 4), body(t, h.send(patient(streamRequest("/stream/x")))))
+		takeUp := patient(rawRequest("POST", "/stream/x", "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "Last-Event-Id: 4\r\n", "Resumes: a-1\r\n"))
+		require.Equal(t, events(5, 6), body(t, h.send(takeUp)))
+		require.Len(t, ranks, 3)
+		require.Less(t, ranks[1], ranks[0], "the rest of a broken stream")
+		require.Less(t, ranks[2], ranks[0], "a stream that its caller takes up")
+	})
+}
