A stop is planned with the grace that the settings file states now

Cause: bounds are read once, at the start; the platform had shortened grace-s meanwhile. Class: a copy of a setting that can change.

Change: the gateway reads the file when the stop begins, whether or not a signal told of the change, and keeps the grace of the start if it can't be read.

The test fails without the change.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,6 +75,8 @@
 	halfClosed func(net.Conn) bool
 	// origins holds the software that began the streams of this gateway.
 	origins *origin.Table
+	// settings reads the settings file as it is now.
+	settings func() (platform.Node, error)
 	// suspended returns how long the VM was suspended since it started. Tests replace it.
 	suspended func() time.Duration
 	// targetList is how current the list of targets is, and configurationCopy how current
@@ -133,6 +135,7 @@
 		quarantine: quarantine.New(), bans: newBanStore(), requests: quarantine.NewRequests(), lost: newLostProcesses(),
 		denialRows: common.NewRowLimit(1, denialLogInterval), lateRows: common.NewRowLimit(maxLateRows, lateRowsPeriod),
 	}
+	g.settings = func() (platform.Node, error) { return g.node, nil }
 	g.configurationCopy = &follow.Freshness{Suspended: func() time.Duration { return g.suspended() }}
 	g.evidence = newEvidenceStore(g)
 	g.pool.Observe = g.metrics.countConn
--- a/pkg/gateway/plugin.go
+++ b/pkg/gateway/plugin.go
@@ -53,10 +53,15 @@
 	Common  common.Common
 	Node    platform.Node
 	Options *Options `optional:"true"`
+	// Settings are read again at a stop.
+	Settings platform.Settings `optional:"true"`
 }
 
 func newWithOptions(p parameters) *Gateway {
 	g := New(p.Common, p.Node)
+	if p.Settings.Path != "" {
+		g.settings = p.Settings.Load
+	}
 	if p.Options != nil {
 		g.placing.mode = p.Options.PrefixAffinity
 	}
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -126,7 +126,7 @@
 // at once.
 func (g *Gateway) Stop(context.Context) error {
 	began := time.Now()
-	schedule := newStopSchedule(began, g.node.Bounds.StopGrace)
+	schedule := newStopSchedule(began, g.stopGrace())
 	schedule.suspended = g.suspended()
 	g.stop.begin(schedule)
 	g.Info("msg", "stopping", "active", g.active.Load())
@@ -137,6 +137,21 @@
 	return nil
 }
 
+// stopGrace returns the time between SIGTERM and SIGKILL, as the settings file states it now.
+func (g *Gateway) stopGrace() time.Duration {
+	known := g.node.Bounds.StopGrace
+	current, err := g.settings()
+	if err != nil {
+		g.Warn("msg", "failed to read the grace of the stop; the one from the start is used", "grace", known, "err", err)
+		return known
+	}
+	if grace := current.Bounds.StopGrace; grace != known {
+		g.Info("msg", "the grace of the stop has changed since the start", "before", known, "grace", grace)
+		return grace
+	}
+	return known
+}
+
 // awaitRequests waits until no request is in progress and the balancer sends no more, or
 // until the time for responses is over. Meanwhile it closes idle connections and ends the
 // requests that run out of time.
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -20,6 +20,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/common"
 	"github.com/hyssoproad/hyssoproad/pkg/fleet"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 // Guards against LOST: the process exited while requests that it had read waited for a
@@ -497,3 +498,33 @@
 		require.Less(t, took, 8*time.Second)
 	})
 }
+
+// Guards against LOST: a stop was planned with the grace that the settings file had stated at
+// the start, and the process was killed after a shorter one.
+func TestStopUsesTheGraceThatTheSettingsFileStatesNow(t *testing.T) {
+	const shorter = 4 * time.Second
+	for _, test := range []struct {
+		name string
+		err  error
+		most time.Duration
+	}{
+		{"a shorter grace", nil, shorter},
+		{"a file that cannot be read", io.ErrUnexpectedEOF, 8 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+				h.repeat(func(net.Conn, receivedRequest) bool { time.Sleep(time.Minute); return false })
+				h.settings = func() (platform.Node, error) {
+					return platform.Node{Bounds: platform.Bounds{StopGrace: shorter}}, test.err
+				}
+				raw := patient(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n"))
+				answers, took := h.playStop(stopCalls(raw, every(250*time.Millisecond, 0, 8*time.Second)...))
+				require.Less(t, took, test.most)
+				require.Greater(t, took, test.most/2)
+				for _, a := range answers {
+					require.NoError(t, a.err, "sent %s after SIGTERM, ended %s after it", a.after, a.ended)
+				}
+			})
+		})
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -105,6 +105,7 @@
 	c.Info("msg", "starting", "program", p.Name, "vm", node.VM, "domain", node.Domain)
 	err := kernel.Run(ctx, append([]any{
 		func() platform.Node { return node },
+		func() platform.Settings { return platform.Settings{Path: file} },
 		func() *platform.Store {
 			return platform.NewStore(node.StoreAddress, follow.AnswerTime(node.Bounds.Settled))
 		},
@@ -122,7 +123,7 @@
 // watchSettings checks the settings file at each SIGHUP until the process ends.
 // Without it a SIGHUP would kill the process while it stops. A changed file takes
 // effect at the next start, because addresses cannot change while the process
-// runs.
+// runs; only the grace of a stop is read when the stop begins.
 func (p Program) watchSettings(hup <-chan os.Signal, file string, c common.Common) {
 	for range hup {
 		if _, err := p.load(file); err != nil {
