A late record of an engine's earlier process does not hide the living one

Cause: a record with another start time counted as a newer process, and the living one then as one that had been replaced, for good; a draining process was replaced in the same way. Class: the order of arrival taken for the order of events.

Change: a process that a late record has replaced comes back with its next heartbeat, if it started later or the other one had been replaced before (clocks jump, so that start times alone don't decide); a late record of an earlier process does not take back that the current one drains.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -164,8 +164,10 @@
 			t, known = known, t
 		}
 		t.Draining = t.Draining || known.Draining
-	case v.past.contains(t, current):
+	case v.past.contains(t, known, current):
 		return false
+	case current && known.Draining && t.StartMS < known.StartMS:
+		return false // a late record of an earlier process does not take back that this one drains
 	case current:
 		v.past.add(known)
 		delete(v.contradicted, t.Instance) // it has started again
--- a/pkg/fleet/past.go
+++ b/pkg/fleet/past.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/hyssoproad/hyssoproad/pkg/ident"
+import (
+	"slices"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+)
 
 // maxPastTargets bounds each of the two generations of targets that have left, and
 // maxPastProcesses the earlier processes of one target.
@@ -55,10 +59,15 @@
 	return p.older[id]
 }
 
-// contains reports whether a record is of a process that has left, replaced by another
+func hasProcess(list []process, startMS int64) bool {
+	return slices.ContainsFunc(list, func(p process) bool { return p.startMS == startMS })
+}
+
+// contains reports whether a record is of a process that has left, replaced by the current
 // one or not. One that was removed though it is alive, as may happen around an outage,
-// writes newer records; one that was draining does not come back.
-func (p *pastTargets) contains(t Target, replaced bool) bool {
+// writes newer records, and so does one that a late record of an earlier process has
+// replaced; one that was draining does not come back.
+func (p *pastTargets) contains(t Target, current Target, replaced bool) bool {
 	if t.StartMS == 0 {
 		return false
 	}
@@ -67,8 +76,13 @@
 		if past.startMS != t.StartMS {
 			continue
 		}
-		replaced = replaced || i < len(list)-1
-		return replaced || past.draining || t.Heartbeat != 0 && t.Heartbeat <= past.heartbeat
+		if past.draining || t.Heartbeat != 0 && t.Heartbeat <= past.heartbeat {
+			return true
+		}
+		if replaced && t.Heartbeat != 0 && (t.StartMS > current.StartMS || hasProcess(list, current.StartMS)) {
+			return false // start times may mislead, since clocks jump; the living one writes on
+		}
+		return replaced || i < len(list)-1
 	}
 	return false
 }
--- a/pkg/fleet/past_test.go
+++ b/pkg/fleet/past_test.go
@@ -38,6 +38,11 @@
 		{"started again at an earlier time of day", []func(*View){put(record(3, 5, false)), put(record(2, 1, false))}, []int64{2}},
 		{"the process before", []func(*View){put(record(1, 5, false)), put(record(2, 1, false)), put(record(1, 9, false))}, []int64{2}},
 		{"the process before, after the end", []func(*View){put(record(1, 5, false)), put(record(2, 1, false)), remove, put(record(1, 9, false))}, nil},
+		{"a late record of a process before, unseen", []func(*View){put(record(2, 1, false)), put(record(1, 9, false)), put(record(2, 2, false))}, []int64{2}},
+		{"a late record of a process before, then it drains", []func(*View){put(record(2, 1, false)), put(record(1, 9, false)), put(record(2, 2, true))}, nil},
+		{"it drains, then a late record of a process before", []func(*View){put(record(2, 2, true)), put(record(1, 9, false))}, nil},
+		{"a late record of the process before, which a clock put later", []func(*View){put(record(3, 5, false)), put(record(2, 1, false)), put(record(3, 9, false)), put(record(2, 2, false))}, []int64{2}},
+		{"the same record again", []func(*View){put(record(2, 1, false)), put(record(1, 9, false)), put(record(2, 1, false))}, []int64{1}},
 		{"neither start nor heartbeat is known", []func(*View){put(record(0, 0, false)), remove, put(record(0, 0, false))}, []int64{0}},
 		{"the heartbeat is not known", []func(*View){put(record(1, 0, false)), remove, put(record(1, 0, false))}, []int64{1}},
 	} {
@@ -67,7 +72,7 @@
 	last := target("a", "1:1")
 	last.Instance, last.StartMS, last.Draining = ident.Target(rune(3*maxPastTargets)), 1, true
 	p.add(last)
-	require.True(t, p.contains(last, false))
+	require.True(t, p.contains(last, Target{}, false))
 	for start := range int64(3 * maxPastProcesses) {
 		again := last
 		again.StartMS = start + 1
