A target is asked for a run itself while the agent beside it is down

Cause: without an agent that answers, the end of an abandoned run counted as unknown, and the stream went on elsewhere at once. Class: no news taken for good news.

Change: if the agent's process is down, though its VM is not silent, the gateway reads the engine's own report until it no longer lists the run. The report is of some hundred ms ago, so that one without the request counts only if the request had begun by then.

The new test fails without the question.

--- a/pkg/gateway/abandon.go
+++ b/pkg/gateway/abandon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -10,6 +11,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
+	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 const (
@@ -95,7 +97,7 @@
 		return runEndClosed
 	}
 	for polls := 0; ; polls++ {
-		reply := x.queryRun(send.assigned)
+		reply := x.queryRun(send)
 		switch {
 		case x.ctx.Err() != nil:
 			return runEndUnawaited
@@ -117,27 +119,67 @@
 	}
 }
 
-// queryRun asks the agent beside a target whether the target runs the request. Without an
-// agent that answers, nothing is known.
-func (x *exchange) queryRun(a *assignment) wire.RunReply {
+// queryRun asks the agent beside a target whether the target runs the request, or the target
+// itself if the agent's process is down. If neither answers, nothing is known.
+func (x *exchange) queryRun(send *abandonedSend) wire.RunReply {
+	a := send.assigned
 	if a.agent == nil {
 		return wire.RunReply{}
 	}
+	reply, err := x.queryAgent(a)
+	if err == nil {
+		return reply
+	}
+	x.g.Debug("msg", "failed to ask for a run", "request", x.q.attempt, "target", a.target.Instance, "err", err)
+	if errors.Is(err, errors.Timeout) || x.ctx.Err() != nil {
+		return wire.RunReply{} // the VM is silent
+	}
+	return x.queryTarget(send)
+}
+
+// queryAgent asks the agent beside a target whether the target runs the request.
+func (x *exchange) queryAgent(a *assignment) (wire.RunReply, error) {
 	conn := a.agent
 	if isClosed(conn) {
 		var err error
 		if conn, err = x.g.agents.conn(x.ctx, a.target); err != nil {
-			return wire.RunReply{}
+			return wire.RunReply{}, errors.Trace(err)
 		}
 	}
 	if !conn.Reads(link.KindRunQuery) {
+		return wire.RunReply{}, nil
+	}
+	return receiveRun(x.ctx, conn, ident.Attempt(x.q.attempt))
+}
+
+// reportAge is how old the report is that a target gives another VM, at most: some hundred
+// ms by the platform's protocol.
+const reportAge = time.Second
+
+// queryTarget looks for the request in a report of its target. The report is of some time
+// ago, so that one that does not list the request shows the end of its run only if the
+// request had begun by then.
+func (x *exchange) queryTarget(send *abandonedSend) wire.RunReply {
+	target := send.assigned.target
+	runs, err := x.g.runningAt(target.Address)
+	if err != nil {
+		x.g.Debug("msg", "failed to read the runs of a target", "request", x.q.attempt, "target", target.Instance, "err", err)
 		return wire.RunReply{}
 	}
-	reply, err := receiveRun(x.ctx, conn, ident.Attempt(x.q.attempt))
+	begun := x.eventSeen || time.Since(send.at) > reportAge
+	running := slices.Contains(runs, ident.Attempt(x.q.attempt)) || !begun
+	x.g.Debug("msg", "request looked up at its target", "request", x.q.attempt, "target", target.Instance, "running", running, "runs", len(runs))
+	return wire.RunReply{Known: true, Running: running}
+}
+
+// runningAt returns the requests that the engine at an address reports to run.
+func runningAt(address string) ([]ident.Attempt, error) {
+	report, err := platform.NewEngine(address).Report()
 	if err != nil {
-		x.g.Debug("msg", "failed to ask for a run", "request", x.q.attempt, "target", a.target.Instance, "err", err)
+		return nil, errors.Trace(err)
 	}
-	return reply
+	runs, err := report.RunningAttempts()
+	return runs, errors.Trace(err)
 }
 
 // receiveRun asks an agent for a run. An agent that shows no sign of life within
--- a/pkg/gateway/abandon_test.go
+++ b/pkg/gateway/abandon_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
 
@@ -298,3 +299,38 @@
 		})
 	}
 }
+
+// Guards against TWICE: while the agent beside a stalled engine was down, the stream went on at
+// another engine although the first one still worked on it.
+func TestStreamGoesOnOnceItsEngineHasEndedThoughTheAgentIsDown(t *testing.T) {
+	testAgentHarness(t, func(t *testing.T, h *agentHarness) {
+		h.pool.Dial = h.dialDuplex
+		var run runAt
+		var next time.Time
+		down := ""
+		h.agents.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if address == down {
+				return nil, syscall.ECONNREFUSED
+			}
+			return h.dialAgent(ctx, address)
+		}
+		h.runningAt = func(string) ([]ident.Attempt, error) {
+			if !time.Now().Before(run.endsAt()) {
+				return nil, nil
+			}
+			return []ident.Attempt{"a-0", "a-1"}, nil
+		}
+		h.script(lateEngine(&run, streamHead+chunk(events(1, 2)), 2500*time.Millisecond, false), func(w net.Conn, _ receivedRequest) bool {
+			next = time.Now()
+			_, _ = io.WriteString(w, streamHead+chunk(events(3, 4))+"0\r\n\r\n")
+			return true
+		})
+		time.AfterFunc(500*time.Millisecond, func() {
+			down = agentAddressOf(h.receivedRequests()[0].Address)
+			h.cutLinks()
+		})
+		res := h.send(strings.Replace(streamRequest("/stream/x"), "1000", "20000", 1))
+		require.Equal(t, events(1, 4), body(t, res))
+		require.False(t, next.Before(run.endsAt()), "it went on %s before the end of its run", run.endsAt().Sub(next))
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,6 +75,8 @@
 	halfClosed func(net.Conn) bool
 	// origins holds the software that began the streams of this gateway.
 	origins *origin.Table
+	// runningAt returns the requests that run at the engine at an address.
+	runningAt func(address string) ([]ident.Attempt, error)
 	// settings reads the settings file as it is now.
 	settings func() (platform.Node, error)
 	// suspended returns how long the VM was suspended since it started. Tests replace it.
@@ -129,7 +131,7 @@
 		Common: c, metrics: newMetrics(c.Metrics), node: node,
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
-		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), origins: origin.NewTable(), suspended: uptime.Suspended, halfClosed: socket.HalfClosed, targetList: new(follow.Freshness),
+		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), origins: origin.NewTable(), runningAt: runningAt, suspended: uptime.Suspended, halfClosed: socket.HalfClosed, targetList: new(follow.Freshness),
 		loads: newLoadTracker(), placing: newPlacing(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(), requests: quarantine.NewRequests(), lost: newLostProcesses(),
