soak: engines of two software versions, callers that take their streams up

The stand-in states a version of its software, a replaced target comes back as the other one, and a caller whose stream breaks off takes it up again with the attempt that began it. The oracle checks that a stream goes on only at the software that began it.

--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -98,6 +98,7 @@
 	statedTokens int // of output; some callers state none or too few
 	promptTokens int
 	eventBytes   int // least length of an event
+	lastEvent    int // of the stream that the request takes up; 0 if it takes up none
 	timeout      time.Duration
 	disconnects  bool
 	namedAccount string // that the caller names without being asked
@@ -211,6 +212,10 @@
 		req.Header.Set(standin.HeaderEvents, strconv.Itoa(streamLength))
 		req.Header.Set(platform.HeaderPromptParts, promptParts(c.number, r))
 	}
+	if r.lastEvent > 0 {
+		req.Header.Set(platform.HeaderLastEvent, strconv.Itoa(r.lastEvent))
+		req.Header.Set(platform.HeaderResumes, string(r.Resumes))
+	}
 	c.sign(req, &r)
 	r.At = time.Now()
 	c.d.oracle.RecordRequest(r.Request)
@@ -218,9 +223,24 @@
 	answer.Disconnected = answer.Disconnected || r.disconnects && ctx.Err() != nil
 	answer.At = time.Now()
 	c.d.oracle.RecordAnswer(r.Attempt, answer)
+	if r.path == draftPrefix && answer.brokeOff() && r.lastEvent == 0 {
+		return c.send(r.takeUp(answer.Events))
+	}
 	return retryAfter
 }
 
+// brokeOff reports whether the response is the beginning of a stream.
+func (a Answer) brokeOff() bool {
+	return a.Status == http.StatusOK && !a.Complete && !a.Disconnected && a.Events > 0
+}
+
+// takeUp returns the request for the rest of a stream after an event.
+func (r clientRequest) takeUp(lastEvent int) clientRequest {
+	r.Resumes, r.lastEvent, r.disconnects = r.Attempt, lastEvent, false
+	r.Attempt += "-rest"
+	return r
+}
+
 func (c *client) roundTrip(req *http.Request, r clientRequest) (Answer, time.Duration) {
 	res, err := c.http.Do(req)
 	if err != nil {
@@ -233,7 +253,7 @@
 		reader, stuck = newSlowReader(reader, c.random)
 	}
 	body, err := io.ReadAll(reader)
-	answer := Answer{Status: res.StatusCode, Complete: err == nil, Disconnected: stuck && err != nil}
+	answer := Answer{Status: res.StatusCode, Complete: err == nil, Events: bytes.Count(body, []byte("\n\n")), Disconnected: stuck && err != nil}
 	answer.Correct = answer.Complete && res.Header.Get(platform.HeaderAttempt) == string(r.Attempt) &&
 		res.Header.Get(platform.HeaderSignature) == standin.WorkerSignature(r.Attempt) && bytes.Equal(body, expectedBody(r))
 	if res.StatusCode != http.StatusServiceUnavailable {
@@ -252,7 +272,7 @@
 		return []byte(standin.WorkerBody(r.Attempt))
 	}
 	var b bytes.Buffer
-	for n := 1; n <= streamLength; n++ {
+	for n := r.lastEvent + 1; n <= streamLength; n++ {
 		b.WriteString(standin.WorkerEventText(r.Attempt, n, r.eventBytes))
 	}
 	return b.Bytes()
--- a/pkg/soak/deployment.go
+++ b/pkg/soak/deployment.go
@@ -178,6 +178,7 @@
 	w.Seed, w.OnEvent = d.Seed*100+uint64(len(d.targets)), d.oracle.RecordEvent
 	t := &target{Worker: standin.NewWorker(w), listen: d.address(direct, i, workerPort), proxyAddress: d.address(proxied, i, workerPort)}
 	t.OnCrash = func() { d.crashAndRestart(t) }
+	t.SetSoftware(softwareVersions[i%len(softwareVersions)])
 	link, err := standin.NewProxy(t.proxyAddress, t.listen)
 	if err != nil {
 		return errors.Trace(err)
@@ -187,6 +188,18 @@
 	return errors.Trace(d.startTarget(t))
 }
 
+// softwareVersions are the versions of their software that targets run side by side. What two
+// of them write does not fit together.
+var softwareVersions = []ident.Software{"v1", "v2"}
+
+// otherSoftware returns another version than v.
+func otherSoftware(v ident.Software) ident.Software {
+	if v == softwareVersions[0] {
+		return softwareVersions[1]
+	}
+	return softwareVersions[0]
+}
+
 // startTarget starts the listener of a target and publishes the target.
 func (d *deployment) startTarget(t *target) error {
 	listener, err := net.Listen("tcp4", t.listen)
--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -341,6 +341,7 @@
 		if err := t.server.Shutdown(ctx); err != nil {
 			return errors.Trace(err)
 		}
+		t.SetSoftware(otherSoftware(t.Software()))
 		return d.restartTarget(t)
 	}, nil
 }
--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -36,6 +36,7 @@
 	GuaranteeOneEngine      Guarantee = "one-engine-at-a-time" // a stream goes on at another engine only once the one before has ended it
 	GuaranteeEngineMemory   Guarantee = "engine-memory"        // the requests at an engine stay within its memory
 	GuaranteeMemory         Guarantee = "memory-limit"         // no process takes more memory than its VM has
+	GuaranteeSoftware       Guarantee = "one-software-version" // a stream goes on at the software version that began it only
 	GuaranteeRoutes         Guarantee = "configuration"        // all gateways serve a new route and keep serving it
 )
 
@@ -71,6 +72,7 @@
 	Service    ident.Service
 	Adapter    ident.Adapter
 	Idempotent bool             // it may run more than once or be resumed
+	Resumes    ident.Attempt    // that brought the first event of the stream that it takes up, if it does
 	DeadlyPart ident.PromptPart // part of its prompt that ends engines, if any
 	Deadly     deadlyName       // what ends the targets that run it, if it does
 	At         time.Time
@@ -88,6 +90,7 @@
 	Status       int  // 0 if the connection closed first
 	Complete     bool // the whole body was received
 	Correct      bool // it is the expected response to this request
+	Events       int  // of a stream that were received whole
 	Disconnected bool // the caller disconnected before the end
 	At           time.Time
 }
@@ -295,7 +298,7 @@
 }
 
 func (o *Oracle) checkRuns(r Request, runs []*run) []Violation {
-	out := o.checkOverlaps(r, runs)
+	out := append(o.checkOverlaps(r, runs), o.checkSoftware(r, runs)...)
 	if !r.Idempotent && len(runs) > 1 {
 		out = append(out, Violation{GuaranteeAtMostOnce, r.Attempt, fmt.Sprintf("ran %d times", len(runs))})
 	}
@@ -318,6 +321,27 @@
 	return out
 }
 
+// checkSoftware checks that a stream goes on only at the software that began it, over the
+// attempts of its caller too.
+func (o *Oracle) checkSoftware(r Request, runs []*run) []Violation {
+	begun := ident.Software("")
+	for _, e := range o.runs[r.Resumes] {
+		if !e.Resumed {
+			begun = e.Software
+		}
+	}
+	var out []Violation
+	for _, e := range runs {
+		switch {
+		case !e.Resumed:
+			begun = e.Software
+		case e.Software != begun:
+			out = append(out, Violation{GuaranteeSoftware, r.Attempt, fmt.Sprintf("begun by %s, goes on at %s, which runs %s", begun, e.Instance, e.Software)})
+		}
+	}
+	return out
+}
+
 // checkOverlaps checks that an engine has ended a stream when it goes on at another one.
 func (o *Oracle) checkOverlaps(r Request, runs []*run) []Violation {
 	if r.Adapter == "" {
--- a/pkg/soak/oracle_test.go
+++ b/pkg/soak/oracle_test.go
@@ -42,6 +42,25 @@
 	o.RecordAnswer("1", Answer{Status: 200, Complete: true, Correct: true})
 }
 
+// recordSoftware records a stream that software v1 begins and another engine continues, in the
+// same attempt or in one that takes it up.
+func recordSoftware(o *Oracle, attempt ident.Attempt, software ident.Software) {
+	o.RecordRequest(newRequest("1", true))
+	first := runEvent("1", 10)
+	first.Software = "v1"
+	o.RecordEvent(first)
+	first.Kind, first.At = standin.WorkerEnded, at(11)
+	o.RecordEvent(first)
+	if attempt != "1" {
+		r := newRequest(attempt, true)
+		r.Resumes = "1"
+		o.RecordRequest(r)
+	}
+	rest := runEvent(attempt, 12)
+	rest.Instance, rest.Resumed, rest.Software = "i-2", true, software
+	o.RecordEvent(rest)
+}
+
 // recordCrashes records ends of targets under one part of prompts: five at once, and the
 // others ten seconds later.
 func recordCrashes(o *Oracle, n int) {
@@ -113,6 +132,10 @@
 			o.RecordRequest(newRequest("1", false))
 			o.RecordAnswer("1", correct)
 		}, []Guarantee{GuaranteeCompleteAnswer}},
+		{"goes on at its software version", false, func(o *Oracle) { recordSoftware(o, "1", "v1") }, nil},
+		{"goes on at another software version", false, func(o *Oracle) { recordSoftware(o, "1", "v2") }, []Guarantee{GuaranteeSoftware}},
+		{"is taken up at its software version", false, func(o *Oracle) { recordSoftware(o, "2", "v1") }, nil},
+		{"is taken up at another software version", false, func(o *Oracle) { recordSoftware(o, "2", "v2") }, []Guarantee{GuaranteeSoftware}},
 		{"goes on while the engine before still runs it", false, func(o *Oracle) { recordMove(o, 12, 13.5) }, []Guarantee{GuaranteeOneEngine}},
 		{"goes on and the engine before never ends it", false, func(o *Oracle) { recordMove(o, 12, 0) }, []Guarantee{GuaranteeOneEngine}},
 		{"goes on once the engine before has ended it", false, func(o *Oracle) { recordMove(o, 12, 11.9) }, nil},
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -94,6 +94,7 @@
 	Adapter          ident.AdapterVersion // that the request ran on or that the order names
 	RequestedAdapter ident.Adapter        // that the request names
 	Resumed          bool                 // the request resumes a stream after an event
+	Software         ident.Software       // that the worker runs
 	Account          string               // that the request names; several with commas
 	HasKey           bool                 // the request carries a caller's key
 	Holder           ident.VM             // that sent the order
@@ -111,6 +112,7 @@
 	instance    ident.Target
 	startMS     int64
 	starts      int
+	software    ident.Software
 	heartbeats  uint64 // records written since the start
 	sequence    uint64 // orders accepted since the start
 	busy        bool
@@ -198,6 +200,20 @@
 	return w.draining
 }
 
+// SetSoftware sets the version of its software that the worker states from its next start on.
+func (w *Worker) SetSoftware(v ident.Software) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.software = v
+}
+
+// Software returns the version of its software that the worker states.
+func (w *Worker) Software() ident.Software {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.software
+}
+
 // Entry returns the worker's object for the list of targets in the store, with
 // the given address. Each call is a heartbeat.
 func (w *Worker) Entry(address string) json.RawMessage {
@@ -209,7 +225,7 @@
 		state = "draining"
 	}
 	entry, _ := json.Marshal(map[string]any{ // encoding never fails
-		"service": w.Service, "address": address, "zone": "local", "slots": w.Slots, "state": state, "born": w.startMS, "seq": w.heartbeats,
+		"service": w.Service, "address": address, "zone": "local", "slots": w.Slots, "state": state, "born": w.startMS, "seq": w.heartbeats, "version": w.software,
 	})
 	return entry
 }
--- a/pkg/standin/worker_http.go
+++ b/pkg/standin/worker_http.go
@@ -160,7 +160,7 @@
 			defer keepRefusal(r, req, a)
 		}
 	}
-	event := WorkerEvent{Kind: WorkerRejected, Instance: w.Instance(), Attempt: req.attempt, RequestedAdapter: req.adapter, Resumed: req.lastEvent > 0,
+	event := WorkerEvent{Kind: WorkerRejected, Instance: w.Instance(), Attempt: req.attempt, RequestedAdapter: req.adapter, Resumed: req.lastEvent > 0, Software: w.Software(),
 		Account: strings.Join(r.Header.Values(platform.HeaderAccount), ","), HasKey: len(r.Header.Values(platform.HeaderAPIKey)) > 0}
 	if a.status != 0 {
 		w.notify(event)
