--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -288,15 +288,6 @@
 // the context.
 func (x *exchange) expired() bool { return x.ctx.Err() != nil || x.remaining() <= 0 }
 
-// callerDisconnected reports whether the caller has closed its connection.
-func (x *exchange) callerDisconnected() bool { return hasDisconnected(x.ctx) }
-
-// hasDisconnected reports whether the caller whose request the context is of has closed its
-// connection.
-func hasDisconnected(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), errCallerDisconnected)
-}
-
 // sendOnce sends the request to the assigned target once.
 func (x *exchange) sendOnce(a *assignment) outcome {
 	maxIdle := forward.MaxIdle
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,6 +75,8 @@
 	halfClosed func(net.Conn) bool
 	// origins holds the software that began the streams of this gateway.
 	origins *origin.Table
+	// softwares are the versions that targets have stated of themselves.
+	softwares *origin.Versions
 	// runningAt returns the requests that run at the engine at an address.
 	runningAt func(address string) ([]ident.Attempt, error)
 	// settings reads the settings file as it is now.
@@ -131,7 +133,7 @@
 		Common: c, metrics: newMetrics(c.Metrics), node: node,
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
-		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), origins: origin.NewTable(), runningAt: runningAt, suspended: uptime.Suspended, halfClosed: socket.HalfClosed, targetList: new(follow.Freshness),
+		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), origins: origin.NewTable(), softwares: origin.NewVersions(), runningAt: runningAt, suspended: uptime.Suspended, halfClosed: socket.HalfClosed, targetList: new(follow.Freshness),
 		loads: newLoadTracker(), placing: newPlacing(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(), requests: quarantine.NewRequests(), lost: newLostProcesses(),
--- a/pkg/gateway/half_close.go
+++ b/pkg/gateway/half_close.go
@@ -98,3 +98,12 @@
 	}
 	return true
 }
+
+// callerDisconnected reports whether the caller has closed its connection.
+func (x *exchange) callerDisconnected() bool { return hasDisconnected(x.ctx) }
+
+// hasDisconnected reports whether the caller whose request the context is of has closed its
+// connection.
+func hasDisconnected(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errCallerDisconnected)
+}
--- a/pkg/gateway/stream_origin.go
+++ b/pkg/gateway/stream_origin.go
@@ -51,9 +51,12 @@
 		return refusal{}, true
 	}
 	stream := origin.Stream{Account: x.accountName(), Attempt: ident.Attempt(x.q.resumes)}
-	software, known := x.g.origins.Find(stream, time.Now())
-	asked, answered := 0, 0
-	if !known && stream.Attempt != "" {
+	var software ident.Software
+	known, asked, answered := false, 0, 0
+	if stream.Attempt == "" {
+		// Without a name, the stream is of the only version that there was.
+		software, known = x.g.softwares.Sole(x.service.Name, x.originTTL(), time.Now())
+	} else if software, known = x.g.origins.Find(stream, time.Now()); !known {
 		software, known, asked, answered = x.g.askOrigin(x.ctx, x.g.fleet.Known(x.service.Name), stream)
 	}
 	if !known {
@@ -68,7 +71,9 @@
 	x.origin = streamOrigin{stream, software, true}
 	x.g.metrics.resumedStreams.Inc(1)
 	x.g.Info("msg", "stream resumed", "request", x.q.attempt, "stream", stream.Attempt, "last-event", x.q.lastEvent, "software", software, "asked", asked)
-	x.g.origins.Record(stream, software, x.originTTL(), time.Now())
+	if stream.Attempt != "" {
+		x.g.origins.Record(stream, software, x.originTTL(), time.Now())
+	}
 	return refusal{}, true
 }
 
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -223,6 +223,7 @@
 		models = append(models, m.Name)
 	}
 	g.holdings.Observe(i.Address, held)
+	g.softwares.Observe(i.Service, i.Software, time.Now())
 	return fleet.Target{
 		Instance: i.Instance, Service: i.Service, Address: i.Address, Domain: i.Domain,
 		Slots: i.Slots, Draining: i.Draining, Software: i.Software, StartMS: i.StartMS, Heartbeat: i.Heartbeat, Models: fleet.ModelsOf(models),
--- a/pkg/origin/table_test.go
+++ b/pkg/origin/table_test.go
@@ -55,3 +55,22 @@
 		table.Record(stream(n), "v1", 15*time.Second, now.Add(time.Duration(n)*time.Millisecond))
 	}
 }
+
+func TestVersionIsTheOnlyOneOnceNoOtherWasStatedForAWhile(t *testing.T) {
+	const within = 15 * time.Second
+	versions, now := origin.NewVersions(), time.Now()
+	_, sole := versions.Sole("s", within, now)
+	require.False(t, sole, "none is known")
+	versions.Observe("s", "v1", now)
+	versions.Observe("other", "v9", now)
+	software, sole := versions.Sole("s", within, now)
+	require.True(t, sole)
+	require.Equal(t, ident.Software("v1"), software)
+	versions.Observe("s", "v2", now.Add(time.Second))
+	_, sole = versions.Sole("s", within, now.Add(time.Second))
+	require.False(t, sole)
+	versions.Observe("s", "v2", now.Add(within+time.Second))
+	software, sole = versions.Sole("s", within, now.Add(within+time.Second))
+	require.True(t, sole, "the other one was stated for the last time before")
+	require.Equal(t, ident.Software("v2"), software)
+}
--- /dev/null
+++ b/pkg/origin/versions.go
@@ -0,0 +1,54 @@
+package origin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
+)
+
+// Versions is which software versions the targets of each service have stated, and when last.
+// It is safe for concurrent use.
+type Versions struct {
+	mu   sync.Mutex
+	seen map[ident.Service]map[ident.Software]time.Time
+}
+
+// NewVersions returns a record without versions.
+func NewVersions() *Versions {
+	return &Versions{seen: make(map[ident.Service]map[ident.Software]time.Time)}
+}
+
+// Observe records that a target of the service has stated a version.
+func (v *Versions) Observe(s ident.Service, software ident.Software, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	versions := v.seen[s]
+	if versions == nil {
+		versions = make(map[ident.Software]time.Time)
+		v.seen[s] = versions
+	}
+	versions[software] = now
+	for other, at := range versions {
+		if now.Sub(at) > MaxTTL {
+			delete(versions, other)
+		}
+	}
+}
+
+// Sole returns the only version that targets of the service have stated within a time, if there
+// was only one.
+func (v *Versions) Sole(s ident.Service, within time.Duration, now time.Time) (sole ident.Software, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for software, at := range v.seen[s] {
+		if now.Sub(at) > within {
+			continue
+		}
+		if ok {
+			return "", false
+		}
+		sole, ok = software, true
+	}
+	return sole, ok
+}
