A late record of an engine's earlier process does not list the engine again

Callers saw, or would have: an engine whose record was removed, and that serves on until it ends, gets new requests again for up to three heartbeats (DRAIN).

A write that the store carries out seconds late was believed where the gateway had not seen its process: after the target had left; and, where clocks had jumped, in place of a process that drains.

Change: a record of a process before the target's last one counts once the process writes again. A living engine does so within a heartbeat, whatever its clock says; an engine that starts again at an earlier time of day is listed one heartbeat later, and only if its record had been removed in between.

Before: four of the six new cases of TestOlderRecordsDoNotBringTargetsBack fail; the other two guard against believing too little.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -168,6 +168,8 @@
 		return false
 	case current && known.Draining && t.StartMS < known.StartMS:
 		return false // a late record of an earlier process does not take back that this one drains
+	case v.past.mayBeLate(t, known, current) && !v.past.writesAgain(t):
+		return false
 	case current:
 		v.past.add(known)
 		delete(v.contradicted, t.Instance) // it has started again
--- a/pkg/fleet/past.go
+++ b/pkg/fleet/past.go
@@ -24,10 +24,12 @@
 // returned from an older copy, may list them again.
 type pastTargets struct {
 	newer, older map[ident.Target][]process
+	// suspects are processes of which one record has come that may be a late one.
+	suspects map[ident.Target]process
 }
 
 func newPastTargets() pastTargets {
-	return pastTargets{newer: make(map[ident.Target][]process), older: make(map[ident.Target][]process)}
+	return pastTargets{newer: make(map[ident.Target][]process), older: make(map[ident.Target][]process), suspects: make(map[ident.Target]process)}
 }
 
 // add records that the process of a target has left or has been replaced.
@@ -87,6 +89,32 @@
 	return false
 }
 
+// mayBeLate reports whether a record that names no process known to have ended may still be
+// a late one of a process before the target's last, which leaves or has left: the store may
+// carry a write out seconds after it was sent. current is the last process if it is listed.
+func (p *pastTargets) mayBeLate(t Target, current Target, listed bool) bool {
+	list := p.processes(t.Instance)
+	if listed {
+		return current.Draining && hasProcess(list, t.StartMS)
+	}
+	return len(list) > 0 && t.StartMS != 0 && t.StartMS < list[len(list)-1].startMS
+}
+
+// writesAgain reports whether a suspect record is the second one of its process. A process
+// that is alive writes on, whatever its clock says.
+func (p *pastTargets) writesAgain(t Target) bool {
+	before, known := p.suspects[t.Instance]
+	if t.Heartbeat == 0 || known && before.startMS == t.StartMS && before.heartbeat < t.Heartbeat {
+		delete(p.suspects, t.Instance)
+		return true
+	}
+	if len(p.suspects) >= maxPastTargets {
+		clear(p.suspects)
+	}
+	p.suspects[t.Instance] = process{t.StartMS, t.Heartbeat, t.Draining}
+	return false
+}
+
 // olderThan reports whether a process wrote the record before another one of its records.
 func (t Target) olderThan(other Target) bool {
 	return t.Heartbeat != 0 && t.Heartbeat < other.Heartbeat
--- a/pkg/fleet/past_test.go
+++ b/pkg/fleet/past_test.go
@@ -19,6 +19,7 @@
 		return t
 	}
 	put := func(t Target) func(*View) { return func(v *View) { v.Put(t) } }
+	list := func(t Target) func(*View) { return func(v *View) { v.Replace([]Target{t}, now) } }
 	remove := func(v *View) { v.Remove("a", now) }
 	for _, test := range []struct {
 		name  string
@@ -42,6 +43,12 @@
 		{"a late record of a process before, then it drains", []func(*View){put(record(2, 1, false)), put(record(1, 9, false)), put(record(2, 2, true))}, nil},
 		{"it drains, then a late record of a process before", []func(*View){put(record(2, 2, true)), put(record(1, 9, false))}, nil},
 		{"a late record of the process before, which a clock put later", []func(*View){put(record(3, 5, false)), put(record(2, 1, false)), put(record(3, 9, false)), put(record(2, 2, false))}, []int64{2}},
+		{"gone, then a late record of a process before, unseen", []func(*View){put(record(2, 2, false)), remove, put(record(1, 9, false))}, nil},
+		{"drained and gone, then a late record of a process before, unseen", []func(*View){put(record(2, 2, true)), remove, put(record(1, 9, false))}, nil},
+		{"gone, then a late record of a process before, listed", []func(*View){put(record(2, 2, false)), remove, list(record(1, 9, false))}, nil},
+		{"gone, then started again at an earlier time of day", []func(*View){put(record(2, 2, false)), remove, put(record(1, 1, false)), put(record(1, 2, false))}, []int64{1}},
+		{"it drains, then a late record of the process before, which a clock put later", []func(*View){put(record(3, 5, false)), put(record(2, 1, true)), put(record(3, 9, false))}, nil},
+		{"a late record of a process before that drained", []func(*View){put(record(2, 1, false)), put(record(1, 9, true)), put(record(2, 2, false)), put(record(2, 3, false))}, []int64{2}},
 		{"the same record again", []func(*View){put(record(2, 1, false)), put(record(1, 9, false)), put(record(2, 1, false))}, []int64{1}},
 		{"neither start nor heartbeat is known", []func(*View){put(record(0, 0, false)), remove, put(record(0, 0, false))}, []int64{0}},
 		{"the heartbeat is not known", []func(*View){put(record(1, 0, false)), remove, put(record(1, 0, false))}, []int64{1}},
