A gateway whose list of targets is behind does not guess the version of a stream

It can happen here, to callers that name no stream: the gateway took the only version that it had heard of. That does not take an outage; between two updates of the list, 1.2 s apart, is enough. Streams that their callers name were not joined, but refused for good: only the agents of the engines that were known were asked, and the refusal said not to come back.

Cause: absence from a copy taken for absence. Without a name, "one version was heard of" holds as of the copy; the question is as of the request's arrival.

Change: the search waits until a call to the store that began after the arrival has confirmed the list, and makes the follower ask sooner (at most twice the calls). Then agents of engines that have joined are asked, too. If the list can't be confirmed the refusal says "not known yet" and to come back in 0.5 s, maybe to another gateway.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -54,11 +54,14 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	listed := false
+	listed, awaited := false, false
 	var from platform.Position
 	for ctx.Err() == nil {
 		probe := f.Outage.await(ctx)
 		wait := f.wait()
+		if awaited {
+			wait = min(wait, awaitedWait)
+		}
 		if probe || f.MaxWait != nil && wait <= 0 {
 			listed = false // a watch could last long
 		}
@@ -94,8 +97,27 @@
 		default:
 			f.Outage.record(f.Kind, probe, nil)
 		}
-		sleep(ctx, pause)
+		awaited = f.pause(ctx, pause, !awaited)
+	}
+}
+
+// awaitedWait bounds a watch whose answer somebody waits for.
+const awaitedWait = 20 * time.Millisecond
+
+// pause waits between two calls, if it may be cut only until somebody waits for the next one,
+// which it reports. One pause in two is whole, so that at most twice the calls are made.
+func (f *Follower) pause(ctx context.Context, d time.Duration, mayBeCut bool) (awaited bool) {
+	if !mayBeCut || d <= 0 {
+		sleep(ctx, d)
+		return false
+	}
+	select {
+	case <-time.After(d):
+	case <-f.Freshness.isAwaited():
+		return true
+	case <-ctx.Done():
 	}
+	return false
 }
 
 // logEra logs that the store has returned from an older copy since the position before.
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -20,6 +21,10 @@
 	confirmed time.Time
 	answered  time.Time     // when the store answered that call
 	suspended time.Duration // what Suspended returned as the call began
+	// updated is closed by the next call that confirms the copy, and awaited says that
+	// somebody waits for that.
+	updated chan struct{}
+	awaited chan struct{}
 }
 
 // call is a call to the store.
@@ -30,9 +35,13 @@
 	held time.Duration
 }
 
-// begin returns a call that begins now. A suspension between the two readings counts as
-// one after the beginning.
+// begin returns a call that begins now, which answers those who have waited for one. A
+// suspension between the two readings counts as one after the beginning.
 func (f *Freshness) begin() call {
+	select {
+	case <-f.isAwaited():
+	default:
+	}
 	suspended := f.suspendedTime()
 	return call{began: time.Now(), suspended: suspended}
 }
@@ -44,6 +53,45 @@
 	return f.Suspended()
 }
 
+// signals returns the channels of Await. The caller holds mu.
+func (f *Freshness) signals() (updated, awaited chan struct{}) {
+	if f.updated == nil {
+		f.updated, f.awaited = make(chan struct{}), make(chan struct{}, 1)
+	}
+	return f.updated, f.awaited
+}
+
+// Await waits until the copy contains all changes up to a time, or ctx ends, and makes the
+// follower ask the store sooner. It reports whether the copy does.
+func (f *Freshness) Await(ctx context.Context, at time.Time) bool {
+	for {
+		f.mu.Lock()
+		current := !f.confirmed.Before(at)
+		updated, awaited := f.signals()
+		f.mu.Unlock()
+		if current {
+			return true
+		}
+		select {
+		case awaited <- struct{}{}:
+		default:
+		}
+		select {
+		case <-updated:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// isAwaited returns a channel that receives a value once somebody waits for the next call.
+func (f *Freshness) isAwaited() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, awaited := f.signals()
+	return awaited
+}
+
 // confirm records the position of the copy after a successful call, whose answer was as of
 // a position. It reports whether that confirms the copy: a store that has told of later
 // changes before says nothing of those since.
@@ -55,6 +103,9 @@
 		return false
 	}
 	f.newest, f.confirmed, f.answered, f.suspended = answer, c.began, c.began.Add(c.held), c.suspended
+	updated, _ := f.signals()
+	close(updated)
+	f.updated = make(chan struct{})
 	return true
 }
 
--- a/pkg/follow/freshness_test.go
+++ b/pkg/follow/freshness_test.go
@@ -93,3 +93,37 @@
 		require.Equal(t, 4, confirmed)
 	})
 }
+
+// Guards against a copy that is taken to be as of a time because a call that began before has
+// been answered since, and against waits for all of the pause between two calls.
+func TestAwaitedCopyIsAsOfTheTime(t *testing.T) {
+	const pause = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := &Follower{
+			Common: common.Discard(), Source: (&store{revision: 5}).source(), Timing: Timing{Wait: 300 * time.Millisecond, Pause: pause}, Kind: platform.KindTargets, Freshness: new(Freshness), Outage: NewOutage(common.Discard(), OutageLimits{RetryDelay: 400 * time.Millisecond}, func(time.Time) {}),
+			OnList: func(Listing) {}, OnChanges: func([]platform.Event) {},
+		}
+		go f.Run(ctx)
+		time.Sleep(pause + 100*time.Millisecond) // within the first watch
+		for _, test := range []struct {
+			name   string
+			before time.Duration
+			want   time.Duration
+		}{
+			{"the watch in progress does not count", 0, 200*time.Millisecond + awaitedWait},
+			{"the next pause is not cut", 0, pause + 300*time.Millisecond},
+			{"in a pause that may be cut", 100 * time.Millisecond, awaitedWait},
+		} {
+			time.Sleep(test.before)
+			at := time.Now()
+			require.True(t, f.Freshness.Await(ctx, at), test.name)
+			require.Equal(t, test.want, time.Since(at), test.name)
+			require.True(t, f.Freshness.Await(ctx, at), "it is known now")
+		}
+		ended, end := context.WithCancel(ctx)
+		end()
+		require.False(t, f.Freshness.Await(ended, time.Now()))
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -86,9 +86,11 @@
 	// targetList is how current the list of targets is, and configurationCopy how current
 	// the configuration is.
 	targetList, configurationCopy *follow.Freshness
-	trust                         trustState
-	denialRows                    *common.RowLimit // about requests refused for their keys
-	sendingSetups                 atomic.Bool
+	// awaitTargetList waits until the list of targets is as of the given time. Tests replace it.
+	awaitTargetList func(context.Context, time.Time) bool
+	trust           trustState
+	denialRows      *common.RowLimit // about requests refused for their keys
+	sendingSetups   atomic.Bool
 
 	budgetMu   sync.Mutex
 	budgets    map[ident.Service]*budget
@@ -133,14 +135,16 @@
 		Common: c, metrics: newMetrics(c.Metrics), node: node,
 		directory: directory.New(), fleet: fleet.New(), synced: newSyncState(),
 		versions: placement.NewVersions(), replicas: placement.NewReplicas(), spread: placement.NewSpread(), holdings: placement.NewHoldings(),
-		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), origins: origin.NewTable(), softwares: origin.NewVersions(), runningAt: runningAt, suspended: uptime.Suspended, halfClosed: socket.HalfClosed, targetList: new(follow.Freshness),
+		pool: forward.NewPool(), bodies: newBodyBuffers(node.MemoryBytes), origins: origin.NewTable(), softwares: origin.NewVersions(), runningAt: runningAt, suspended: uptime.Suspended, halfClosed: socket.HalfClosed,
 		loads: newLoadTracker(), placing: newPlacing(), notices: notice.New(), permits: newPermits(), budgets: make(map[ident.Service]*budget), detectors: make(map[ident.Service]*outlier.Detector),
 		conns: newConnTable(), stop: newStopState(),
 		quarantine: quarantine.New(), bans: newBanStore(), requests: quarantine.NewRequests(), lost: newLostProcesses(),
 		denialRows: common.NewRowLimit(1, denialLogInterval), lateRows: common.NewRowLimit(maxLateRows, lateRowsPeriod),
 	}
 	g.settings = func() (platform.Node, error) { return g.node, nil }
-	g.configurationCopy = &follow.Freshness{Suspended: func() time.Duration { return g.suspended() }}
+	suspendedNow := func() time.Duration { return g.suspended() }
+	g.targetList, g.configurationCopy = &follow.Freshness{Suspended: suspendedNow}, &follow.Freshness{Suspended: suspendedNow}
+	g.awaitTargetList = g.targetList.Await
 	g.evidence = newEvidenceStore(g)
 	g.pool.Observe = g.metrics.countConn
 	g.agents = newAgentLinks(link.Identity{Role: wire.RoleEntry, VM: node.VM, Liveness: link.GrantLiveness}, node.PeerPort, g.tellKnown,
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -76,6 +76,7 @@
 // testGateway returns a gateway that is in sync with a store of four targets.
 func testGateway() *Gateway {
 	g := New(common.Discard(), platform.Node{VM: "vm-1", PeerPort: 7380, Bounds: platform.Bounds{RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second, StopGrace: 8 * time.Second}})
+	g.awaitTargetList = func(context.Context, time.Time) bool { return true }
 	g.runningAt = func(string) ([]ident.Attempt, error) { return nil, errors.NotFoundf("report") }
 	g.directory.Update(testConfiguration(1))
 	g.fleet.Replace([]fleet.Target{
--- a/pkg/gateway/stream_origin.go
+++ b/pkg/gateway/stream_origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,11 @@
 	// maxOriginQueries is the number of agents that are asked at a time.
 	maxOriginQueries = 32
 	// originRetryAfter is the Retry-After time of a request that continues a stream while
-	// agents that may know its origin do not answer.
+	// agents that may know its origin do not answer, or the list of them is not current.
 	originRetryAfter = 500 * time.Millisecond
+	// maxListWait bounds the wait for a current list of targets. It is a little longer than
+	// the time between two regular updates.
+	maxListWait = 1500 * time.Millisecond
 )
 
 // The reasons of the refusal of a request that continues a stream.
@@ -51,32 +55,79 @@
 		return refusal{}, true
 	}
 	stream := origin.Stream{Account: x.accountName(), Attempt: ident.Attempt(x.q.resumes)}
-	var software ident.Software
-	known, asked, answered := false, 0, 0
-	if stream.Attempt == "" {
-		// Without a name, the stream is of the only version that there was.
-		software, known = x.g.softwares.Sole(x.service.Name, x.originTTL(), time.Now())
-	} else if software, known = x.g.origins.Find(stream, time.Now()); !known {
-		software, known, asked, answered = x.g.askOrigin(x.ctx, x.g.fleet.Known(x.service.Name), stream)
-	}
-	if !known {
-		why := refusal{reason: reasonOriginUnknown, wait: x.remaining()}
-		if answered < asked {
-			why = refusal{reason: reasonOriginUnanswered, wait: originRetryAfter}
-		}
+	search := x.searchOrigin(stream)
+	if !search.known {
 		x.g.metrics.unknownOrigins.Inc(1)
-		x.g.Info("msg", "origin of a stream not known", "request", x.q.attempt, "stream", stream.Attempt, "last-event", x.q.lastEvent, "asked", asked, "answered", answered)
-		return why, false
+		x.g.Info("msg", "origin of a stream not known", "request", x.q.attempt, "stream", stream.Attempt, "last-event", x.q.lastEvent, "list-current", search.listCurrent, "list-age", x.g.targetList.Age(time.Now()), "asked", search.asked, "answered", search.answered)
+		if !search.listCurrent || search.answered < search.asked {
+			return refusal{reason: reasonOriginUnanswered, wait: originRetryAfter}, false
+		}
+		return refusal{reason: reasonOriginUnknown, wait: x.remaining()}, false
 	}
-	x.origin = streamOrigin{stream, software, true}
+	x.origin = streamOrigin{stream: stream, software: search.software, begun: true}
 	x.g.metrics.resumedStreams.Inc(1)
-	x.g.Info("msg", "stream resumed", "request", x.q.attempt, "stream", stream.Attempt, "last-event", x.q.lastEvent, "software", software, "asked", asked)
+	x.g.Info("msg", "stream resumed", "request", x.q.attempt, "stream", stream.Attempt, "last-event", x.q.lastEvent, "software", search.software, "asked", search.asked)
 	if stream.Attempt != "" {
-		x.g.origins.Record(stream, software, x.originTTL(), time.Now())
+		x.g.origins.Record(stream, search.software, x.originTTL(), time.Now())
+	}
+	if len(x.matching(x.g.fleet.Available(x.service.Name))) == 0 {
+		x.awaitList() // an engine of the version may have joined
 	}
 	return refusal{}, true
 }
 
+// originSearch is the result of a search for the software that began a stream.
+type originSearch struct {
+	software        ident.Software
+	known           bool
+	asked, answered int // agents
+	// listCurrent says that the list of targets is as of the request's arrival or later.
+	listCurrent bool
+}
+
+// searchOrigin searches for the software that began a stream. Engines that this process does
+// not know of may have begun it, since other gateways' lists may be ahead of this one's.
+func (x *exchange) searchOrigin(s origin.Stream) (o originSearch) {
+	if s.Attempt == "" {
+		// Without a name, the stream is of the only version that there was.
+		if o.listCurrent = x.awaitList(); o.listCurrent {
+			o.software, o.known = x.g.softwares.Sole(x.service.Name, x.originTTL(), time.Now())
+		}
+		return o
+	}
+	if o.software, o.known = x.g.origins.Find(s, time.Now()); o.known {
+		return o
+	}
+	before := x.g.fleet.Known(x.service.Name)
+	o.ask(x, before, s)
+	if o.known {
+		return o
+	}
+	if o.listCurrent = x.awaitList(); o.listCurrent {
+		joined := slices.DeleteFunc(x.g.fleet.Known(x.service.Name), func(t fleet.Target) bool {
+			return slices.ContainsFunc(before, func(b fleet.Target) bool { return b.Instance == t.Instance })
+		})
+		o.ask(x, joined, s)
+	}
+	return o
+}
+
+// ask asks the agents beside targets.
+func (o *originSearch) ask(x *exchange, targets []fleet.Target, s origin.Stream) {
+	software, known, asked, answered := x.g.askOrigin(x.ctx, targets, s)
+	o.software, o.known = software, known
+	o.asked, o.answered = o.asked+asked, o.answered+answered
+}
+
+// awaitList waits until the list of targets is as of the request's arrival or later. It reports
+// whether it is.
+func (x *exchange) awaitList() bool {
+	wait := min(maxListWait, x.maxGrantWait(), time.Duration(targetWaitShare*float64(x.remaining())))
+	ctx, cancel := context.WithTimeout(x.ctx, wait)
+	defer cancel()
+	return x.g.awaitTargetList(ctx, x.began)
+}
+
 // askOrigin asks the agents beside targets which software began a stream, until one knows.
 func (g *Gateway) askOrigin(ctx context.Context, targets []fleet.Target, s origin.Stream) (software ident.Software, known bool, asked, answered int) {
 	ctx, cancel := context.WithTimeout(ctx, originWait)
--- a/pkg/origin/versions.go
+++ b/pkg/origin/versions.go
@@ -12,6 +12,8 @@
 type Versions struct {
 	mu   sync.Mutex
 	seen map[ident.Service]map[ident.Software]time.Time
+	// gap is when a version was last missed, if that may be.
+	gap time.Time
 }
 
 // NewVersions returns a record without versions.
@@ -36,11 +38,21 @@
 	}
 }
 
+// RecordGap records that until now targets may have stated a version and left, unnoticed.
+func (v *Versions) RecordGap(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.gap = now
+}
+
 // Sole returns the only version that targets of the service have stated within a time, if there
 // was only one.
 func (v *Versions) Sole(s ident.Service, within time.Duration, now time.Time) (sole ident.Software, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.gap.IsZero() && now.Sub(v.gap) <= within {
+		return "", false
+	}
 	for software, at := range v.seen[s] {
 		if now.Sub(at) > within {
 			continue
