A stream goes on only at the engine process whose version the list shows

Callers could see: where an engine had started again under its name as another version, or another engine had taken its address, streams held events of both versions (ORDER) at gateways whose list did not show that yet, for up to a second and for as long as a gateway is out of step.

Cause: the version belongs to a process, but was taken from the record under the engine's name. The agent beside the engine knows the process; its grant named the instance, which the choice by version didn't compare, and not the start.

Change: a grant says for which process it is (ProcessGrant, only to gateways that read it). A stream that has begun uses it only if the list shows that process, with the version that began the stream. The other way round, a stream that a process has begun which the list does not show is of no known version; it is neither remembered under the version before nor continued.

Before: TestStreamGoesOnAtTheProcessThatTheListDescribesOnly fails in both cases with a joined stream, TestStreamOfAProcessThatIsNotListedHasNoKnownVersion with one over two tries.

--- a/pkg/gateway/agent_harness_test.go
+++ b/pkg/gateway/agent_harness_test.go
@@ -35,6 +35,7 @@
 	links    []*link.Conn
 	ended    bool     // the test has ended: its agents accept no further links
 	requests []string // addresses of the agents that were asked, in order
+	startMS  int64    // of the engines, as their agents know it; 0 if they do not tell
 	paces    []wire.PaceReport
 	kinds    []link.Kind // of the frames that came on the streams of grants
 	open     int         // grants that have not ended
@@ -136,7 +137,7 @@
 		return err
 	}
 	reply := h.grant(address, r)
-	if err := s.Send(link.KindGrantReply, &reply); err != nil {
+	if err := h.sendReply(s, reply); err != nil {
 		return err
 	}
 	for {
@@ -156,6 +157,17 @@
 	}
 }
 
+// sendReply answers a grant request as an agent does that tells the engine's process or not.
+func (h *agentHarness) sendReply(s *link.Stream, reply wire.GrantReply) error {
+	h.mu.Lock()
+	startMS := h.startMS
+	h.mu.Unlock()
+	if startMS == 0 {
+		return s.Send(link.KindGrantReply, &reply)
+	}
+	return s.Send(link.KindProcessGrant, &wire.ProcessGrant{Reply: reply, StartMS: startMS})
+}
+
 // originsAt returns what the agent at an address knows of streams.
 func (h *agentHarness) originsAt(address string) *origin.Table {
 	h.mu.Lock()
--- a/pkg/gateway/assigned.go
+++ b/pkg/gateway/assigned.go
@@ -31,8 +31,11 @@
 	// instance is the target's instance name: as its agent reports it, or else as
 	// listed in the store.
 	instance ident.Target
-	version  ident.Version // adapter version on the target; 0 if none
-	release  func()        // only the first call counts
+	// startMS is the start of the target's process in Unix ms as its agent reports it; 0 if
+	// it does not.
+	startMS int64
+	version ident.Version // adapter version on the target; 0 if none
+	release func()        // only the first call counts
 	// acquired is when the assignment was granted, and suspended how long the VM had
 	// been suspended by then. Both are zero if the assignment does not lapse.
 	acquired         time.Time
--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -275,7 +275,7 @@
 	if err != nil {
 		return nil, unable
 	}
-	reply, err := receiveGrant(x.ctx, stream)
+	granted, err := receiveGrant(x.ctx, stream)
 	if err != nil {
 		stream.Close()
 		if errors.Is(err, errors.Timeout) {
@@ -284,6 +284,7 @@
 		x.g.Debug("msg", "failed to receive a grant", "target", t.Instance, "err", err)
 		return nil, unable
 	}
+	reply := granted.Reply
 	x.g.entryCount.Record(reply.LinkedEntries, time.Now())
 	if reply.Code != wire.GrantIssued {
 		stream.Close()
@@ -302,7 +303,7 @@
 		x.g.versions.Update(w)
 	}
 	a := &assignment{
-		target: t, agent: conn, instance: reply.Instance, version: reply.Version, release: sync.OnceFunc(stream.Close), acquired: time.Now(), suspended: x.g.suspended(),
+		target: t, agent: conn, instance: reply.Instance, startMS: granted.StartMS, version: reply.Version, release: sync.OnceFunc(stream.Close), acquired: time.Now(), suspended: x.g.suspended(),
 		reportFirstEvent: func(d time.Duration) {
 			// A lost report only makes the agent's forecast less accurate.
 			_ = stream.Send(link.KindGrantFirstEvent, &wire.GrantFirstEvent{FirstEventMS: d.Milliseconds()})
@@ -313,6 +314,11 @@
 			}
 		},
 	}
+	if !x.goesOnAt(a) {
+		x.g.Info("msg", "engine does not run the software that began the stream", "request", x.q.attempt, "target", t.Instance, "listed-start", t.StartMS, "instance", a.instance, "start", a.startMS, "begun-by", x.origin.software)
+		a.release()
+		return nil, unable
+	}
 	x.observeRun(a, w, held, requested)
 	return a, reply
 }
@@ -352,20 +358,24 @@
 
 // receiveGrant waits for the agent's answer for as long as the link shows that the
 // agent is alive.
-func receiveGrant(ctx context.Context, s *link.Stream) (wire.GrantReply, error) {
+func receiveGrant(ctx context.Context, s *link.Stream) (wire.ProcessGrant, error) {
 	f, err := receiveWhileAlive(ctx, s, 0)
-	var reply wire.GrantReply
+	var granted wire.ProcessGrant
 	if err != nil {
 		if errors.Is(err, errors.Timeout) {
 			s.Conn().Close()
 		}
-		return reply, errors.Trace(err)
+		return granted, errors.Trace(err)
 	}
-	if f.Kind != link.KindGrantReply {
-		return reply, errors.NotValidf("grant reply: frame kind %d", f.Kind)
+	switch f.Kind {
+	case link.KindProcessGrant:
+		_, err = granted.UnmarshalMsg(f.Body)
+	case link.KindGrantReply:
+		_, err = granted.Reply.UnmarshalMsg(f.Body)
+	default:
+		err = errors.NotValidf("grant reply: frame kind %d", f.Kind)
 	}
-	_, err = reply.UnmarshalMsg(f.Body)
-	return reply, errors.Trace(err)
+	return granted, errors.Trace(err)
 }
 
 // receiveWhileAlive receives an agent's reply. It returns a Timeout error if the agent has
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -314,7 +314,7 @@
 			return outcomeUnsent // it has stated a limit since
 		}
 	}
-	if !x.g.mayReceive(a.target) || !x.goesOnAt(a.target) {
+	if !x.g.mayReceive(a.target) || !x.goesOnAt(a) {
 		conn.Close()
 		x.g.Info("msg", "target left before the request was sent", "request", x.q.attempt, "target", a.target.Instance)
 		return outcomeUnsent
--- a/pkg/gateway/out_of_step_test.go
+++ b/pkg/gateway/out_of_step_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/origin"
 	"github.com/hyssoproad/hyssoproad/pkg/standin"
+	"github.com/hyssoproad/hyssoproad/pkg/wire"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
@@ -156,3 +158,62 @@
 		})
 	}
 }
+
+// Guards against ORDER: an engine started again under its name as another software version, or
+// another engine at its address, before the gateway's list said so.
+func TestStreamGoesOnAtTheProcessThatTheListDescribesOnly(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		startMS int64 // as the agents know it
+		engine  ident.Target
+		resumed bool
+	}{
+		{"the process of the list", 1, "s-2", true},
+		{"one that started since", 7, "s-2", false},
+		{"another engine at the address", 1, "s-9", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			testTargetList(t, func(t *testing.T, h *listHarness) {
+				first := ""
+				h.grant = func(address string, _ wire.GrantRequest) wire.GrantReply {
+					reply := wire.GrantReply{Code: wire.GrantIssued, LinkedEntries: 1}
+					if first == "" {
+						first = address
+					}
+					if address != first {
+						reply.Instance, h.startMS = test.engine, test.startMS
+						if test.engine == "s-2" && strings.HasPrefix(address, "10.0.0.1:") {
+							reply.Instance = "s-1"
+						}
+					}
+					return reply
+				}
+				h.script(respondRaw(streamHead+chunk(events(1, 2))), respondStreamFrom(3, 4))
+				res := h.send(patient(streamRequest("/stream/x")))
+				got, err := io.ReadAll(res.Body)
+				if test.resumed {
+					require.NoError(t, err)
+					require.Equal(t, events(1, 4), string(got))
+					return
+				}
+				require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				require.Equal(t, events(1, 2), string(got))
+				require.Len(t, h.reached(), 1)
+			})
+		})
+	}
+}
+
+// Guards against ORDER: a stream that an engine had begun after a start which the gateway's
+// list did not show yet was remembered as one of the version before.
+func TestStreamOfAProcessThatIsNotListedHasNoKnownVersion(t *testing.T) {
+	testTargetList(t, func(t *testing.T, h *listHarness) {
+		h.startMS = 7
+		h.script(respondStreamFrom(1, 2), respondStreamFrom(3, 4))
+		require.Equal(t, events(1, 2), body(t, h.send(patient(streamRequest("/stream/x")))))
+		takeUp := strings.Replace(patient(rawRequest("POST", "/stream/x", "Content-Length: 0\r\n", "X-Model: m/a1\r\n", "Last-Event-Id: 2\r\n", "Resumes: a-1\r\n")), "a-1", "a-2", 1)
+		res := h.send(takeUp)
+		require.Equal(t, 503, res.StatusCode, body(t, res))
+		require.Len(t, h.reached(), 1)
+	})
+}
--- a/pkg/gateway/stream_origin.go
+++ b/pkg/gateway/stream_origin.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -39,7 +40,9 @@
 type streamOrigin struct {
 	stream   origin.Stream
 	software ident.Software
-	begun    bool // a target has sent events, so that only its software may go on
+	// known says that software is known. That of a process that is not listed is not.
+	known bool
+	begun bool // a target has sent events, so that only its software may go on
 }
 
 // resumesStream reports whether the request continues the stream of an earlier one.
@@ -64,7 +67,7 @@
 		}
 		return refusal{reason: reasonOriginUnknown, wait: x.remaining()}, false
 	}
-	x.origin = streamOrigin{stream: stream, software: search.software, begun: true}
+	x.origin = streamOrigin{stream: stream, software: search.software, known: true, begun: true}
 	x.g.metrics.resumedStreams.Inc(1)
 	x.g.Info("msg", "stream resumed", "request", x.q.attempt, "stream", stream.Attempt, "last-event", x.q.lastEvent, "software", search.software, "asked", search.asked)
 	if stream.Attempt != "" {
@@ -185,9 +188,14 @@
 		return
 	}
 	if !x.origin.begun {
-		x.origin = streamOrigin{origin.Stream{Account: x.accountName(), Attempt: ident.Attempt(x.q.attempt)}, a.target.Software, true}
+		x.origin = streamOrigin{stream: origin.Stream{Account: x.accountName(), Attempt: ident.Attempt(x.q.attempt)}, begun: true}
+		x.origin.software, x.origin.known = x.g.softwareAt(a)
 	}
 	o := x.origin
+	if !o.known {
+		x.g.Info("msg", "stream begun by a process that is not listed", "request", x.q.attempt, "target", a.target.Instance, "listed-start", a.target.StartMS, "instance", a.instance, "start", a.startMS)
+		return
+	}
 	if o.stream.Attempt == "" {
 		return // nobody can name it
 	}
@@ -196,26 +204,43 @@
 		return
 	}
 	err := a.agent.Notify(link.KindStreamOrigin, &wire.StreamOrigin{
-		Account: o.stream.Account, Attempt: o.stream.Attempt, StartMS: a.target.StartMS, Software: o.software, TTLMS: x.originTTL().Milliseconds(),
+		Account: o.stream.Account, Attempt: o.stream.Attempt, StartMS: cmp.Or(a.startMS, a.target.StartMS), Software: o.software, TTLMS: x.originTTL().Milliseconds(),
 	})
 	if err != nil {
 		x.g.Debug("msg", "failed to tell an agent the origin of a stream", "stream", o.stream.Attempt, "target", a.target.Instance, "err", err)
 	}
 }
 
-// mayGoOnAt reports whether the request may be sent to the target: a stream that has begun
-// goes on at targets of the software that began it only.
+// softwareAt returns the software of the process that an assignment is for, if the list of
+// targets shows that process. The list may be behind: the engine may have started again as
+// another version, or another engine may have its address.
+func (g *Gateway) softwareAt(a *assignment) (ident.Software, bool) {
+	instance := cmp.Or(a.instance, a.target.Instance)
+	t, listed := g.fleet.Find(instance)
+	if !listed {
+		if instance != a.target.Instance {
+			return "", false
+		}
+		t = a.target // it has left since
+	}
+	return t.Software, a.startMS == 0 || t.StartMS == 0 || a.startMS == t.StartMS
+}
+
+// mayGoOnAt reports whether the request may be sent to the target, by the list of targets: a
+// stream that has begun goes on at targets of the software that began it only.
 func (x *exchange) mayGoOnAt(t fleet.Target) bool {
-	return !x.origin.begun || t.Software == x.origin.software
+	return !x.origin.begun || x.origin.known && t.Software == x.origin.software
 }
 
-// goesOnAt reports whether the target is still the process to which the request may be sent.
-func (x *exchange) goesOnAt(t fleet.Target) bool {
+// goesOnAt reports whether the assignment is still for a process to which the request may be
+// sent.
+func (x *exchange) goesOnAt(a *assignment) bool {
 	if !x.origin.begun {
 		return true
 	}
-	current, listed := x.g.fleet.Find(t.Instance)
-	return listed && current.StartMS == t.StartMS && x.mayGoOnAt(current)
+	current, listed := x.g.fleet.Find(a.target.Instance)
+	software, known := x.g.softwareAt(a)
+	return listed && current.StartMS == a.target.StartMS && known && x.origin.known && software == x.origin.software
 }
 
 // matching returns the targets to which the request may be sent.
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -62,6 +62,7 @@
 	KindStreamOrigin
 	KindOriginQuery
 	KindOriginReply
+	KindProcessGrant
 	kindLimit
 )
 
--- a/pkg/orderer/account_test.go
+++ b/pkg/orderer/account_test.go
@@ -35,9 +35,7 @@
 			if err != nil {
 				return false
 			}
-			var reply wire.GrantReply
-			_, err = reply.UnmarshalMsg(f.Body)
-			require.NoError(t, err)
+			reply := readGrant(t, f).Reply
 			return reply.Code == wire.GrantIssued
 		}
 		var running []*link.Stream
--- a/pkg/orderer/lost_link_test.go
+++ b/pkg/orderer/lost_link_test.go
@@ -46,9 +46,7 @@
 		require.Less(t, time.Since(began), 100*time.Millisecond, "there is room for it")
 		f, err := ask(c, "large", 40_000).Receive(t.Context())
 		require.NoError(t, err)
-		var reply wire.GrantReply
-		_, err = reply.UnmarshalMsg(f.Body)
-		require.NoError(t, err)
+		reply := readGrant(t, f).Reply
 		require.Equal(t, wire.GrantIssued, reply.Code, "%+v after %s", reply, time.Since(began))
 		require.InDelta(t, 10, time.Since(began).Seconds(), 0.6, "%+v", reply)
 	})
--- a/pkg/orderer/orderer.go
+++ b/pkg/orderer/orderer.go
@@ -197,7 +197,7 @@
 		}
 	}
 	reply.LinkedEntries, _ = o.entries.add(s.Conn())
-	if err := s.Send(link.KindGrantReply, &reply); err != nil {
+	if err := o.sendReply(s, reply); err != nil {
 		return errors.Trace(err)
 	}
 	if reply.Code != wire.GrantIssued {
@@ -215,6 +215,17 @@
 	}
 }
 
+// sendReply answers a grant request. An entry of an earlier release is not told the process.
+func (o *Orderer) sendReply(s *link.Stream, reply wire.GrantReply) error {
+	if reply.Code != wire.GrantIssued || !s.Conn().Reads(link.KindProcessGrant) {
+		return errors.Trace(s.Send(link.KindGrantReply, &reply))
+	}
+	o.mu.Lock()
+	startMS := o.startMS
+	o.mu.Unlock()
+	return errors.Trace(s.Send(link.KindProcessGrant, &wire.ProcessGrant{Reply: reply, StartMS: startMS}))
+}
+
 func (o *Orderer) handlePauseReport(_ context.Context, _ *link.Stream, f link.Frame) error {
 	var r wire.PauseReport
 	if _, err := r.UnmarshalMsg(f.Body); err != nil {
--- a/pkg/orderer/orderer_test.go
+++ b/pkg/orderer/orderer_test.go
@@ -211,6 +211,22 @@
 	})
 }
 
+// readGrant decodes the reply to a grant request.
+func readGrant(t *testing.T, f link.Frame) (granted wire.ProcessGrant) {
+	t.Helper()
+	var err error
+	if f.Kind == link.KindProcessGrant {
+		_, err = granted.UnmarshalMsg(f.Body)
+		require.Equal(t, wire.GrantIssued, granted.Reply.Code)
+	} else {
+		require.Equal(t, link.KindGrantReply, f.Kind)
+		_, err = granted.Reply.UnmarshalMsg(f.Body)
+		require.NotEqual(t, wire.GrantIssued, granted.Reply.Code, "the entry is not told the process")
+	}
+	require.NoError(t, err)
+	return granted
+}
+
 // requestGrant requests a grant and returns the reply and its stream.
 func requestGrant(t *testing.T, c *link.Conn, adapter ident.Adapter) (wire.GrantReply, *link.Stream) {
 	t.Helper()
@@ -222,9 +238,7 @@
 	defer cancel()
 	f, err := s.Receive(ctx)
 	require.NoError(t, err)
-	var reply wire.GrantReply
-	_, err = reply.UnmarshalMsg(f.Body)
-	require.NoError(t, err)
+	reply := readGrant(t, f).Reply
 	return reply, s
 }
 
--- a/pkg/orderer/origin_test.go
+++ b/pkg/orderer/origin_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/link"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
 )
@@ -34,3 +35,22 @@
 		}
 	})
 }
+
+// Guards against ORDER: an entry whose list is behind can tell that the engine has started
+// again, maybe as another software version.
+func TestGrantNamesTheEnginesProcess(t *testing.T) {
+	testOrderer(t, func(t *testing.T, e *fakeEngine, entry func() *link.Conn) {
+		startOf := func() int64 {
+			s, err := entry().Open(link.KindGrantRequest, &wire.GrantRequest{Model: "m", Adapter: ident.AdapterVersion{Adapter: "a1"}, PromptTokens: 100, OutputTokens: 10, MaxWaitMS: 20_000, ObjectiveMS: 800})
+			require.NoError(t, err)
+			defer s.Close()
+			f, err := s.Receive(t.Context())
+			require.NoError(t, err)
+			return readGrant(t, f).StartMS
+		}
+		require.Equal(t, e.startMS, startOf())
+		e.restart("i-1")
+		time.Sleep(time.Second) // a report shows it
+		require.Equal(t, e.startMS, startOf())
+	})
+}
--- a/pkg/orderer/pace_test.go
+++ b/pkg/orderer/pace_test.go
@@ -71,9 +71,7 @@
 	require.NoError(t, err)
 	f, err := s.Receive(t.Context())
 	require.NoError(t, err)
-	var reply wire.GrantReply
-	_, err = reply.UnmarshalMsg(f.Body)
-	require.NoError(t, err)
+	reply := readGrant(t, f).Reply
 	return reply
 }
 
--- a/pkg/wire/grant_schema.go
+++ b/pkg/wire/grant_schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -o grant_schema_gen.go -tests=false -io=false
 
-//msgp:tuple EngineSetup ModelSetup GrantRequest AccountGrantRequest GrantReply GrantFirstEvent PauseReport RequestLost CrashReport TargetNotice PermitRequest PermitReply RunQuery RunReply StreamOrigin OriginQuery OriginReply
+//msgp:tuple EngineSetup ModelSetup GrantRequest AccountGrantRequest GrantReply ProcessGrant GrantFirstEvent PauseReport RequestLost CrashReport TargetNotice PermitRequest PermitReply RunQuery RunReply StreamOrigin OriginQuery OriginReply
 
 // EngineSetup tells the agent beside an engine what the engine serves and how
 // much it holds. For the same instance, a setup from an older configuration
@@ -109,6 +109,14 @@
 	LinkedEntries int
 }
 
+// ProcessGrant is a GrantReply that says which process of the engine the grant is for. It is a
+// message of its own because releases that do not know it reject a GrantReply with further
+// fields.
+type ProcessGrant struct {
+	Reply   GrantReply
+	StartMS int64 // start of the engine's process in Unix ms; 0 if unknown
+}
+
 // GrantFirstEvent reports the time from sending a granted request to its first event.
 type GrantFirstEvent struct {
 	FirstEventMS int64
--- a/pkg/wire/grant_schema_gen.go
+++ b/pkg/wire/grant_schema_gen.go
@@ -849,6 +849,52 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ProcessGrant) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o, err = z.Reply.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Reply")
+		return
+	}
+	o = msgp.AppendInt64(o, z.StartMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ProcessGrant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	bts, err = z.Reply.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reply")
+		return
+	}
+	z.StartMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartMS")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ProcessGrant) Msgsize() (s int) {
+	s = 1 + z.Reply.Msgsize() + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *RequestLost) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
