A late word of an earlier process does not take back that a target leaves

Callers could see: requests went on to a target that had said in a response that it leaves, after a late record of its earlier process, or a gateway whose list was behind, had made the table of notices hear of that process again.

The table kept one process for each target and forgot what "the one before" had said, whichever was heard of last.

Change: which processes leave is kept by their start, for at most eight a target.

Before: both cases of the new test fail. TestLeavingIsFinalForAProcess asserted that a process's word is forgotten once another one is heard of, which is the fault; it asserts now that the word holds for the one and does not count for the other. Its last assertion, that nothing is left in the table, now says that no limit is left and nothing to tell others; the memory stays bounded (TestTableIsBounded, and the new test).

--- a/pkg/notice/table.go
+++ b/pkg/notice/table.go
@@ -8,6 +8,7 @@
 package notice
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +53,8 @@
 const (
 	// maxTargets bounds the number of targets in a table.
 	maxTargets = 4096
+	// maxLeaving bounds the processes of one target that are known to leave.
+	maxLeaving = 8
 	// maxPause bounds how long a target is believed that it wants no requests.
 	maxPause = 10 * time.Minute
 )
@@ -61,14 +64,23 @@
 	heard   time.Time // when something was last heard
 	limited bool
 	limit   Limit
-	// leaving and pausedUntil are of the process that started at startMS.
+	// pausedUntil is of the process that started at startMS.
 	startMS     int64
-	leaving     bool
 	pausedUntil time.Time
+	// leaving are the starts of the processes that leave, in the order in which that was
+	// heard. What one of them has said holds, also after something was heard of another one:
+	// that may be of an earlier process, and come late.
+	leaving []int64
 }
 
 func (b *belief) isEmpty(now time.Time) bool {
-	return !b.limited && !b.leaving && !now.Before(b.pausedUntil)
+	return !b.limited && len(b.leaving) == 0 && !now.Before(b.pausedUntil)
+}
+
+// isLeaving reports whether the process that started at a time leaves. An unknown start may
+// be of any.
+func (b *belief) isLeaving(startMS int64) bool {
+	return slices.ContainsFunc(b.leaving, func(left int64) bool { return left == startMS || left == 0 || startMS == 0 })
 }
 
 // isOf reports whether what is known concerns the process. An unknown start may be of any.
@@ -126,9 +138,8 @@
 	return c
 }
 
-// get returns what is known of a target, and adds an empty belief if there is none. What a
-// process said that has been replaced is forgotten, but for the limit, which ends only by
-// a response. The caller holds mu.
+// get returns what is known of a target, and adds an empty belief if there is none. The
+// pause of another process is forgotten. The caller holds mu.
 func (t *Table) get(p Process, now time.Time) *belief {
 	b := t.targets[p.Target]
 	if b == nil {
@@ -139,10 +150,13 @@
 		t.targets[p.Target] = b
 	}
 	if !b.isOf(p) {
-		b.leaving, b.pausedUntil = false, time.Time{}
+		b.pausedUntil = time.Time{}
 	}
 	if p.StartMS != 0 {
 		b.startMS = p.StartMS
+		if i := slices.Index(b.leaving, 0); i >= 0 {
+			b.leaving[i] = p.StartMS // the unknown process is taken to be this one
+		}
 	}
 	b.heard = now
 	return b
@@ -177,10 +191,16 @@
 	return changed
 }
 
+// leave records that the process heard of last leaves.
 func (b *belief) leave() (changed bool) {
-	changed = !b.leaving
-	b.leaving = true
-	return changed
+	if b.isLeaving(b.startMS) {
+		return false
+	}
+	if len(b.leaving) >= maxLeaving {
+		b.leaving = b.leaving[1:]
+	}
+	b.leaving = append(b.leaving, b.startMS)
+	return true
 }
 
 // Limit returns the limit that a target states, if any.
@@ -199,7 +219,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.targets[p.Target]
-	return b != nil && b.leaving && b.isOf(p)
+	return b != nil && b.isLeaving(p.StartMS)
 }
 
 // Pause returns for how long a process wants no requests from this process.
@@ -214,7 +234,7 @@
 }
 
 func (b *belief) notice(target ident.Target) wire.TargetNotice {
-	return wire.TargetNotice{Target: target, StartMS: b.startMS, Limited: b.limited, LimitPerSecond: b.limit.PerSecond, Leaving: b.leaving}
+	return wire.TargetNotice{Target: target, StartMS: b.startMS, Limited: b.limited, LimitPerSecond: b.limit.PerSecond, Leaving: b.isLeaving(b.startMS)}
 }
 
 // Empty reports whether nothing is known of any target.
@@ -240,7 +260,7 @@
 	defer t.mu.Unlock()
 	var out []wire.TargetNotice
 	for target, b := range t.targets {
-		if b.limited || b.leaving {
+		if b.limited || b.isLeaving(b.startMS) {
 			out = append(out, b.notice(target))
 		}
 	}
