A refusal of a stream at a gateway whose list is behind does not say to stay away

Callers could see: a stream whose version had engines elsewhere was refused with the rest of the caller's time as Retry-After, by a gateway whose list was not current.

Cause: the refusal took the list for the truth. Change: if no call to the store since the request's arrival has confirmed the list, Retry-After is 0.5 s.

Before: the new case of TestGatewayOutOfStepDoesNotGuessTheVersionOfAStream fails.

--- a/pkg/gateway/assignment.go
+++ b/pkg/gateway/assignment.go
@@ -46,8 +46,7 @@
 	switch {
 	case len(targets) > 0:
 	case x.originGone():
-		x.g.metrics.goneOrigins.Inc(1)
-		return nil, refusal{reason: reasonOriginGone, detail: string(x.origin.software), wait: x.remaining()}
+		return nil, x.goneRefusal()
 	default:
 		return nil, x.noTarget()
 	}
--- a/pkg/gateway/out_of_step_test.go
+++ b/pkg/gateway/out_of_step_test.go
@@ -131,6 +131,10 @@
 			cut(h)
 			h.register(3, "v2", 1)
 		}, reasonOriginUnanswered, ""},
+		{"cut off, its version not listed", "Resumes: a-1\r\n", func(h *listHarness) {
+			cut(h)
+			h.Gateway.origins.Record(origin.Stream{Attempt: "a-1"}, "v2", time.Minute, time.Now())
+		}, reasonOriginGone, ""},
 		{"between two updates of the list, by name", "Resumes: a-1\r\n", func(h *listHarness) { h.register(3, "v2", 1) }, "", "v2"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -144,7 +148,7 @@
 					require.Equal(t, 503, res.StatusCode, got)
 					require.Contains(t, got, test.reason)
 					require.Empty(t, h.reached())
-					if test.reason == reasonOriginUnanswered {
+					if test.reason != reasonOriginUnknown {
 						wait, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
 						require.NoError(t, err)
 						require.LessOrEqual(t, wait, 1.0, "another gateway knows more")
--- a/pkg/gateway/stream_origin.go
+++ b/pkg/gateway/stream_origin.go
@@ -261,3 +261,15 @@
 func (x *exchange) originGone() bool {
 	return x.origin.begun && len(x.matching(x.g.fleet.Available(x.service.Name))) == 0 && !x.g.fleet.Settling(time.Now())
 }
+
+// goneRefusal is the refusal of a request whose stream no listed target can continue.
+func (x *exchange) goneRefusal() refusal {
+	x.g.metrics.goneOrigins.Inc(1)
+	why := refusal{reason: reasonOriginGone, detail: string(x.origin.software), wait: x.remaining()}
+	ctx, cancel := context.WithCancel(x.ctx)
+	cancel()
+	if !x.g.awaitTargetList(ctx, x.began) {
+		why.wait = originRetryAfter // other gateways may know an engine
+	}
+	return why
+}
