Versions that come and go while the list is not followed are read from the history

Change: after such a gap the gateway asks the store for the changes in between, and no version is in doubt once it has told of all.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -46,7 +46,8 @@
 
 // Listing is a complete list of a kind.
 type Listing struct {
-	Objects []platform.Object
+	Objects  []platform.Object
+	Position platform.Position
 	// Restored says that the store has returned from an older copy since the last list or
 	// change: what is missing may be lost, and what is listed may be out of date.
 	Restored bool
@@ -134,7 +135,7 @@
 		return platform.Position{}, errors.Trace(err)
 	}
 	f.Outage.succeeded()
-	f.OnList(Listing{Objects: objects, Restored: !f.Freshness.Position().SameHistory(position)})
+	f.OnList(Listing{Objects: objects, Position: position, Restored: !f.Freshness.Position().SameHistory(position)})
 	return position, nil
 }
 
--- a/pkg/gateway/out_of_step_test.go
+++ b/pkg/gateway/out_of_step_test.go
@@ -116,14 +116,28 @@
 		{"the version has left since, without a name", "", func(h *listHarness) {
 			cut(h)
 			h.register(3, "v2", 1)
-			time.Sleep(5 * time.Second)
+			time.Sleep(7 * time.Second)
 			h.leave(3)
 			heal(h)
 			time.Sleep(time.Second)
 		}, reasonOriginUnknown, ""},
+		{"no version has joined meanwhile, without a name", "", func(h *listHarness) {
+			cut(h)
+			time.Sleep(7 * time.Second)
+			heal(h)
+			time.Sleep(time.Second)
+		}, "", "v1"},
+		{"nobody tells what has joined meanwhile, without a name", "", func(h *listHarness) {
+			cut(h)
+			time.Sleep(7 * time.Second)
+			h.store.DiscardHistory()
+			heal(h)
+			time.Sleep(time.Second)
+		}, reasonOriginUnknown, ""},
 		{"long after that, without a name", "", func(h *listHarness) {
 			cut(h)
-			time.Sleep(5 * time.Second)
+			time.Sleep(7 * time.Second)
+			h.store.DiscardHistory()
 			heal(h)
 			time.Sleep(16 * time.Second)
 		}, "", "v1"},
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -38,7 +38,7 @@
 	}
 	outage := follow.NewOutage(g.Common, follow.OutageLimits{
 		RetryDelay: follow.Share(min(bounds.Configuration, bounds.Draining, bounds.Version), maxRetryShare),
-		Expiry:     g.targetExpiry(),
+		Expiry:     expiryHeartbeats * g.node.TargetHeartbeat,
 	}, g.fleet.RecordOutage)
 	return []*follow.Follower{
 		{
@@ -57,7 +57,10 @@
 		},
 		{
 			Common: g.Common, Source: source, Kind: platform.KindTargets, Freshness: g.targetList, Timing: timing(bounds.Draining, targetsPauseShare), Outage: outage,
-			OnList:    g.replaceTargets,
+			OnList: func(l follow.Listing) {
+				g.observeUnseenVersions(source, l)
+				g.replaceTargets(l)
+			},
 			OnChanges: changeHandler(g.putTarget, g.removeTarget),
 		},
 		{
@@ -75,9 +78,6 @@
 	}
 }
 
-// targetExpiry is the least time without a heartbeat after which a target's record expires.
-func (g *Gateway) targetExpiry() time.Duration { return expiryHeartbeats * g.node.TargetHeartbeat }
-
 // syncState tracks which kinds were listed at least once.
 type syncState struct {
 	mu     sync.Mutex
@@ -177,10 +177,6 @@
 	if l.Restored {
 		g.fleet.RecordOutage(time.Now())
 	}
-	if unseen, followed := g.targetList.Unconfirmed(); followed && unseen >= g.targetExpiry() {
-		g.Info("msg", "targets may have joined and left unnoticed", "unconfirmed", unseen)
-		g.softwares.RecordGap(time.Now())
-	}
 	var targets []fleet.Target
 	for _, o := range l.Objects {
 		if t, ok := g.parseTarget(o); ok {
--- a/pkg/origin/table_test.go
+++ b/pkg/origin/table_test.go
@@ -74,3 +74,26 @@
 	require.True(t, sole, "the other one was stated for the last time before")
 	require.Equal(t, ident.Software("v2"), software)
 }
+
+// A version that came and went in a gap is not known, until what was stated then is.
+func TestNoVersionIsTheOnlyOneAfterAGap(t *testing.T) {
+	const within = 15 * time.Second
+	versions, now := origin.NewVersions(), time.Now()
+	sole := func(at time.Time) bool {
+		versions.Observe("s", "v1", at)
+		_, sole := versions.Sole("s", within, at)
+		return sole
+	}
+	require.True(t, sole(now))
+	first, second := now, now.Add(5*time.Second)
+	versions.RecordGap(first)
+	versions.RecordGap(second)
+	require.False(t, sole(second))
+	versions.CloseGap(second)
+	require.False(t, sole(second), "the first one is still open")
+	versions.CloseGap(first)
+	require.True(t, sole(second))
+	versions.RecordGap(second)
+	require.False(t, sole(second.Add(within)))
+	require.True(t, sole(second.Add(within+time.Second)))
+}
--- a/pkg/origin/versions.go
+++ b/pkg/origin/versions.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -12,8 +13,8 @@
 type Versions struct {
 	mu   sync.Mutex
 	seen map[ident.Service]map[ident.Software]time.Time
-	// gap is when a version was last missed, if that may be.
-	gap time.Time
+	// gaps are times until which versions may have been missed.
+	gaps []time.Time
 }
 
 // NewVersions returns a record without versions.
@@ -42,7 +43,15 @@
 func (v *Versions) RecordGap(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.gap = now
+	v.gaps = append(slices.DeleteFunc(v.gaps, func(gap time.Time) bool { return now.Sub(gap) > MaxTTL }), now)
+}
+
+// CloseGap records that the versions stated in the gap that was recorded at a time have been
+// observed since.
+func (v *Versions) CloseGap(at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.gaps = slices.DeleteFunc(v.gaps, at.Equal)
 }
 
 // Sole returns the only version that targets of the service have stated within a time, if there
@@ -50,7 +59,7 @@
 func (v *Versions) Sole(s ident.Service, within time.Duration, now time.Time) (sole ident.Software, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.gap.IsZero() && now.Sub(v.gap) <= within {
+	if slices.ContainsFunc(v.gaps, func(gap time.Time) bool { return now.Sub(gap) <= within }) {
 		return "", false
 	}
 	for software, at := range v.seen[s] {
