--- a/pkg/soak/fault.go
+++ b/pkg/soak/fault.go
@@ -261,7 +261,7 @@
 const errTargetStopping = errors.ConstError("target is already down or draining")
 
 // crashTarget stops a target without an announcement. The target restarts under
-// another name.
+// another name, at times as another version of its software.
 func crashTarget(d *deployment, random *rand.Rand) (func() error, error) {
 	t := randomTarget(d, random)
 	if !t.stopping.CompareAndSwap(false, true) {
@@ -271,8 +271,12 @@
 	if err := t.close(); err != nil {
 		return nil, errors.Trace(err)
 	}
+	changes := random.IntN(2) == 0
 	return func() error {
 		d.store.Withdraw(platform.KindTargets, name)
+		if changes {
+			t.SetSoftware(otherSoftware(t.Software()))
+		}
 		return d.restartTarget(t)
 	}, nil
 }
