A stream without a name is refused at once where two versions are known

Callers waited for a current list of targets, up to 1.5 s while the store did not answer, although the gateway had heard of two versions already: nothing that the list can show makes one of them the only one. They were then told to come back in 0.5 s.

Before: the new case of TestGatewayOutOfStepDoesNotGuessTheVersionOfAStream fails.

--- a/pkg/gateway/out_of_step_test.go
+++ b/pkg/gateway/out_of_step_test.go
@@ -112,6 +112,11 @@
 			time.Sleep(3 * time.Second)
 			h.register(3, "v2", 1)
 		}, reasonOriginUnanswered, ""},
+		{"cut off, without a name, beside another version", "", func(h *listHarness) {
+			h.register(3, "v2", 1)
+			time.Sleep(3 * time.Second)
+			cut(h)
+		}, reasonOriginUnknown, ""},
 		{"between two updates of the list, without a name", "", func(h *listHarness) { h.register(3, "v2", 1) }, reasonOriginUnknown, ""},
 		{"the version has left since, without a name", "", func(h *listHarness) {
 			cut(h)
@@ -160,7 +165,7 @@
 				got := body(t, res)
 				if test.reason != "" {
 					require.Equal(t, 503, res.StatusCode, got)
-					require.Contains(t, got, test.reason)
+					require.Contains(t, got, `"`+test.reason+`"`)
 					require.Empty(t, h.reached())
 					if test.reason != reasonOriginUnknown {
 						wait, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
--- a/pkg/gateway/stream_origin.go
+++ b/pkg/gateway/stream_origin.go
@@ -62,10 +62,10 @@
 	if !search.known {
 		x.g.metrics.unknownOrigins.Inc(1)
 		x.g.Info("msg", "origin of a stream not known", "request", x.q.attempt, "stream", stream.Attempt, "last-event", x.q.lastEvent, "list-current", search.listCurrent, "list-age", x.g.targetList.Age(time.Now()), "asked", search.asked, "answered", search.answered)
-		if !search.listCurrent || search.answered < search.asked {
-			return refusal{reason: reasonOriginUnanswered, wait: originRetryAfter}, false
+		if search.final {
+			return refusal{reason: reasonOriginUnknown, wait: x.remaining()}, false
 		}
-		return refusal{reason: reasonOriginUnknown, wait: x.remaining()}, false
+		return refusal{reason: reasonOriginUnanswered, wait: originRetryAfter}, false
 	}
 	x.origin = streamOrigin{stream: stream, software: search.software, known: true, begun: true}
 	x.g.metrics.resumedStreams.Inc(1)
@@ -86,6 +86,8 @@
 	asked, answered int // agents
 	// listCurrent says that the list of targets is as of the request's arrival or later.
 	listCurrent bool
+	// final says that another try would not find more.
+	final bool
 }
 
 // searchOrigin searches for the software that began a stream. Engines that this process does
@@ -93,8 +95,12 @@
 func (x *exchange) searchOrigin(s origin.Stream) (o originSearch) {
 	if s.Attempt == "" {
 		// Without a name, the stream is of the only version that there was.
+		if o.final = x.g.softwares.Several(x.service.Name, x.originTTL(), time.Now()); o.final {
+			return o
+		}
 		if o.listCurrent = x.awaitList(); o.listCurrent {
 			o.software, o.known = x.g.softwares.Sole(x.service.Name, x.originTTL(), time.Now())
+			o.final = !o.known
 		}
 		return o
 	}
@@ -111,6 +117,7 @@
 			return slices.ContainsFunc(before, func(b fleet.Target) bool { return b.Instance == t.Instance })
 		})
 		o.ask(x, joined, s)
+		o.final = o.answered == o.asked
 	}
 	return o
 }
--- a/pkg/origin/table_test.go
+++ b/pkg/origin/table_test.go
@@ -69,6 +69,8 @@
 	versions.Observe("s", "v2", now.Add(time.Second))
 	_, sole = versions.Sole("s", within, now.Add(time.Second))
 	require.False(t, sole)
+	require.True(t, versions.Several("s", within, now.Add(time.Second)))
+	require.False(t, versions.Several("other", within, now.Add(time.Second)))
 	versions.Observe("s", "v2", now.Add(within+time.Second))
 	software, sole = versions.Sole("s", within, now.Add(within+time.Second))
 	require.True(t, sole, "the other one was stated for the last time before")
--- a/pkg/origin/versions.go
+++ b/pkg/origin/versions.go
@@ -56,20 +56,31 @@
 
 // Sole returns the only version that targets of the service have stated within a time, if there
 // was only one.
-func (v *Versions) Sole(s ident.Service, within time.Duration, now time.Time) (sole ident.Software, ok bool) {
+func (v *Versions) Sole(s ident.Service, within time.Duration, now time.Time) (ident.Software, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if slices.ContainsFunc(v.gaps, func(gap time.Time) bool { return now.Sub(gap) <= within }) {
+	stated := v.stated(s, within, now)
+	inGap := slices.ContainsFunc(v.gaps, func(gap time.Time) bool { return now.Sub(gap) <= within })
+	if inGap || len(stated) != 1 {
 		return "", false
 	}
+	return stated[0], true
+}
+
+// Several reports whether targets of the service have stated more than one version within a
+// time.
+func (v *Versions) Several(s ident.Service, within time.Duration, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.stated(s, within, now)) > 1
+}
+
+// stated returns the versions stated within a time. The caller holds mu.
+func (v *Versions) stated(s ident.Service, within time.Duration, now time.Time) (out []ident.Software) {
 	for software, at := range v.seen[s] {
-		if now.Sub(at) > within {
-			continue
-		}
-		if ok {
-			return "", false
+		if now.Sub(at) <= within {
+			out = append(out, software)
 		}
-		sole, ok = software, true
 	}
-	return sole, ok
+	return out
 }
