--- a/review/drive3/engine.go
+++ b/review/drive3/engine.go
@@ -316,7 +316,7 @@
 	for n := from + 1; n <= tokens/3; n++ {
 		time.Sleep(e.pause)
 		for e.waits() {
-			if e.drops && r.Context().Err() != nil {
+			if e.dropsRuns() && r.Context().Err() != nil {
 				break
 			}
 			time.Sleep(10 * time.Millisecond)
@@ -325,7 +325,7 @@
 			closed = true
 			e.w.rec.row("engine %s: the connection of %s is closed after event %d", e.id, work.attempt, n-1)
 		}
-		if closed && e.drops {
+		if closed && e.dropsRuns() {
 			e.end(work, "dropped")
 			panic(http.ErrAbortHandler)
 		}
@@ -383,3 +383,17 @@
 	}
 	e.end(work, "all events made")
 }
+
+func (e *engine) dropsRuns() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.drops
+}
+
+// keepOn makes the engine one that does not drop a request when its connection closes.
+func (e *engine) keepOn() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.drops = false
+	e.w.rec.row("engine %s doesn't drop requests when their connections close", e.id)
+}
--- a/review/drive3/two_engines.go
+++ b/review/drive3/two_engines.go
@@ -11,15 +11,15 @@
 // machines is the number of engines with a side machine each: one of them is a share of 0.11.
 const machines = 9
 
-// twoEngines: an engine that does not drop requests with their connections preempts what it
-// runs, so that streams stall, while the orderer beside it stands still.
+// twoEngines: the one engine that does not drop requests with their connections preempts what
+// it runs, so that streams stall, while the orderer beside it stands still.
 func twoEngines(w *world, trouble bool) (int, error) {
 	log := &runLog{}
 	w.store.put("config", "main", configuration(7))
 	var engines []*engine
 	for i := 1; i <= machines; i++ {
 		e := newEngine(w, log, draftService, fmt.Sprintf("i-draft-%d", i), w.addr(2, i, w.ports.app), true, 64)
-		e.drops, e.loaded = false, true
+		e.loaded = true
 		e.adapters["a1"], e.adapters["a2"] = 1, 1
 		if err := e.serve(); err != nil {
 			return unable, err
@@ -48,6 +48,8 @@
 		}
 	}
 	send(20, 100*time.Millisecond)
+	// The engine with most requests is the one of the nine that doesn't drop requests with their
+	// connections.
 	most, at := 0, 0
 	for i, e := range engines {
 		e.mu.Lock()
@@ -59,6 +61,7 @@
 	if most == 0 {
 		return unable, fmt.Errorf("no engine runs a request")
 	}
+	engines[at].keepOn()
 	if trouble {
 		sides[at].signal(syscall.SIGSTOP)
 	}
