--- a/review/drive3/main.go
+++ b/review/drive3/main.go
@@ -19,6 +19,8 @@
 var cases = map[string]func(w *world, trouble bool) (int, error){
 	"two-engines":  twoEngines,
 	"cut-unframed": cutUnframed,
+	"after-end":    afterEnd,
+	"head-refused": headRefused,
 }
 
 func main() {
