Review: a 204 on a streaming route is followed by a chunk

Engines answer 204; the gateway adds a transfer coding and the last chunk, which is read as the next answer.

--- a/review/drive3/engine.go
+++ b/review/drive3/engine.go
@@ -76,6 +76,7 @@
 	// unframed says that the answers have no length and end with their connection.
 	unframed bool
 	pause    time.Duration // between two events
+	linger   time.Duration // from the last event of a stream to its end
 	work     time.Duration // of a plain request
 
 	mu        sync.Mutex
@@ -307,10 +308,16 @@
 // stream makes the events of a stream. An engine that does not drop a request whose connection
 // has closed makes them all the same.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, work *run, last string) {
-	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(last)
 	_, output, _ := strings.Cut(r.Header.Get("X-Token-Count"), ",")
 	tokens, _ := strconv.Atoi(output)
+	if last != "" && from >= tokens/3 {
+		// Nothing follows the event: by the standard of event streams, 204 tells that.
+		w.WriteHeader(http.StatusNoContent)
+		e.end(work, "no event is left")
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	closed := false
 	for n := from + 1; n <= tokens/3; n++ {
@@ -338,6 +345,7 @@
 			}
 		}
 	}
+	time.Sleep(e.linger)
 	why := "all events made"
 	if closed {
 		why = "all events made, though the connection was closed"
