--- a/review/drive3/engine.go
+++ b/review/drive3/engine.go
@@ -20,7 +20,9 @@
 	draftService = "drafts"
 	deskService  = "desk"
 	healthPath   = "/health"
-	hostName     = "ficu95.example"
+	// preemptPath is for the case alone: the engine preempts what it runs for a while.
+	preemptPath = "/case/preempt"
+	hostName    = "ficu95.example"
 )
 
 // run is the work of an engine on one request.
@@ -35,6 +37,8 @@
 type runLog struct {
 	mu   sync.Mutex
 	runs []*run
+	// tell, if it is set, is called for the begin and the end of each run.
+	tell func(r *run)
 }
 
 func (l *runLog) begin(engine, attempt, last string) *run {
@@ -42,6 +46,9 @@
 	defer l.mu.Unlock()
 	r := &run{attempt: attempt, engine: engine, begin: time.Now(), last: last}
 	l.runs = append(l.runs, r)
+	if l.tell != nil {
+		l.tell(r)
+	}
 	return r
 }
 
@@ -49,6 +56,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.end, r.why = time.Now(), why
+	if l.tell != nil {
+		l.tell(r)
+	}
 }
 
 // byAttempt returns copies of the runs of each request.
@@ -153,6 +163,11 @@
 	case healthPath:
 		w.Header().Set("X-Instance-Id", e.id)
 		w.WriteHeader(200)
+	case preemptPath:
+		e.keepOn()
+		e.preempt(true)
+		ms, _ := strconv.Atoi(r.URL.Query().Get("ms"))
+		time.AfterFunc(time.Duration(ms)*time.Millisecond, func() { e.preempt(false) })
 	default:
 		e.request(w, r)
 	}
--- a/review/drive3/main.go
+++ b/review/drive3/main.go
@@ -24,8 +24,8 @@
 }
 
 func main() {
-	if len(os.Args) == 4 && os.Args[1] == "engine" {
-		engineProcess(os.Args[2], os.Args[3])
+	if len(os.Args) == 6 && os.Args[1] == "engine" {
+		engineProcess(os.Args[2], os.Args[3], os.Args[4], os.Args[5])
 	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: drive3 CASE RECORD")
--- a/review/drive3/two_engines.go
+++ b/review/drive3/two_engines.go
@@ -11,23 +11,29 @@
 // machines is the number of engines with a side machine each: one of them is a share of 0.11.
 const machines = 9
 
-// twoEngines: the one engine that does not drop requests with their connections preempts what
-// it runs, so that streams stall, while the orderer beside it stands still.
+// twoEngines: an engine preempts what it runs, so that streams stall, and its machine, the
+// orderer and the engine, stands still for a moment while the gateway gives them up. It is the
+// one engine that goes on with requests whose connections are closed.
 func twoEngines(w *world, trouble bool) (int, error) {
 	log := &runLog{}
 	w.store.put("config", "main", configuration(7))
-	var engines []*engine
-	for i := 1; i <= machines; i++ {
-		e := newEngine(w, log, draftService, fmt.Sprintf("i-draft-%d", i), w.addr(2, i, w.ports.app), true, 64)
-		e.loaded = true
-		e.adapters["a1"], e.adapters["a2"] = 1, 1
-		if err := e.serve(); err != nil {
+	var engines []*childEngine
+	defer func() {
+		for _, e := range engines {
+			_ = e.cmd.Process.Kill()
+		}
+	}()
+	sides := make([]*proc, machines)
+	for i := range sides {
+		e, err := w.childEngine(i+1, log, "framed")
+		if err != nil {
 			return unable, err
 		}
 		engines = append(engines, e)
 	}
-	sides := make([]*proc, machines)
-	for i := range sides {
+	time.Sleep(300 * time.Millisecond)
+	for i, e := range engines {
+		go w.beatFor(e)
 		var err error
 		if sides[i], err = w.orderer(i + 1); err != nil {
 			return unable, err
@@ -41,36 +47,29 @@
 	}
 	time.Sleep(4 * time.Second) // from here on all machines are in touch
 	c := newClients(w)
-	send := func(n int, gap time.Duration) {
-		for range n {
-			c.wait.Go(func() { c.stream(1, "/draft/x", "a1", 100, 15*time.Second) })
-			time.Sleep(gap)
-		}
+	for range 20 {
+		c.wait.Go(func() { c.stream(1, "/draft/x", "a1", 100, 15*time.Second) })
+		time.Sleep(50 * time.Millisecond)
 	}
-	send(20, 100*time.Millisecond)
-	// The engine with most requests is the one of the nine that doesn't drop requests with their
-	// connections.
-	most, at := 0, 0
+	at := 0
 	for i, e := range engines {
-		e.mu.Lock()
-		if len(e.running) > most {
-			most, at = len(e.running), i
+		if e.active() > engines[at].active() {
+			at = i
 		}
-		e.mu.Unlock()
 	}
-	if most == 0 {
+	if engines[at].active() == 0 {
 		return unable, fmt.Errorf("no engine runs a request")
 	}
-	engines[at].keepOn()
+	w.rec.row("engine %s preempts its %d requests for %s", engines[at].id, engines[at].active(), preemption)
+	engines[at].preempt(preemption)
+	time.Sleep(time.Second)
 	if trouble {
 		sides[at].signal(syscall.SIGSTOP)
+		_ = engines[at].cmd.Process.Signal(syscall.SIGSTOP)
 	}
-	time.Sleep(100 * time.Millisecond)
-	engines[at].preempt(true)
-	time.Sleep(2500 * time.Millisecond)
-	engines[at].preempt(false)
-	time.Sleep(900 * time.Millisecond)
+	time.Sleep(freeze)
 	if trouble {
+		_ = engines[at].cmd.Process.Signal(syscall.SIGCONT)
 		sides[at].signal(syscall.SIGCONT)
 	}
 	c.wait.Wait()
@@ -78,6 +77,13 @@
 	return judgeOverlaps(w, log), nil
 }
 
+const (
+	// preemption is how long the engine preempts its requests.
+	preemption = 1700 * time.Millisecond
+	// freeze is how long the machine stands still, a second after the begin of that.
+	freeze = 600 * time.Millisecond
+)
+
 // judgeOverlaps checks the rule TWICE of model engines: a request goes on at another engine
 // while the engine before still works on it 400 ms later.
 func judgeOverlaps(w *world, log *runLog) int {
