--- a/review/standins3/common.go
+++ b/review/standins3/common.go
@@ -146,7 +146,6 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	ended    chan struct{}
-	stopping bool
 }
 
 // addProcess writes the settings of a process.
@@ -220,13 +219,6 @@
 	return nil
 }
 
-func (p *process) signal(s syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.d.printf("%s to %s", s, p.name)
-	_ = p.cmd.Process.Signal(s)
-}
-
 func (p *process) hasEnded() bool {
 	select {
 	case <-p.ended:
--- a/review/standins3/version.go
+++ b/review/standins3/version.go
@@ -15,8 +15,7 @@
 
 func init() { cases["version"] = playVersion }
 
-// playVersion lets more users come than the engines have places, so that requests wait for a
-// place, and names a new version of the adapter meanwhile.
+// playVersion names a new version of an adapter while requests for it wait for a place at an engine.
 func playVersion(d *deployment, trouble bool) (int, error) {
 	const (
 		engines, slots = 2, 64
@@ -48,7 +47,7 @@
 	}
 	for i := 1; i <= engines; i++ {
 		w := d.newWorker(i, standin.WorkerSettings{
-			Service: "assist-models", Model: modelName, Slots: slots, AdapterSlots: 14, ModelLoad: time.Second, AdapterLoad: 288 * time.Millisecond, EventPause: 60 * time.Millisecond,
+			Service: "assist-models", Model: modelName, Slots: slots, AdapterSlots: 14, ModelLoad: time.Second, AdapterLoad: 288 * time.Millisecond, EventPause: 120 * time.Millisecond,
 			Newest: func(ident.Adapter) ident.Version { mu.Lock(); defer mu.Unlock(); return newest },
 			OnEvent: func(e standin.WorkerEvent) {
 				if e.Kind != standin.WorkerRan {
@@ -96,20 +95,20 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	time.Sleep(2 * time.Second)
-	// Many users come at once: for about 3 s more requests than the engines have places.
-	for n := range 136 {
+	// As many requests as the sheet's traffic brings to two of its 57 engines. These are full after about 11 s.
+	for n := range 150 {
 		send(fmt.Sprintf("user%03d", n), events)
-		time.Sleep(20 * time.Millisecond)
-	}
-	if trouble {
-		mu.Lock()
-		newest = 2
-		mu.Unlock()
-		at := d.publish(platform.KindVersions, modelName+".a1", map[string]any{"model": modelName, "adapter": "a1", "version": 2})
-		mu.Lock()
-		acks = append(acks, at)
-		mu.Unlock()
-		d.say("the store has acknowledged version 2 of the adapter")
+		if n == 134 && trouble {
+			mu.Lock()
+			newest = 2
+			mu.Unlock()
+			at := d.publish(platform.KindVersions, modelName+".a1", map[string]any{"model": modelName, "adapter": "a1", "version": 2})
+			mu.Lock()
+			acks = append(acks, at)
+			mu.Unlock()
+			d.say("the store has acknowledged version 2 of the adapter")
+		}
+		time.Sleep(time.Second * 10 / 108)
 	}
 	group.Wait()
 	mu.Lock()
