--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -11,12 +11,13 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hyssoproad/hyssoproad/pkg/httphead"
 	"github.com/hyssoproad/hyssoproad/platform"
 )
 
 // ErrInvalidResponse marks a response whose body is incomplete or malformed, that
 // belongs to another request, or that the gateway rejects. A failure to read the head
-// is returned as the error of the read instead.
+// is returned as the error of the read instead, a malformed head as httphead.ErrMalformed.
 const ErrInvalidResponse = errors.ConstError("invalid response")
 
 const (
@@ -94,9 +95,12 @@
 
 func (res *Response) readHead() error {
 	for range maxInformational + 1 {
-		if err := res.Header.Read(res.c.r); err != nil {
+		if err := httphead.Peek(res.c.r); err != nil {
 			return errors.Trace(err)
 		}
+		if err := res.Header.Read(res.c.r); err != nil {
+			return errors.WithType(err, httphead.ErrMalformed) // all of it has arrived
+		}
 		res.Status = res.Header.StatusCode()
 		if res.Status >= 200 {
 			res.complete = false
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hyssoproad/hyssoproad/pkg/httphead"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 )
 
@@ -177,6 +178,9 @@
 	if x.callerDisconnected() || x.stopped() || x.expired() && (step != stepAnswer || time.Since(x.began) < muteObjectives*x.route.Objective) {
 		return
 	}
+	if errors.Is(err, httphead.ErrMalformed) {
+		x.g.metrics.malformedHeads.Inc(1)
+	}
 	x.reportLost(a, step, err)
 	x.recordLost(a)
 	x.g.placing.known.Drop(a.target.Address) // the engine may have ended
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -29,6 +29,7 @@
 	trust          tally.Gauge                     // 1 if the configuration is used for requests that need a key
 	// unreadableLoads counts the responses whose load has a field that cannot be read.
 	unreadableLoads tally.Counter
+	malformedHeads  tally.Counter                        // of targets' responses
 	strayResponses  tally.Counter                        // of targets, to other requests than the one that was waiting
 	heldWrites      tally.Counter                        // writes of events that a caller did not read at once
 	unreadCuts      tally.Counter                        // streams that a target cut while a slow caller kept them unread
@@ -58,7 +59,7 @@
 		grantWait: scope.Histogram("grant_wait", latencyBuckets), firstEvent: scope.Histogram("first_event", latencyBuckets),
 		abandonedWait:   scope.Histogram("abandoned_run_wait", latencyBuckets),
 		streams:         newStreamMetrics(scope),
-		unreadableLoads: scope.Counter("unreadable_loads"), strayResponses: scope.Counter("stray_responses"),
+		unreadableLoads: scope.Counter("unreadable_loads"), malformedHeads: scope.Counter("malformed_heads"), strayResponses: scope.Counter("stray_responses"),
 		listAge:    scope.Histogram("target_list_age", latencyBuckets),
 		trust:      scope.Gauge("configuration_trusted"),
 		heldWrites: scope.Counter("held_writes"), unreadCuts: scope.Counter("streams_cut_unread"), unread: scope.Counter("responses_unread"),
--- /dev/null
+++ b/pkg/httphead/checker.go
@@ -0,0 +1,93 @@
+// Package httphead checks the heads of HTTP/1.x responses. The parser that reads them
+// afterwards, fasthttp, accepts heads that RFC 9112 doesn't allow, and does not show them as
+// they came.
+package httphead
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// ErrMalformed is in the chain of the error for a head that RFC 9112 does not allow. Its
+// response may be anything, also one to a request that was served.
+const ErrMalformed = errors.ConstError("malformed response head")
+
+// maxQuotedBytes bounds how much of a malformed line an error quotes.
+const maxQuotedBytes = 64
+
+const (
+	statusSwitchingProtocols = 101
+	minFinalStatus           = 200
+)
+
+var crlf = []byte("\r\n")
+
+// Checker checks the lines of one head in order. The zero value is ready for the first line.
+type Checker struct {
+	status int // 0 before the status line
+}
+
+// Line checks the next line, which includes its line feed, and reports whether it ends the
+// head.
+func (c *Checker) Line(line []byte) (end bool, err error) {
+	text := bytes.TrimSuffix(line, crlf)
+	switch {
+	case c.status == 0:
+		return false, c.checkStatusLine(text)
+	case len(text) == 0:
+		return true, nil
+	}
+	return false, nil
+}
+
+// Informational reports whether the head is one of those that precede the head of the
+// response itself.
+func (c *Checker) Informational() bool { return c.status < minFinalStatus }
+
+// checkStatusLine checks the version and the status code. Further blanks before the code are
+// allowed, and so is a line that ends with it.
+func (c *Checker) checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	if !isVersion1(version) {
+		return malformed("HTTP version", line)
+	}
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	status, ok := parseStatus(code)
+	if !ok {
+		return malformed("status code", line)
+	}
+	if status == statusSwitchingProtocols {
+		return malformed("switch of protocols that was not asked for", line)
+	}
+	if bytes.ContainsFunc(reason, isControl) {
+		return malformed("control byte in the reason phrase", line)
+	}
+	c.status = status
+	return nil
+}
+
+// isControl reports whether a byte is no part of a phrase, which may hold tabs and bytes
+// beyond ASCII.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
+func isVersion1(version []byte) bool {
+	minor, found := bytes.CutPrefix(version, []byte("HTTP/1."))
+	return found && len(minor) == 1 && isDigit(minor[0])
+}
+
+// parseStatus parses a status code of one of the five classes.
+func parseStatus(code []byte) (int, bool) {
+	if len(code) != 3 || code[0] < '1' || code[0] > '5' || !isDigit(code[1]) || !isDigit(code[2]) {
+		return 0, false
+	}
+	return int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0'), true
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// malformed returns the error for a line with the given fault.
+func malformed(fault string, line []byte) error {
+	return errors.Annotatef(ErrMalformed, "%s in line %s", fault, strconv.QuoteToASCII(string(line[:min(len(line), maxQuotedBytes)])))
+}
