A response with a malformed field is no answer (MIXED)

Callers saw: an engine in trouble put a blank into the name of a field, and its client got the answer with that line. With "Content-Length : 1" it got one byte of the two that the engine had sent. With a line feed before a name, which is a control byte in it, it got the rest of the head as the beginning of the body.

It also takes a bare line feed for the end of a line, and an empty line that ends so for the end of the head. The reader of trailers looked for the blank line only.

In trailers \x01 in a name got through.

Change: pkg/httphead checks each line: names are tokens (golang.org/x/net's httpguts), lines end with CR and LF, and the first one is no continuation. The lines of trailers pass the same check. An answer whose trailer is malformed is incomplete, like one whose trailer doesn't end. The row of such an answer, and of any other whose body can't be read, now tells the error instead of "invalid response".

Empty values, blanks around a value and folded values stay allowed. TestErrorQuotesTheLine ended its line with a bare line feed, which is now a fault of its own; the line ends as others do.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"io"
 	"net/http/httputil"
 	"strconv"
@@ -99,7 +98,8 @@
 			return errors.Trace(err)
 		}
 		if err := res.Header.Read(res.c.r); err != nil {
-			return errors.WithType(err, httphead.ErrMalformed) // all of it has arrived
+			// All of it has arrived.
+			return errors.WithType(errors.Annotate(err, string(httphead.ErrMalformed)), httphead.ErrMalformed)
 		}
 		res.Status = res.Header.StatusCode()
 		if res.Status >= 200 {
@@ -270,6 +270,7 @@
 	if err != io.EOF {
 		return n, err
 	}
+	trailer := httphead.Trailer()
 	for range maxTrailerLines {
 		line, err := c.res.c.r.ReadSlice('\n')
 		if err == io.EOF {
@@ -278,7 +279,11 @@
 		if err != nil {
 			return n, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		end, err := trailer.Line(line)
+		if err != nil {
+			return n, errors.Trace(err)
+		}
+		if end {
 			c.res.complete = true
 			return n, io.EOF
 		}
--- a/pkg/forward/malformed_head_test.go
+++ b/pkg/forward/malformed_head_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"strings"
 	"testing"
 
@@ -18,8 +19,14 @@
 		earlier = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a-0\r\nContent-Length: 2\r\n\r\nok"
 		ending  = "X-Attempt-Id: a-1\r\nContent-Length: 0\r\n\r\n"
 	)
-	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
-		malformed := "HTTP/1.1 " + status + " X\r\n" + ending
+	malformedHeads := []string{
+		"HTTP/1.1 000 X\r\n", "HTTP/1.1 001 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 101 X\r\n", "HTTP/1.1 600 X\r\n", "HTTP/1.1 999 X\r\n",
+		"HTTP/1.1 200 X\r\nX A: 1\r\n", "HTTP/1.1 200 X\r\nX-A : 1\r\n", "HTTP/1.1 200 X\r\nX A: 1\r\n b\r\n", "HTTP/1.1 200 X\r\nX-B: 1\r\n b\r\nX A: 1\r\n",
+		"HTTP/1.1 200 X\r\nX-B: 1\nX-A: 1\r\n", "HTTP/1.1 200 X\r\nX\x00A: 1\r\n", "HTTP/1.1 200 X\r\nX\x01A: 1\r\n", "HTTP/1.1 200 X\r\nX\x01A: 1\r\n b\r\n",
+		"HTTP/1.1 200 X\r\nX-B: 1\nX\x01A: 1\r\n", "HTTP/1.1 200 X\r\nX-B: 1\r\n\nX-A: 1\r\n", "HTTP/1.1 200 X\r\nX-A: a\x01b\r\n", "HTTP/1.1 200 X\r\nX-A: a\r\n b\rc\r\n",
+	}
+	for _, text := range malformedHeads {
+		malformed := text + ending
 		for _, text := range []string{
 			malformed, interim + malformed, earlier + malformed,
 			malformed + head + ending, strings.Replace(malformed, "a-1", "a-0", 1) + head + ending,
@@ -29,3 +36,15 @@
 		}
 	}
 }
+
+// A chunked body whose trailer is malformed is incomplete.
+func TestMalformedTrailerEndsNoBody(t *testing.T) {
+	for _, trailer := range []string{"X T: 1\r\n\r\n", "X-T : 1\r\n\r\n", "X\x01T: 1\r\n\r\n", "X-T\r\n\r\n", "X-T: 1\n\r\n", "\n"} {
+		res, err := receive(t, head+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"+trailer)
+		require.NoError(t, err)
+		body, err := io.ReadAll(res)
+		require.Equal(t, "abc", string(body))
+		require.ErrorIs(t, err, httphead.ErrMalformed, "%q", trailer)
+		require.False(t, res.complete)
+	}
+}
--- a/pkg/gateway/malformed_head_test.go
+++ b/pkg/gateway/malformed_head_test.go
@@ -29,6 +29,16 @@
 	{"code 101", "HTTP/1.1 101 Switching Protocols", ""},
 	{"code 999", "HTTP/1.1 999 OK", ""},
 	{"HTTP/2.0", "HTTP/2.0 200 OK", ""},
+	{"blank in a name", "HTTP/1.1 200 OK", "X A: 1\r\n"},
+	{"blank before the colon", "HTTP/1.1 200 OK", "X-A : 1\r\n"},
+	{"blank in a name of a folded field", "HTTP/1.1 200 OK", "X A: 1\r\n b\r\n"},
+	{"blank in a name after a bare line feed", "HTTP/1.1 200 OK", "X-B: 1\nX A: 1\r\n"},
+	{"blank in a name of an informational head", "HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK", ""},
+	{"line feed before a name", "HTTP/1.1 200 OK", "\nX-A: 1\r\n"},
+	{"zero byte in a name", "HTTP/1.1 200 OK", "X\x00A: 1\r\n"},
+	{"control byte in a name", "HTTP/1.1 200 OK", "X\x01A: 1\r\n"},
+	{"control byte in a name of a folded field", "HTTP/1.1 200 OK", "X\x01A: 1\r\n b\r\n"},
+	{"control byte in a value", "HTTP/1.1 200 OK", "X-A: a\x01b\r\n"},
 }
 
 // plain returns a reply of the answer with a plain body, which keeps the connection open.
@@ -85,6 +95,37 @@
 	}
 }
 
+// Guards against MIXED: a line that is no field does not frame the body.
+func TestMalformedFieldFramesNoBody(t *testing.T) {
+	for _, rest := range []string{
+		"Content-Length : 1\r\n\r\nok", "Transfer-Encoding : chunked\r\n\r\n1\r\no\r\n0\r\n\r\n", "\nContent-Length: 2\r\n\r\nok",
+	} {
+		testHarness(t, func(t *testing.T, h *harness) {
+			h.script(respondRaw("HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Server-Stamp: stamp\r\n" + rest))
+			require.Equal(t, 502, h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n")).StatusCode)
+			require.Len(t, h.receivedRequests(), 1)
+		})
+	}
+}
+
+// Guards against MIXED: an answer whose trailer is malformed is incomplete.
+func TestMalformedTrailerEndsNoAnswer(t *testing.T) {
+	malformed := respondRaw(streamHead + chunk(events(1, 5)) + "0\r\nX\x01T: 1\r\n\r\n")
+	testHarness(t, func(t *testing.T, h *harness) {
+		rows := h.logRows()
+		h.script(malformed)
+		require.Equal(t, 502, h.send(rawRequest("POST", "/unsafe/x", "Content-Length: 0\r\n")).StatusCode)
+		require.Len(t, h.receivedRequests(), 1)
+		require.Equal(t, 1, rows.rows(`step=body err="name of a field in line \"X\\x01T: 1\": malformed response head" passed-over`), rows.b.String())
+	})
+	testHarness(t, func(t *testing.T, h *harness) {
+		h.script(malformed)
+		res := h.send(rawRequest("POST", "/once-stream/x", "Content-Length: 0\r\n"))
+		_, err := io.ReadAll(res.Body)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	})
+}
+
 // Guards against ORDER: a stream whose rest comes with a malformed head does not look complete.
 func TestMalformedHeadEndsNoStream(t *testing.T) {
 	for _, test := range malformedAnswers {
@@ -135,7 +176,7 @@
 				require.NotZero(t, failed)
 				require.Equal(t, failed, rows.rows(`msg="target failed" request=a-`))
 				require.Equal(t, failed, rows.rows(`target=p-1 service=plain step=answer err="`))
-				require.Equal(t, 2*failed, rows.rows(`malformed response head" `), "the fault, also in the row of the request's end")
+				require.Equal(t, 2*failed, rows.rows("malformed response head"), "the fault, also in the row of the request's end")
 				require.Equal(t, int64(failed), scope.Snapshot().Counters()["malformed_heads+"].Value())
 				require.NotZero(t, rows.rows("passed-over=true"), "the target is ejected")
 				require.Less(t, failed, 10)
@@ -154,6 +195,9 @@
 	}{
 		{"unknown code of a known class", "HTTP/1.1 299 X", "", 299, "", ""},
 		{"no reason phrase", "HTTP/1.1 200", "", 200, "", ""},
+		{"empty value", "HTTP/1.1 200 OK", "X-A:\r\n", 200, "X-A", ""},
+		{"blanks around a value", "HTTP/1.1 200 OK", "X-A: \t a \t \r\n", 200, "X-A", "a"},
+		{"folded value", "HTTP/1.1 200 OK", "X-A: a\r\n\t b\r\n", 200, "X-A", "a b"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			testHarness(t, func(t *testing.T, h *harness) {
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -181,7 +181,7 @@
 			return body, nil
 		}
 		if err != nil {
-			return body, errors.Wrap(err, forward.ErrInvalidResponse)
+			return body, errors.WithType(err, forward.ErrInvalidResponse)
 		}
 		if len(body) > maxResponseBytes {
 			return body, errors.Annotatef(forward.ErrInvalidResponse, "response exceeds %d bytes", maxResponseBytes)
--- a/pkg/httphead/checker.go
+++ b/pkg/httphead/checker.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is in the chain of the error for a head that RFC 9112 does not allow. Its
@@ -26,20 +27,47 @@
 
 // Checker checks the lines of one head in order. The zero value is ready for the first line.
 type Checker struct {
-	status int // 0 before the status line
+	status    int  // 0 before the status line
+	hasFields bool // a line of a field came
 }
 
-// Line checks the next line, which includes its line feed, and reports whether it ends the
-// head.
+// Trailer returns a checker of the lines that follow the last chunk of a body.
+func Trailer() Checker { return Checker{status: minFinalStatus} }
+
+// Line checks the next line, which includes its line feed, and reports whether it is the blank
+// line at the end. It leaves the values of fields to the parser.
 func (c *Checker) Line(line []byte) (end bool, err error) {
-	text := bytes.TrimSuffix(line, crlf)
+	text, found := bytes.CutSuffix(line, crlf)
 	switch {
+	case !found:
+		return false, malformed("line feed without a carriage return", line)
 	case c.status == 0:
 		return false, c.checkStatusLine(text)
 	case len(text) == 0:
 		return true, nil
+	case isFold(text) && c.hasFields:
+		return false, nil
+	}
+	c.hasFields = true
+	return false, checkField(text)
+}
+
+// isFold reports whether a line continues the value of the field before it (RFC 9112,
+// section 5.2).
+func isFold(line []byte) bool { return line[0] == ' ' || line[0] == '\t' }
+
+// checkField checks that the line begins with a name and a colon. Names are tokens: a blank
+// before the colon is no part of one, but a parser that drops it reads another field.
+func checkField(line []byte) error {
+	for i, b := range line {
+		switch {
+		case b == ':' && i > 0:
+			return nil
+		case !httpguts.IsTokenRune(rune(b)):
+			return malformed("name of a field", line)
+		}
 	}
-	return false, nil
+	return malformed("field without a colon", line)
 }
 
 // Informational reports whether the head is one of those that precede the head of the
--- a/pkg/httphead/checker_test.go
+++ b/pkg/httphead/checker_test.go
@@ -29,6 +29,15 @@
 	{"no reason phrase", "HTTP/1.1 200\r\n", true},
 	{"reason phrase beyond ASCII", "HTTP/1.1 200 a\tb\xc3\xa9\xff\r\n", true},
 	{"two blanks before the code", "HTTP/1.1  200 OK\r\n", true},
+	{"empty value", "HTTP/1.1 200 OK\r\nX-A:\r\n", true},
+	{"blanks around a value", "HTTP/1.1 200 OK\r\nX-A: \t a b \t \r\n", true},
+	{"no blank before a value", "HTTP/1.1 200 OK\r\nX-A:a\r\n", true},
+	{"colons in a value", "HTTP/1.1 200 OK\r\nX-A: a:b: c\r\n", true},
+	{"value beyond ASCII", "HTTP/1.1 200 OK\r\nX-A: \xc3\xa9\xff\r\n", true},
+	{"folded value", "HTTP/1.1 200 OK\r\nX-A: a\r\n b\r\n\tc\r\n", true},
+	{"value in the second line", "HTTP/1.1 200 OK\r\nX-A:\r\n b\r\n", true},
+	{"folded value that ends with a blank line", "HTTP/1.1 200 OK\r\nX-A: a\r\n \r\n", true},
+	{"unusual token", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ: 1\r\n", true},
 
 	{"code 000", "HTTP/1.1 000 X\r\n", false},
 	{"code 001", "HTTP/1.1 001 X\r\n", false},
@@ -54,6 +63,33 @@
 	{"carriage return in the reason phrase", "HTTP/1.1 200 a\rb\r\n", false},
 	{"zero byte in the reason phrase", "HTTP/1.1 200 a\x00b\r\n", false},
 	{"no status line", "X-A: 1\r\n", false},
+
+	{"blank in a name", "HTTP/1.1 200 OK\r\nX A: 1\r\n", false},
+	{"blank before the colon", "HTTP/1.1 200 OK\r\nX-A : 1\r\n", false},
+	{"tab before the colon", "HTTP/1.1 200 OK\r\nX-A\t: 1\r\n", false},
+	{"tab in a name", "HTTP/1.1 200 OK\r\nX\tA: 1\r\n", false},
+	{"blank in a name of a folded field", "HTTP/1.1 200 OK\r\nX A: 1\r\n b\r\n", false},
+	{"blank in a name after a folded field", "HTTP/1.1 200 OK\r\nX-B: 1\r\n b\r\nX A: 1\r\n", false},
+	{"blank in the name of the last field", "HTTP/1.1 200 OK\r\nX-B: 1\r\nX-C: 2\r\nX A: 1\r\n", false},
+	{"blank in a name of an informational head", "HTTP/1.1 103 Early Hints\r\nX A: 1\r\n", false},
+	{"zero byte in a name", "HTTP/1.1 200 OK\r\nX\x00A: 1\r\n", false},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01A: 1\r\n", false},
+	{"control byte before a name", "HTTP/1.1 200 OK\r\n\x0bX-A: 1\r\n", false},
+	{"control byte in a name of a folded field", "HTTP/1.1 200 OK\r\nX\x01A: 1\r\n b\r\n", false},
+	{"delete in a name", "HTTP/1.1 200 OK\r\nX\x7fA: 1\r\n", false},
+	{"carriage return in a name", "HTTP/1.1 200 OK\r\nX\rA: 1\r\n", false},
+	{"line feed in a name", "HTTP/1.1 200 OK\r\nX\nA: 1\r\n", false},
+	{"line feed before a name", "HTTP/1.1 200 OK\r\nX-B: 1\r\n\nX-A: 1\r\n", false},
+	{"name beyond ASCII", "HTTP/1.1 200 OK\r\nX\xc3\xa9: 1\r\n", false},
+	{"separator in a name", "HTTP/1.1 200 OK\r\nX(A): 1\r\n", false},
+	{"no name", "HTTP/1.1 200 OK\r\n: 1\r\n", false},
+	{"no colon", "HTTP/1.1 200 OK\r\nX-A\r\n", false},
+	{"second status line", "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\n", false},
+	{"fold before the first field", "HTTP/1.1 200 OK\r\n X-A: 1\r\n", false},
+	{"bare line feed after a field", "HTTP/1.1 200 OK\r\nX-A: 1\nX-B: 1\r\n", false},
+	{"bare line feed before a fold", "HTTP/1.1 200 OK\r\nX-A: 1\n b\r\n", false},
+	{"bare line feed after the status line", "HTTP/1.1 200 OK\nX-A: 1\r\n", false},
+	{"bare line feed at the end", "HTTP/1.1 200 OK\r\nX-A: 1\r\n\n", false},
 }
 
 // Guards against MIXED: the parser behind the check takes many of these heads for sound.
@@ -79,6 +115,25 @@
 	}
 }
 
+func TestTrailers(t *testing.T) {
+	for _, test := range []struct {
+		line  string
+		sound bool
+	}{
+		{"X-T: 1\r\n", true}, {"X-T:\r\n", true}, {"X T: 1\r\n", false}, {"X-T : 1\r\n", false}, {"X\x01T: 1\r\n", false}, {" X-T: 1\r\n", false}, {"X-T: 1\n", false}, {"\n", false},
+	} {
+		trailer := httphead.Trailer()
+		end, err := trailer.Line([]byte(test.line))
+		require.Equal(t, test.sound, err == nil, "%q: %v", test.line, err)
+		require.False(t, end)
+		if test.sound {
+			end, err = trailer.Line([]byte("\r\n"))
+			require.NoError(t, err)
+			require.True(t, end)
+		}
+	}
+}
+
 func TestIncompleteHeads(t *testing.T) {
 	const text = "HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n"
 	for cut := range text {
@@ -92,8 +147,8 @@
 
 // The error quotes the line, and not more of it than a row of the log needs.
 func TestErrorQuotesTheLine(t *testing.T) {
-	err := httphead.Peek(bufio.NewReader(strings.NewReader("HTTP/1.1 000 \x01\n" + strings.Repeat("x", 4000))))
-	require.ErrorContains(t, err, `status code in line "HTTP/1.1 000 \x01\n"`)
+	err := httphead.Peek(bufio.NewReader(strings.NewReader("HTTP/1.1 000 \x01\r\n" + strings.Repeat("x", 4000))))
+	require.ErrorContains(t, err, `status code in line "HTTP/1.1 000 \x01"`)
 	err = httphead.Peek(bufio.NewReader(strings.NewReader("HTTP/1.1 000 " + strings.Repeat("x", 4000) + "\r\n")))
 	require.ErrorIs(t, err, httphead.ErrMalformed)
 	require.Less(t, len(err.Error()), 200)
