A response whose framing contradicts itself is no answer (MIXED)

Callers saw: the chunks of an answer in HTTP/1.0 with their lengths in between, as its body or as its events.

Cause: for the parser each version but HTTP/1.1 is HTTP/1.0, which has no transfer codings; it leaves the field out and reads on to the end of the connection, or as far as a length says. RFC 9112 (6.1) takes such a framing for faulty. Of a coding and a length in one head the parser takes the coding; a sender must not send both, and the RFC (6.3) asks recipients for an error.

Change: pkg/httphead knows the two names. A coding counts in HTTP/1.1 only, and with a length the head is malformed.

--- a/pkg/forward/malformed_head_test.go
+++ b/pkg/forward/malformed_head_test.go
@@ -24,6 +24,8 @@
 		"HTTP/1.1 200 X\r\nX A: 1\r\n", "HTTP/1.1 200 X\r\nX-A : 1\r\n", "HTTP/1.1 200 X\r\nX A: 1\r\n b\r\n", "HTTP/1.1 200 X\r\nX-B: 1\r\n b\r\nX A: 1\r\n",
 		"HTTP/1.1 200 X\r\nX-B: 1\nX-A: 1\r\n", "HTTP/1.1 200 X\r\nX\x00A: 1\r\n", "HTTP/1.1 200 X\r\nX\x01A: 1\r\n", "HTTP/1.1 200 X\r\nX\x01A: 1\r\n b\r\n",
 		"HTTP/1.1 200 X\r\nX-B: 1\nX\x01A: 1\r\n", "HTTP/1.1 200 X\r\nX-B: 1\r\n\nX-A: 1\r\n", "HTTP/1.1 200 X\r\nX-A: a\x01b\r\n", "HTTP/1.1 200 X\r\nX-A: a\r\n b\rc\r\n",
+		"HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.1 200 X\r\nContent-Length: 0\r\n",
+		"HTTP/1.1 200 X\r\nContent-Length: 1\r\n 2\r\n", "HTTP/1.1 200 X\r\nTransfer-Encoding: gzip, chunked\r\n",
 	}
 	for _, text := range malformedHeads {
 		malformed := text + ending
--- a/pkg/gateway/malformed_head_test.go
+++ b/pkg/gateway/malformed_head_test.go
@@ -38,6 +38,8 @@
 	{"zero byte in a name", "HTTP/1.1 200 OK", "X\x00A: 1\r\n"},
 	{"control byte in a name", "HTTP/1.1 200 OK", "X\x01A: 1\r\n"},
 	{"control byte in a name of a folded field", "HTTP/1.1 200 OK", "X\x01A: 1\r\n b\r\n"},
+	{"transfer coding in HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n"},
+	{"two framings", "HTTP/1.1 200 OK", "Content-Length: 2\r\n"},
 	{"control byte in a value", "HTTP/1.1 200 OK", "X-A: a\x01b\r\n"},
 }
 
@@ -95,10 +97,12 @@
 	}
 }
 
-// Guards against MIXED: a line that is no field does not frame the body.
+// Guards against MIXED: a line that is no field does not frame the body, nor do two that
+// contradict each other.
 func TestMalformedFieldFramesNoBody(t *testing.T) {
 	for _, rest := range []string{
 		"Content-Length : 1\r\n\r\nok", "Transfer-Encoding : chunked\r\n\r\n1\r\no\r\n0\r\n\r\n", "\nContent-Length: 2\r\n\r\nok",
+		"Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n0\r\n\r\n",
 	} {
 		testHarness(t, func(t *testing.T, h *harness) {
 			h.script(respondRaw("HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Server-Stamp: stamp\r\n" + rest))
--- a/pkg/httphead/checker.go
+++ b/pkg/httphead/checker.go
@@ -23,12 +23,20 @@
 	minFinalStatus           = 200
 )
 
-var crlf = []byte("\r\n")
+var (
+	crlf             = []byte("\r\n")
+	http11           = []byte("HTTP/1.1")
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+)
 
 // Checker checks the lines of one head in order. The zero value is ready for the first line.
 type Checker struct {
 	status    int  // 0 before the status line
 	hasFields bool // a line of a field came
+	noCoding  bool // the version has no transfer codings
+	hasCoding bool
+	hasLength bool
 }
 
 // Trailer returns a checker of the lines that follow the last chunk of a body.
@@ -49,25 +57,53 @@
 		return false, nil
 	}
 	c.hasFields = true
-	return false, checkField(text)
+	return false, c.checkField(text)
 }
 
 // isFold reports whether a line continues the value of the field before it (RFC 9112,
 // section 5.2).
 func isFold(line []byte) bool { return line[0] == ' ' || line[0] == '\t' }
 
-// checkField checks that the line begins with a name and a colon. Names are tokens: a blank
-// before the colon is no part of one, but a parser that drops it reads another field.
-func checkField(line []byte) error {
+// checkField checks the name of a field, and that the framing does not contradict itself.
+func (c *Checker) checkField(line []byte) error {
+	length, err := nameLength(line)
+	if err != nil {
+		return err
+	}
+	switch name := line[:length]; {
+	case isName(name, transferEncoding):
+		c.hasCoding = true
+	case isName(name, contentLength):
+		c.hasLength = true
+	default:
+		return nil
+	}
+	if c.hasCoding && c.noCoding {
+		return malformed("transfer coding before HTTP/1.1", line)
+	}
+	if c.hasCoding && c.hasLength {
+		return malformed("both a transfer coding and a length", line)
+	}
+	return nil
+}
+
+// nameLength returns the length of the name that begins a line and ends with a colon. Names
+// are tokens: a blank before the colon is no part of one, but a parser that drops it reads
+// another field.
+func nameLength(line []byte) (int, error) {
 	for i, b := range line {
 		switch {
 		case b == ':' && i > 0:
-			return nil
+			return i, nil
 		case !httpguts.IsTokenRune(rune(b)):
-			return malformed("name of a field", line)
+			return 0, malformed("name of a field", line)
 		}
 	}
-	return malformed("field without a colon", line)
+	return 0, malformed("field without a colon", line)
+}
+
+func isName(name, other []byte) bool {
+	return len(name) == len(other) && bytes.EqualFold(name, other)
 }
 
 // Informational reports whether the head is one of those that precede the head of the
@@ -92,7 +128,7 @@
 	if bytes.ContainsFunc(reason, isControl) {
 		return malformed("control byte in the reason phrase", line)
 	}
-	c.status = status
+	c.status, c.noCoding = status, !bytes.Equal(version, http11)
 	return nil
 }
 
--- a/pkg/httphead/checker_test.go
+++ b/pkg/httphead/checker_test.go
@@ -38,6 +38,11 @@
 	{"value in the second line", "HTTP/1.1 200 OK\r\nX-A:\r\n b\r\n", true},
 	{"folded value that ends with a blank line", "HTTP/1.1 200 OK\r\nX-A: a\r\n \r\n", true},
 	{"unusual token", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ: 1\r\n", true},
+	{"length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", true},
+	{"length in HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n", true},
+	{"length in an informational head", "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n", true},
+	{"transfer coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", true},
+	{"transfer coding in a value", "HTTP/1.0 200 OK\r\nTE: Transfer-Encoding\r\n", true},
 
 	{"code 000", "HTTP/1.1 000 X\r\n", false},
 	{"code 001", "HTTP/1.1 001 X\r\n", false},
@@ -89,6 +94,10 @@
 	{"bare line feed after a field", "HTTP/1.1 200 OK\r\nX-A: 1\nX-B: 1\r\n", false},
 	{"bare line feed before a fold", "HTTP/1.1 200 OK\r\nX-A: 1\n b\r\n", false},
 	{"bare line feed after the status line", "HTTP/1.1 200 OK\nX-A: 1\r\n", false},
+	{"transfer coding in HTTP/1.0", "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n", false},
+	{"transfer coding in HTTP/1.2", "HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked\r\n", false},
+	{"transfer coding before a length", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n", false},
+	{"transfer coding after a length", "HTTP/1.1 200 OK\r\nCONTENT-LENGTH: 2\r\nTRANSFER-ENCODING: chunked\r\n", false},
 	{"bare line feed at the end", "HTTP/1.1 200 OK\r\nX-A: 1\r\n\n", false},
 }
 
@@ -121,6 +130,7 @@
 		sound bool
 	}{
 		{"X-T: 1\r\n", true}, {"X-T:\r\n", true}, {"X T: 1\r\n", false}, {"X-T : 1\r\n", false}, {"X\x01T: 1\r\n", false}, {" X-T: 1\r\n", false}, {"X-T: 1\n", false}, {"\n", false},
+		{"Content-Length: 2\r\n", true},
 	} {
 		trailer := httphead.Trailer()
 		end, err := trailer.Line([]byte(test.line))
