--- /dev/null
+++ b/pkg/httphead/conn_bench_test.go
@@ -0,0 +1,39 @@
+package httphead_test
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/httphead"
+)
+
+// BenchmarkConn reads an engine's answer to an order as a client does, with and without the
+// check.
+func BenchmarkConn(b *testing.B) {
+	const text = "HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\nX-Instance-Id: i-4cdfeb7358\r\nContent-Length: 2\r\n\r\n{}"
+	source := strings.NewReader(text)
+	raw := pipeConn{Reader: source}
+	for _, test := range []struct {
+		name string
+		conn net.Conn
+	}{
+		{"unchecked", raw}, {"checked", httphead.NewConn(raw)},
+	} {
+		b.Run(test.name, func(b *testing.B) {
+			r := bufio.NewReader(test.conn)
+			var res fasthttp.Response
+			b.ReportAllocs()
+			for b.Loop() {
+				source.Reset(text)
+				_, _ = test.conn.Write(nil)
+				if err := res.Read(r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
