The product's own clients check the heads of answers too

Callers saw: with the product's own entry and agent, an answer of a service with status 999 or a blank in the name of a field was delivered, and status 000 as 200. A load order counted as done by such an answer, hyssoproadctl showed such replies, and hyssoproad-bench judged such answers as right.

Cause: as in platform/, fasthttp.Client is the only judge of heads.

Change: all clients take httphead.Configure. The measuring tools share one client where they used the library's default one, which can't be configured. An order counts as done with 2xx instead of all below 300.

--- a/pkg/bench/client.go
+++ b/pkg/bench/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/caller"
+	"github.com/hyssoproad/hyssoproad/pkg/httphead"
 	"github.com/hyssoproad/hyssoproad/pkg/standin"
 )
 
@@ -46,7 +47,7 @@
 
 func newClient(entries []string, token string) *client {
 	return &client{entries: entries, token: token, http: &fasthttp.Client{
-		MaxConnsPerHost: 4096, ReadTimeout: time.Minute, MaxIdleConnDuration: time.Minute,
+		ConfigureClient: httphead.Configure, MaxConnsPerHost: 4096, ReadTimeout: time.Minute, MaxIdleConnDuration: time.Minute,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
 }
@@ -213,9 +214,12 @@
 	return out
 }
 
+// direct is the client of stand-ins and processes that are asked without an entry.
+var direct = &fasthttp.Client{ConfigureClient: httphead.Configure}
+
 // getJSON reads the statistics of a stand-in or process.
 func getJSON(url string, v any) error {
-	status, body, err := fasthttp.Get(nil, url)
+	status, body, err := direct.Get(nil, url)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -237,7 +241,7 @@
 	req.SetRequestURI(url)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(body)
-	if err := fasthttp.Do(req, res); err != nil {
+	if err := direct.Do(req, res); err != nil {
 		return errors.Trace(err)
 	}
 	if res.StatusCode() != fasthttp.StatusOK {
--- a/pkg/bench/overhead.go
+++ b/pkg/bench/overhead.go
@@ -30,7 +30,7 @@
 			if err != nil {
 				return errors.Trace(err)
 			}
-			o := overheadRun{client: newClient(d.callerURLs[:1], CallerToken), direct: &fasthttp.Client{}, tokens: *tokens}
+			o := overheadRun{client: newClient(d.callerURLs[:1], CallerToken), tokens: *tokens}
 			if err := o.locateEngine(d); err != nil {
 				return errors.Trace(err)
 			}
@@ -45,7 +45,6 @@
 
 type overheadRun struct {
 	client        *client
-	direct        *fasthttp.Client
 	engine        string
 	tokens        int
 	entryLatency  *hdrhistogram.Histogram
@@ -104,7 +103,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBody(body)
 	start := time.Now()
-	if err := o.direct.Do(req, res); err != nil {
+	if err := direct.Do(req, res); err != nil {
 		return 0, errors.Trace(err)
 	}
 	took := time.Since(start)
--- a/pkg/control/client.go
+++ b/pkg/control/client.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hyssoproad/hyssoproad/pkg/httphead"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/operator"
 	"github.com/hyssoproad/hyssoproad/pkg/wire"
@@ -34,6 +35,7 @@
 // NewClient returns a client of the entry at the base URL.
 func NewClient(base, token string) *Client {
 	return &Client{base: base, token: token, http: &fasthttp.Client{
+		ConfigureClient:     httphead.Configure,
 		MaxResponseBodySize: maxReplyBytes,
 		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
--- a/pkg/control/gateway_page.go
+++ b/pkg/control/gateway_page.go
@@ -9,6 +9,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/httphead"
 )
 
 const (
@@ -59,6 +61,7 @@
 // readGatewayPage decodes a page of a gateway's metrics listener.
 func readGatewayPage(address, page string, into any) error {
 	client := &fasthttp.Client{
+		ConfigureClient:     httphead.Configure,
 		MaxResponseBodySize: maxReplyBytes,
 		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
--- a/pkg/target/engine.go
+++ b/pkg/target/engine.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hyssoproad/hyssoproad/pkg/httphead"
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 )
 
@@ -67,8 +68,8 @@
 	neverRetry := func(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 	c := &engineClient{
 		base:    base,
-		unary:   &fasthttp.Client{MaxConnsPerHost: maxEngineConns, RetryIfErr: neverRetry, MaxResponseBodySize: maxAnswerBytes},
-		streams: &fasthttp.Client{MaxConnsPerHost: maxEngineConns, RetryIfErr: neverRetry, StreamResponseBody: true},
+		unary:   &fasthttp.Client{ConfigureClient: httphead.Configure, MaxConnsPerHost: maxEngineConns, RetryIfErr: neverRetry, MaxResponseBodySize: maxAnswerBytes},
+		streams: &fasthttp.Client{ConfigureClient: httphead.Configure, MaxConnsPerHost: maxEngineConns, RetryIfErr: neverRetry, StreamResponseBody: true},
 	}
 	return &Engine{Generate: c.generate, Load: c.load, Unload: c.unload, ListAdapters: c.listAdapters, Cancel: c.cancel, InUse: c.inUse, SetRole: c.setRole}
 }
@@ -183,7 +184,7 @@
 
 func (a answer) check(path string) error {
 	switch {
-	case a.status < 300:
+	case a.status >= fasthttp.StatusOK && a.status < fasthttp.StatusMultipleChoices:
 		return nil
 	case a.status == fasthttp.StatusPreconditionFailed:
 		return errors.Annotate(ErrStaleToken, path)
--- a/pkg/target/service.go
+++ b/pkg/target/service.go
@@ -5,6 +5,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hyssoproad/hyssoproad/pkg/httphead"
 )
 
 const maxServiceAnswerBytes = 1 << 20
@@ -34,6 +36,7 @@
 // NewService returns a client of the service at the base URL.
 func NewService(base string) *Service {
 	c := &serviceClient{base: base, http: &fasthttp.Client{
+		ConfigureClient:     httphead.Configure,
 		MaxConnsPerHost:     maxEngineConns,
 		MaxResponseBodySize: maxServiceAnswerBytes,
 		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
