A call whose answer has a malformed trailer does not count as done

Operators saw nothing: a report of an engine whose trailer held a space in the name of a field was believed, and "X-Instance-Load : 1,2,3" there counted as a field of its head.

Cause: fasthttp.Client reads trailers with the parser of heads and adds them to the head; the check of its connections ended with the head.

Change: httphead.Conn follows the chunks of an answer and checks the lines after the last one. A chunk size that it can't read is left to the client, and what it keeps of an unfinished line has a limit.

--- a/pkg/httphead/checker.go
+++ b/pkg/httphead/checker.go
@@ -1,5 +1,5 @@
-// Package httphead checks the heads of HTTP/1.x responses. The parser that reads them
-// afterwards, fasthttp, accepts heads that RFC 9112 doesn't allow, and does not show them as
+// Package httphead checks the heads and trailers of HTTP/1.x responses. The parser that reads
+// them afterwards, fasthttp, accepts heads that RFC 9112 doesn't allow, and does not show them as
 // they came.
 package httphead
 
@@ -11,8 +11,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformed is in the chain of the error for a head that RFC 9112 does not allow. The
-// request may have been served.
+// ErrMalformed is in the chain of the error for a head or trailer that RFC 9112 does not allow.
+// The request may have been served.
 const ErrMalformed = errors.ConstError("malformed response head")
 
 // maxQuotedBytes bounds how much of a malformed line an error quotes.
--- a/pkg/httphead/client_test.go
+++ b/pkg/httphead/client_test.go
@@ -57,6 +57,44 @@
 	}
 }
 
+// The lines after the last chunk are checked like those of a head, and nothing of the chunks
+// themselves is. What is no chunk is left to the client.
+func TestConnOfTrailers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const chunks = "a;x=1\r\nX A: 1\n\r\n\n\r\n1 \r\n\n\r\n"
+	for _, test := range []struct {
+		name, text string
+		sound      bool
+	}{
+		{"no trailer", head + chunks + "0\r\n\r\n", true},
+		{"trailer", head + chunks + "000;y\r\nX-T: 1\r\n 2\r\n\r\n", true},
+		{"bytes after the trailer", head + chunks + "0\r\n\r\nX T: 1\r\n", true},
+		{"unreadable size", head + "x\r\n0\r\nX T: 1\r\n\r\n", true},
+		{"negative size", head + "-5\r\n0\r\nX T: 1\r\n\r\n", true},
+		{"cut chunk", head + "ffff\r\n0\r\nX T: 1\r\n\r\n", true},
+		{"body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n0\r\nX T: 1\r\n\r\n", true},
+		{"space in a name", head + chunks + "0\r\nX T: 1\r\n\r\n", false},
+		{"space before the colon", head + chunks + "0\r\nX-U: 1\r\nX-T : 1\r\n\r\n", false},
+		{"control byte in a name", head + "0\r\nX\x01T: 1\r\n\r\n", false},
+		{"chunk size without end", head + "1;" + strings.Repeat("x", 100<<10), false},
+		{"bare line feed", head + chunks + "0\r\nX-T: 1\n\r\n", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for _, source := range []io.Reader{strings.NewReader(test.text), iotest.OneByteReader(strings.NewReader(test.text)), iotest.HalfReader(strings.NewReader(test.text))} {
+				read, err := io.ReadAll(httphead.NewConn(pipeConn{Reader: source}))
+				if test.sound {
+					require.NoError(t, err)
+					require.Equal(t, test.text, string(read))
+					continue
+				}
+				require.ErrorIs(t, err, httphead.ErrMalformed)
+				var res fasthttp.Response
+				require.Error(t, res.Read(bufio.NewReader(strings.NewReader(string(read)))))
+			}
+		})
+	}
+}
+
 // serve answers the requests of all connections with the texts in turn.
 func serve(t *testing.T, texts ...string) (address string) {
 	t.Helper()
