--- a/pkg/bench/malformed_head_test.go
+++ b/pkg/bench/malformed_head_test.go
@@ -1,10 +1,7 @@
 package bench
 
 import (
-	"bufio"
 	"fmt"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/juju/errors"
@@ -12,6 +9,7 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/httphead"
 	"github.com/hyssoproad/hyssoproad/pkg/standin"
+	"github.com/hyssoproad/hyssoproad/pkg/tcptest"
 )
 
 // A right answer with a malformed head is an error of the run, not a right answer.
@@ -24,25 +22,10 @@
 	}{
 		{"HTTP/1.1 200 OK\r\n", verdictRight}, {"HTTP/1.1 000 OK\r\n", verdictError}, {"HTTP/1.1 200 OK\r\nX A: 1\r\n", verdictError}, {"HTTP/1.1 200 OK\r\nX-A : 1\r\n", verdictError},
 	} {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer l.Close()
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = fmt.Fprintf(c, "%sHyssoproad-Adapter: m@1\r\nContent-Length: %d\r\n\r\n%s", test.begin, len(body), body)
-				}
-				_ = c.Close()
-			}
-		}()
-		url := "http://" + l.Addr().String()
+		url := "http://" + tcptest.ServeText(t, fmt.Sprintf("%sHyssoproad-Adapter: m@1\r\nContent-Length: %d\r\n\r\n%s", test.begin, len(body), body))
 		require.Equal(t, test.want, newClient([]string{url}, "token").complete(in).verdict, "%q", test.begin)
 		var stats map[string]any
-		err = getJSON(url, &stats)
+		err := getJSON(url, &stats)
 		require.Equal(t, test.want == verdictError, errors.Is(err, httphead.ErrMalformed), "%q: %v", test.begin, err)
 	}
 }
--- a/pkg/httphead/client_test.go
+++ b/pkg/httphead/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/httphead"
+	"github.com/hyssoproad/hyssoproad/pkg/tcptest"
 )
 
 // pipeConn reads from a reader and drops what is written.
@@ -98,31 +99,18 @@
 // serve answers the requests of all connections with the texts in turn.
 func serve(t *testing.T, texts ...string) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	answers := make(chan string, len(texts))
 	for _, text := range texts {
 		answers <- text
 	}
-	go func() {
+	return tcptest.Serve(t, func(c net.Conn, r *bufio.Reader) {
 		for {
-			c, err := l.Accept()
-			if err != nil {
+			if _, err := http.ReadRequest(r); err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for r := bufio.NewReader(c); ; {
-					if _, err := http.ReadRequest(r); err != nil {
-						return
-					}
-					_, _ = io.WriteString(c, <-answers)
-				}
-			}()
+			_, _ = io.WriteString(c, <-answers)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Calls fail with the fault that the head has, and the connection is not used again.
--- a/pkg/target/cut_head_test.go
+++ b/pkg/target/cut_head_test.go
@@ -1,9 +1,6 @@
 package target_test
 
 import (
-	"bufio"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -11,28 +8,13 @@
 
 	"github.com/hyssoproad/hyssoproad/pkg/ident"
 	"github.com/hyssoproad/hyssoproad/pkg/target"
+	"github.com/hyssoproad/hyssoproad/pkg/tcptest"
 )
 
 // serveRaw answers the request of each connection with a text and closes it.
 func serveRaw(t *testing.T, text string) (base string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if q, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_ = q.Body.Close()
-				_, _ = c.Write([]byte(text))
-			}
-			_ = c.Close()
-		}
-	}()
-	return "http://" + l.Addr().String()
+	return "http://" + tcptest.ServeText(t, text)
 }
 
 // Guards against MIXED in the agent: an answer of a target that ends inside its head, also
--- a/pkg/target/endless_test.go
+++ b/pkg/target/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hyssoproad/hyssoproad/pkg/target"
+	"github.com/hyssoproad/hyssoproad/pkg/tcptest"
 )
 
 // endlessBytes is what a faulty engine sends at most, so that a test ends, and
@@ -29,34 +30,22 @@
 func serveEndless(t *testing.T, start, repeated string) (base string, written *atomic.Int64) {
 	t.Helper()
 	written = new(atomic.Int64)
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	block := []byte(strings.Repeat(repeated, 1+64<<10/max(len(repeated), 1)))
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, start)
-				for err == nil && written.Load() < endlessBytes && repeated != "" {
-					var n int
-					n, err = c.Write(block)
-					written.Add(int64(n))
-				}
-				if repeated == "" {
-					_, _ = io.Copy(io.Discard, c) // until the client closes
-				}
-			}()
+	address := tcptest.Serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, start)
+		for err == nil && written.Load() < endlessBytes && repeated != "" {
+			var n int
+			n, err = c.Write(block)
+			written.Add(int64(n))
 		}
-	}()
-	return "http://" + l.Addr().String(), written
+		if repeated == "" {
+			_, _ = io.Copy(io.Discard, c) // until the client closes
+		}
+	})
+	return "http://" + address, written
 }
 
 // An engine sends bytes that are no answer, without end, until its client closes. Neither a
