Tests of malformed heads also end answers with their connections

Cause: each answer of these tests had a length or chunks, so that nothing showed what becomes of the others.

The cases that were there stay.

--- a/pkg/gateway/malformed_head_test.go
+++ b/pkg/gateway/malformed_head_test.go
@@ -97,6 +97,29 @@
 	}
 }
 
+// Guards against MIXED: the same of answers that end with their connection.
+func TestMalformedHeadWithoutLengthIsNoAnswer(t *testing.T) {
+	for _, test := range malformedAnswers {
+		if test.name == "two framings" {
+			continue // sound without the second one
+		}
+		for _, answer := range []struct{ path, rest string }{
+			{"/unsafe/x", "\r\nok"}, {"/once-stream/x", "Content-Type: text/event-stream\r\n\r\n" + events(1, 5)},
+		} {
+			t.Run(test.name+" on "+answer.path, func(t *testing.T) {
+				testHarness(t, func(t *testing.T, h *harness) {
+					h.script(func(w net.Conn, call receivedRequest) bool {
+						test.reply(answer.rest)(w, call)
+						return false
+					})
+					require.Equal(t, 502, h.send(rawRequest("POST", answer.path, "Content-Length: 0\r\n")).StatusCode)
+					require.Len(t, h.receivedRequests(), 1)
+				})
+			})
+		}
+	}
+}
+
 // Guards against MIXED: a line that is no field does not frame the body, nor do two that
 // contradict each other.
 func TestMalformedFieldFramesNoBody(t *testing.T) {
--- a/pkg/target/malformed_head_test.go
+++ b/pkg/target/malformed_head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,15 +51,17 @@
 			{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01A: 1\r\n", false},
 			{"coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", false},
 		} {
-			t.Run(call.name+", "+head.name, func(t *testing.T) {
-				err := call.do(serveRaw(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head.begin, len(call.body), call.body)))
-				if head.sound {
-					require.NoError(t, err)
-					return
-				}
-				require.ErrorIs(t, err, httphead.ErrMalformed)
-				require.NotErrorIs(t, err, target.ErrNotHeld)
-			})
+			for _, framing := range []string{fmt.Sprintf("Content-Length: %d\r\n", len(call.body)), "Connection: close\r\n"} {
+				t.Run(call.name+", "+head.name+", "+strings.TrimSpace(framing), func(t *testing.T) {
+					err := call.do(serveRaw(t, head.begin+framing+"\r\n"+call.body))
+					if head.sound {
+						require.NoError(t, err)
+						return
+					}
+					require.ErrorIs(t, err, httphead.ErrMalformed)
+					require.NotErrorIs(t, err, target.ErrNotHeld)
+				})
+			}
 		}
 	}
 }
