Checking a head and parsing it are one function

Cause: the reader of responses called the check and the parser one after the other and told the parser's error apart itself; a method of the checker was exported that nothing outside its package calls.

Change: httphead.Read does both. Behaviour as before.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -94,13 +94,9 @@
 
 func (res *Response) readHead() error {
 	for range maxInformational + 1 {
-		if err := httphead.Peek(res.c.r); err != nil {
+		if err := httphead.Read(&res.Header, res.c.r); err != nil {
 			return errors.Trace(err)
 		}
-		if err := res.Header.Read(res.c.r); err != nil {
-			// All of it has arrived.
-			return errors.WithType(errors.Annotate(err, string(httphead.ErrMalformed)), httphead.ErrMalformed)
-		}
 		res.Status = res.Header.StatusCode()
 		if res.Status >= 200 {
 			res.complete = false
--- a/pkg/httphead/checker.go
+++ b/pkg/httphead/checker.go
@@ -106,9 +106,9 @@
 	return len(name) == len(other) && bytes.EqualFold(name, other)
 }
 
-// Informational reports whether the head is one of those that precede the head of the
+// isInformational reports whether the head is one of those that precede the head of the
 // response itself.
-func (c *Checker) Informational() bool { return c.status < minFinalStatus }
+func (c *Checker) isInformational() bool { return c.status < minFinalStatus }
 
 // checkStatusLine checks the version and the status code. As in other recipients, the code may
 // follow several spaces, and end the line.
--- a/pkg/httphead/conn.go
+++ b/pkg/httphead/conn.go
@@ -107,7 +107,7 @@
 	switch {
 	case err != nil || !end:
 		return err
-	case c.part == partHead && c.checker.Informational():
+	case c.part == partHead && c.checker.isInformational():
 		c.checker = Checker{}
 	case c.part == partHead && c.checker.hasCoding:
 		c.part = partChunkSize
--- a/pkg/httphead/peek.go
+++ b/pkg/httphead/read.go
@@ -6,8 +6,21 @@
 	"io"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 )
 
+// Read checks the next head and then parses it into h.
+func Read(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
+	if err := Peek(r); err != nil {
+		return errors.Trace(err)
+	}
+	if err := h.Read(r); err != nil {
+		// The whole head has arrived, so the parser has found a fault in it.
+		return errors.WithType(errors.Annotate(err, string(ErrMalformed)), ErrMalformed)
+	}
+	return nil
+}
+
 // Peek waits for a whole head and checks it. The head stays in the reader's buffer, which
 // has to be large enough for it. Peek returns io.EOF only if there are no bytes at all.
 func Peek(r *bufio.Reader) error {
